--- /dev/null
+++ b/src/bin/chivebend-entry.rs
@@ -0,0 +1,3 @@
+//! The entry process.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/chivebend-sidecar.rs
@@ -0,0 +1,3 @@
+//! The sidecar process.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/chivebend-standin.rs
@@ -0,0 +1,3 @@
+//! The standin process.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/chivebend.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,1 @@
+//! The operators' commands, one file each.
--- /dev/null
+++ b/src/code.rs
@@ -0,0 +1,134 @@
+//! Numbered result codes: the one table that callers, operators and `docs/CODES.md` share.
+
+use std::fmt;
+
+/// Whether the request ran, as far as the system can know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, derive_more::Display)]
+pub enum Ran {
+    /// It never started and never will.
+    #[display("no")]
+    No,
+    /// It started and its outcome is known.
+    #[display("yes")]
+    Yes,
+    /// It may have run.
+    #[display("unknown")]
+    Unknown,
+}
+
+/// One row of the table.
+#[derive(Clone, Copy, Debug)]
+pub struct Row {
+    /// The code's number.
+    pub number: u16,
+    /// Stable name, used in logs and metrics.
+    pub name: &'static str,
+    /// HTTP status that callers see.
+    pub status: u16,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// Whether the same request may be sent again with hope.
+    pub retry: bool,
+    /// What it means.
+    pub text: &'static str,
+    /// What an operator does about it.
+    pub operator: &'static str,
+}
+
+macro_rules! codes {
+    ($($variant:ident $number:literal $name:literal $status:literal $ran:ident $retry:literal
+        $text:literal $operator:literal;)*) => {
+        /// A numbered result code.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        #[repr(u16)]
+        pub enum Code {
+            $(#[doc = $text] $variant = $number,)*
+        }
+
+        /// The whole table, in order of number.
+        pub const TABLE: &[(Code, Row)] = &[
+            $((Code::$variant, Row {
+                number: $number,
+                name: $name,
+                status: $status,
+                ran: Ran::$ran,
+                retry: $retry,
+                text: $text,
+                operator: $operator,
+            }),)*
+        ];
+    };
+}
+
+codes! {
+    BadRequest 101 "bad_request" 400 No false "The request is malformed." "Nothing; the caller corrects it.";
+    Unauthorised 102 "unauthorised" 401 No false "The API key is missing or unknown." "Check the customer's key hashes in the catalogue.";
+    NoSuchRoute 103 "no_such_route" 404 No false "No service in the catalogue serves this path." "Add a route, or tell the caller the right path.";
+    HeadTooLarge 104 "head_too_large" 431 No false "The request's headers exceed the limit." "Raise the limit in the settings if the caller is right.";
+    BodyTooLarge 105 "body_too_large" 413 No false "The request's body exceeds the limit." "Raise the limit in the settings if the caller is right.";
+    SlowCaller 106 "slow_caller" 408 No true "The request did not arrive in time." "Look at the caller's network.";
+    TooManyConnections 107 "too_many_connections" 503 No true "The instance has as many connections as it accepts." "Add entry instances, or raise the limit.";
+    KeyReused 108 "key_reused" 422 No false "The idempotency key was used before with another request." "Nothing; the caller uses a new key for each request.";
+    NoSuchModel 109 "no_such_model" 404 No false "No service in the catalogue has this model." "Add the model to a service, or tell the caller the right name.";
+    BadDeadline 110 "bad_deadline" 400 No false "The deadline header is not a number of milliseconds." "Nothing; the caller corrects it.";
+    RateLimited 201 "rate_limited" 429 No true "The customer sends more requests a second than its limit." "Raise the customer's limit if that is intended.";
+    TokensLimited 202 "tokens_limited" 429 No true "The customer uses more tokens a second than its limit." "Raise the customer's limit if that is intended.";
+    ConcurrencyLimited 203 "concurrency_limited" 429 No true "The customer has as many requests in progress as its limit." "Raise the customer's limit if that is intended.";
+    QueueFull 204 "queue_full" 429 No true "The customer's queue is full." "See who floods with `chivebend customers`.";
+    QueueBytesFull 205 "queue_bytes_full" 429 No true "The customer's waiting requests hold as many bytes as allowed." "See who floods with `chivebend customers`.";
+    DeadlineUnreachable 206 "deadline_unreachable" 503 No true "The request could not meet its deadline and was refused early." "Add capacity if this lasts.";
+    Shed 207 "shed" 503 No true "The fleet is overloaded and this customer is over its share." "Add capacity if this lasts.";
+    DeadlinePassed 208 "deadline_passed" 504 No true "The deadline passed while the request waited." "Add capacity if this lasts.";
+    NoCatalogue 301 "no_catalogue" 503 No true "This process has no accepted catalogue yet." "Check the log service, and that a catalogue was published.";
+    NoBackendServer 302 "no_backend_server" 503 No true "No live backend server serves this." "Check `chivebend status`.";
+    BackendRefused 303 "backend_refused" 502 No true "The backend server refused the connection." "Check the backend server.";
+    RetryBudget 304 "retry_budget" 503 No true "The request did not run and the retry budget is spent." "Look for failing backend servers.";
+    Leaving 305 "leaving" 503 No true "The process is shutting down." "Nothing; the caller is sent elsewhere.";
+    KeyHomeUnreachable 306 "key_home_unreachable" 503 No true "The sidecar that decides about this idempotency key cannot be reached." "Check `chivebend status` for the sidecar.";
+    KeyHomeLost 307 "key_home_lost" 503 Unknown true "The sidecar that decided about this idempotency key was lost; an earlier request with the key may have run." "Wait for the key retention to pass; see docs/OPERATING.md.";
+    KeyInProgress 308 "key_in_progress" 409 Unknown true "An earlier request with this idempotency key is still running." "Nothing; the caller asks again.";
+    CallerLeft 309 "caller_left" 499 Unknown false "The caller closed the connection before its answer." "Nothing.";
+    AnswerBroken 401 "answer_broken" 502 Unknown false "The answer broke off after it had begun." "Check the backend server.";
+    OutcomeUnknown 402 "outcome_unknown" 502 Unknown false "The request was handed over and its outcome is not known." "Ask the backend server's owner whether it ran.";
+    BackendFailed 403 "backend_failed" 502 Yes false "The backend server failed while it ran the request." "Check the backend server.";
+    AnswerNotKept 404 "answer_not_kept" 410 Yes false "The request ran; its answer is no longer kept." "Raise the sidecar's answer memory if this is frequent.";
+    AnswerTooLarge 405 "answer_too_large" 502 Yes false "The backend server's answer exceeds the limit." "Raise the limit in the settings if the answer is right.";
+    BackendSilent 406 "backend_silent" 504 Unknown false "The backend server made no progress within the limit." "Check the backend server.";
+    CatalogueInvalid 501 "catalogue_invalid" 422 No false "The catalogue has faults." "Correct the faults that `chivebend check` lists.";
+    LostRace 502 "lost_race" 409 No true "Another change was accepted on the same base revision." "Rebase the change on the revision in force and publish again.";
+    PublishUnknown 503 "publish_unknown" 504 Unknown true "The log did not say whether the change was appended." "Run `chivebend publish` again with the same change id.";
+    LogUnavailable 504 "log_unavailable" 503 No true "The log service does not answer." "Check the log service; accepted configuration stays in force.";
+    BadSettings 601 "bad_settings" 500 No false "The process's settings are invalid." "Correct the settings the message names.";
+    BadSecret 602 "bad_secret" 403 No false "The other process did not prove that it belongs to the fleet." "Check the fleet secret on both sides.";
+    BadFrame 603 "bad_frame" 400 No false "A frame from another process is malformed or out of bounds." "Check that both processes run compatible versions.";
+    Internal 604 "internal" 500 Unknown false "The process met a fault of its own." "Report it with the time line around it.";
+}
+
+impl Code {
+    /// The code's row in the table.
+    pub fn row(self) -> &'static Row {
+        // The table is short and in order of number, so the search is a handful of comparisons.
+        let at = TABLE.partition_point(|(code, _)| *code < self);
+        &TABLE[at].1
+    }
+
+    /// The code with this number.
+    pub fn from_number(number: u32) -> Option<Self> {
+        TABLE
+            .iter()
+            .find(|(_, row)| u32::from(row.number) == number)
+            .map(|(code, _)| *code)
+    }
+
+    /// The code's number.
+    pub fn number(self) -> u16 {
+        self.row().number
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let row = self.row();
+        write!(f, "{} {}", row.number, row.name)
+    }
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! Controllers: the actors that keep the state of a process.
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! The entry process, from settings to running handle.
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,1 @@
+//! Events: one log line each, and a bounded ring that the time line is read from.
--- /dev/null
+++ b/src/filter/mod.rs
@@ -0,0 +1,1 @@
+//! The filter chain that every caller's request passes.
--- /dev/null
+++ b/src/ops.rs
@@ -0,0 +1,1 @@
+//! The operators' port: health, metrics, status and the time line.
--- /dev/null
+++ b/src/sidecar/mod.rs
@@ -0,0 +1,1 @@
+//! The sidecar process, from settings to running handle.
--- /dev/null
+++ b/src/standin/mod.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform and for backend servers, with switches for their faults.
