Let digests name a member's service and operators' port, and beats carry a clock

Cause: membership spread by processes needs both, and the time line a common clock. Change: new fields in the protocol; code generated again.

--- a/src/wire/chivebend.v1.rs
+++ b/src/wire/chivebend.v1.rs
@@ -224,6 +224,8 @@
     pub sequence: u64,
     #[prost(uint64, tag = "2")]
     pub catalogue_revision: u64,
+    #[prost(uint64, tag = "3")]
+    pub stamp: u64,
 }
 /// Service totals of customers that have tickets at this sidecar.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -311,6 +313,8 @@
     pub first_token_ms: u64,
     #[prost(uint64, tag = "9")]
     pub between_tokens_us: u64,
+    #[prost(uint64, tag = "10")]
+    pub stamp: u64,
 }
 /// A slot is idle and no ticket waits here.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -382,6 +386,9 @@
     pub members: ::prost::alloc::vec::Vec<Member>,
     #[prost(message, repeated, tag = "6")]
     pub accounts: ::prost::alloc::vec::Vec<Account>,
+    /// Hybrid logical clock of the sender, for the time line.
+    #[prost(uint64, tag = "7")]
+    pub stamp: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Member {
@@ -391,6 +398,10 @@
     pub heartbeat: u64,
     #[prost(bool, tag = "3")]
     pub leaving: bool,
+    #[prost(string, tag = "4")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(string, tag = "5")]
+    pub ops_address: ::prost::alloc::string::String,
 }
 /// Service a process has charged to a customer, cumulative for its incarnation.
 #[derive(Clone, PartialEq, ::prost::Message)]
