Add events, logging and the operators' port

Cause: every process needs one place to record what happened, and operators need to read it. Change: event::Ring records a key=value log line and a bounded ring under a hybrid logical clock, with a limit on repeats; logging::init sets log4rs up; ops::spawn serves health, readiness, metrics, status, customers, events, revision and drain by tiny_http behind a guard of connections, bytes and time. The secret is read from the environment alone and is never printed. Conclusion: the data path and the catalogue can record events and serve them.

--- /dev/null
+++ b/src/event/mod.rs
@@ -0,0 +1,320 @@
+//! Events: one log line each, and a bounded ring that the time line is read from.
+//!
+//! A hybrid logical clock stamps every event. Processes send each other their newest stamp with
+//! their frames ([`Ring::stamp`], [`Ring::observe`]), so that the merged time line shows a cause
+//! before its effect even where the machines' clocks differ.
+
+use std::borrow;
+use std::collections;
+use std::fmt;
+use std::sync;
+use std::time;
+
+use crate::code;
+
+mod kind;
+mod limit;
+mod text;
+
+pub use kind::{KINDS, Kind, Row};
+pub use text::line;
+
+/// Events a process keeps by default. At 512 bytes each, 4 MB of the node's 256 MB; at 40 requests
+/// a second with four events each, the last 50 seconds.
+pub const CAPACITY: usize = 8192;
+
+/// How far ahead of this machine's clock another's stamp may be. Clocks kept by NTP differ by far
+/// less; a stamp beyond it would drag every process's clock along, so it is ignored.
+const CLOCK_LEAD: time::Duration = time::Duration::from_secs(60);
+
+/// A reading of the hybrid logical clock: NTP64 format, the low 4 bits count.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Hash,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+    derive_more::Display,
+    derive_more::From,
+    derive_more::Into,
+)]
+pub struct Stamp(pub u64);
+
+impl Stamp {
+    /// The wall-clock time the stamp stands for, in milliseconds since 1970.
+    pub fn unix_ms(self) -> u64 {
+        uhlc::NTP64(self.0).to_duration().as_millis() as u64
+    }
+
+    /// The lowest stamp of a wall-clock time in milliseconds since 1970.
+    pub fn from_unix_ms(ms: u64) -> Self {
+        Self(uhlc::NTP64::from(time::Duration::from_millis(ms)).as_u64())
+    }
+}
+
+/// Who records: part of every event.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name of the instance.
+    pub instance: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// What it is: `entry`, `sidecar` and so on.
+    pub role: &'static str,
+}
+
+/// Something that happened in a process.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Event {
+    /// When, by the hybrid logical clock.
+    pub stamp: Stamp,
+    /// Stable name.
+    pub name: borrow::Cow<'static, str>,
+    /// Instance that recorded it.
+    pub instance: String,
+    /// The instance's availability zone.
+    pub zone: String,
+    /// The instance's role.
+    pub role: borrow::Cow<'static, str>,
+    /// Request it is about.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<String>,
+    /// Customer it is about.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<String>,
+    /// Catalogue revision it is about.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub revision: Option<u64>,
+    /// Result code.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub code: Option<u16>,
+    /// Further fields.
+    #[serde(default, skip_serializing_if = "collections::BTreeMap::is_empty")]
+    pub fields: collections::BTreeMap<borrow::Cow<'static, str>, String>,
+    /// Repeats of the same sort that were dropped before this one.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub repeats: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde's signature")]
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
+/// Which events to read from a ring.
+#[derive(Clone, Debug, Default)]
+pub struct Filter {
+    /// Only events after this stamp.
+    pub since: Stamp,
+    /// Only events of this request.
+    pub request: Option<String>,
+    /// Only events of this customer.
+    pub customer: Option<String>,
+}
+
+impl Filter {
+    /// Whether an event passes.
+    pub fn accepts(&self, event: &Event) -> bool {
+        let is = |want: &Option<String>, has: &Option<String>| want.is_none() || want == has;
+        event.stamp > self.since
+            && is(&self.request, &event.request)
+            && is(&self.customer, &event.customer)
+    }
+}
+
+/// What a ring says of itself when it is read.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct Page {
+    /// The instance.
+    pub instance: String,
+    /// The clock when it was read.
+    pub now: Stamp,
+    /// Events that newer ones have pushed out since the process started.
+    pub overwritten: u64,
+    /// Events in order of stamp.
+    pub events: Vec<Event>,
+}
+
+struct Shared {
+    identity: Identity,
+    clock: uhlc::HLC,
+    capacity: usize,
+    state: sync::Mutex<State>,
+}
+
+struct State {
+    events: collections::VecDeque<Event>,
+    overwritten: u64,
+    limit: limit::Limit,
+}
+
+/// A process's bounded ring of events; clones share it.
+#[derive(Clone)]
+pub struct Ring(sync::Arc<Shared>);
+
+impl fmt::Debug for Ring {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Ring").field(&self.0.identity).finish()
+    }
+}
+
+impl Ring {
+    /// Opens a ring that keeps the last `capacity` events.
+    pub fn open(capacity: usize, identity: &Identity) -> Self {
+        let clock = uhlc::HLCBuilder::new().with_max_delta(CLOCK_LEAD).build();
+        Self(sync::Arc::new(Shared {
+            identity: identity.clone(),
+            clock,
+            capacity: capacity.max(1),
+            state: sync::Mutex::new(State {
+                events: collections::VecDeque::new(),
+                overwritten: 0,
+                limit: limit::Limit::open(time::Instant::now()),
+            }),
+        }))
+    }
+
+    /// Who records.
+    pub fn identity(&self) -> &Identity {
+        &self.0.identity
+    }
+
+    /// Begins an event; [`Note::send`] records it.
+    pub fn note(&self, kind: Kind) -> Note<'_> {
+        Note {
+            ring: self,
+            kind,
+            request: None,
+            customer: None,
+            revision: None,
+            code: None,
+            fields: collections::BTreeMap::new(),
+        }
+    }
+
+    /// A new reading of the clock, to send to another process.
+    pub fn stamp(&self) -> Stamp {
+        Stamp(self.0.clock.new_timestamp().get_time().as_u64())
+    }
+
+    /// Merges another process's reading; later events here are stamped after it.
+    ///
+    /// Returns false if the reading is too far ahead of this machine's clock and was ignored.
+    pub fn observe(&self, stamp: Stamp) -> bool {
+        let clock = &self.0.clock;
+        let other = uhlc::Timestamp::new(uhlc::NTP64(stamp.0), *clock.get_id());
+        clock.update_with_timestamp(&other).is_ok()
+    }
+
+    /// The events that a filter accepts, oldest first.
+    pub fn read(&self, filter: &Filter) -> Page {
+        let state = self.state();
+        let events = state.events.iter().filter(|event| filter.accepts(event));
+        Page {
+            instance: self.0.identity.instance.clone(),
+            now: self.stamp(),
+            overwritten: state.overwritten,
+            events: events.cloned().collect(),
+        }
+    }
+
+    fn state(&self) -> sync::MutexGuard<'_, State> {
+        // The state is whole between any two statements, so a panic elsewhere does not spoil it.
+        self.0
+            .state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn push(&self, note: Note<'_>) {
+        let identity = &self.0.identity;
+        let mut state = self.state();
+        let now = time::Instant::now();
+        let customer = note.customer.as_deref();
+        let Some(repeats) = state.limit.pass(now, note.kind, note.code, customer) else {
+            return;
+        };
+        let row = note.kind.row();
+        let event = Event {
+            stamp: self.stamp(),
+            name: row.name.into(),
+            instance: identity.instance.clone(),
+            zone: identity.zone.clone(),
+            role: identity.role.into(),
+            request: note.request,
+            customer: note.customer,
+            revision: note.revision,
+            code: note.code.map(code::Code::number),
+            fields: note.fields,
+            repeats,
+        };
+        let line = log::log_enabled!(row.level).then(|| line(&event));
+        if state.events.len() == self.0.capacity {
+            state.events.pop_front();
+            state.overwritten += 1;
+        }
+        state.events.push_back(event);
+        drop(state);
+        if let Some(line) = line {
+            log::log!(row.level, "{line}");
+        }
+    }
+}
+
+/// An event being put together.
+#[derive(Debug)]
+#[must_use = "an event is recorded by `send`"]
+pub struct Note<'a> {
+    ring: &'a Ring,
+    kind: Kind,
+    request: Option<String>,
+    customer: Option<String>,
+    revision: Option<u64>,
+    code: Option<code::Code>,
+    fields: collections::BTreeMap<borrow::Cow<'static, str>, String>,
+}
+
+impl Note<'_> {
+    /// The request it is about, as callers see its id.
+    pub fn request(mut self, id: impl fmt::Display) -> Self {
+        self.request = Some(text::cut(&id.to_string()));
+        self
+    }
+
+    /// The customer it is about.
+    pub fn customer(mut self, name: &str) -> Self {
+        self.customer = Some(text::cut(name));
+        self
+    }
+
+    /// The catalogue revision it is about.
+    pub fn revision(mut self, revision: u64) -> Self {
+        self.revision = Some(revision);
+        self
+    }
+
+    /// The result code.
+    pub fn code(mut self, code: code::Code) -> Self {
+        self.code = Some(code);
+        self
+    }
+
+    /// A further field; never a secret or a body.
+    pub fn field(mut self, key: &'static str, value: impl fmt::Display) -> Self {
+        self.fields
+            .insert(key.into(), text::cut(&value.to_string()));
+        self
+    }
+
+    /// Writes the log line and puts the event on the ring.
+    pub fn send(self) {
+        let ring = self.ring;
+        ring.push(self);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod event;
 pub mod filter;
 pub mod key;
+pub mod logging;
+pub mod metric;
 pub mod ops;
 pub mod platform;
 pub mod settings;
--- a/src/ops.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! The operators' port: health, metrics, status and the time line.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,58 @@
 //! Settings of the processes: flags and environment variables.
 
+use std::env;
+use std::fmt;
 use std::net;
 
+use subtle::ConstantTimeEq as _;
+
+use crate::event;
+
+/// Variable that holds the fleet's secret.
+pub const SECRET_VARIABLE: &str = "CHIVEBEND_SECRET";
+
+/// The fleet's secret: one, or two while it is rotated. Never printed.
+#[derive(Clone, Default, PartialEq, Eq)]
+pub struct Secret(Vec<String>);
+
+impl Secret {
+    /// Reads `CHIVEBEND_SECRET`: one secret, or two separated by a comma.
+    pub fn from_environment() -> Self {
+        Self::from_text(&env::var(SECRET_VARIABLE).unwrap_or_default())
+    }
+
+    /// Splits one or two secrets at the comma.
+    pub fn from_text(text: &str) -> Self {
+        let parts = text.split(',').map(str::trim);
+        Self(
+            parts
+                .filter(|part| !part.is_empty())
+                .map(String::from)
+                .collect(),
+        )
+    }
+
+    /// The secret to send to other processes: the first.
+    pub fn sent(&self) -> &str {
+        self.0.first().map_or("", String::as_str)
+    }
+
+    /// Whether another process's secret is one of those accepted, in constant time for each.
+    pub fn accepts(&self, given: &str) -> bool {
+        let same = |own: &String| own.as_bytes().ct_eq(given.as_bytes());
+        self.0
+            .iter()
+            .fold(subtle::Choice::from(0), |any, own| any | same(own))
+            .into()
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Secret({} hidden)", self.0.len())
+    }
+}
+
 /// Settings that every process of the fleet has.
 #[derive(Clone, Debug, clap::Args)]
 pub struct Process {
@@ -26,15 +77,45 @@
     /// Address of the platform's instance list.
     #[arg(long, env = "CHIVEBEND_INSTANCES_ADDRESS")]
     pub instances_address: net::SocketAddr,
-    /// Secret that the fleet's processes share; two, separated by a comma, while it is rotated.
+    /// Secret that the fleet's processes share, from the environment alone: a flag would show in
+    /// the list of processes.
+    #[arg(skip = Secret::from_environment())]
+    pub secret: Secret,
+    /// Least level of the log lines written.
     #[arg(
         long,
-        env = "CHIVEBEND_SECRET",
-        hide_env_values = true,
-        hide = true,
-        default_value = ""
+        env = "CHIVEBEND_LOG_LEVEL",
+        default_value = "info",
+        value_name = "LEVEL"
     )]
-    pub secret: String,
+    pub log_level: log::LevelFilter,
+}
+
+impl Process {
+    /// Settings of a process on this machine's loopback, on free ports.
+    pub fn local(id: &str, zone: &str, log: net::SocketAddr, instances: net::SocketAddr) -> Self {
+        let loopback = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        Self {
+            id: id.into(),
+            fleet_address: loopback,
+            ops_address: loopback,
+            zone: zone.into(),
+            region: "default".into(),
+            log_address: log,
+            instances_address: instances,
+            secret: Secret::default(),
+            log_level: log::LevelFilter::Info,
+        }
+    }
+
+    /// Who records this process's events.
+    pub fn identity(&self, role: &'static str) -> event::Identity {
+        event::Identity {
+            instance: self.id.clone(),
+            zone: self.zone.clone(),
+            role,
+        }
+    }
 }
 
 /// Settings of an entry instance.
--- /dev/null
+++ b/tests/events.rs
@@ -0,0 +1,215 @@
+//! Events: log lines that cannot be forged, a bounded ring, causal order, and the page of names.
+
+use std::collections;
+
+use chivebend::code;
+use chivebend::event;
+use proptest::prelude::*;
+
+fn ring(name: &str, capacity: usize) -> event::Ring {
+    let identity = event::Identity {
+        instance: name.into(),
+        zone: "sala-a".into(),
+        role: "entry",
+    };
+    event::Ring::open(capacity, &identity)
+}
+
+fn all(ring: &event::Ring) -> Vec<event::Event> {
+    ring.read(&event::Filter::default()).events
+}
+
+/// Splits a log line the way a reader of key=value lines does.
+fn pairs(line: &str) -> Vec<(String, String)> {
+    let mut pairs = Vec::new();
+    let mut rest = line;
+    while let Some((key, tail)) = rest.split_once('=') {
+        let (value, tail) = if let Some(quoted) = tail.strip_prefix('"') {
+            let mut escaped = false;
+            let end = quoted.find(|c| {
+                let end = c == '"' && !escaped;
+                escaped = c == '\\' && !escaped;
+                end
+            });
+            let end = end.expect("the quote is closed");
+            (&quoted[..end], &quoted[end + 1..])
+        } else {
+            tail.split_at(tail.find(' ').unwrap_or(tail.len()))
+        };
+        pairs.push((key.trim_start().to_owned(), value.to_owned()));
+        rest = tail;
+    }
+    assert_eq!(rest, "", "nothing but pairs in {line}");
+    pairs
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_value_forges_a_field_or_a_line(customer in any::<String>(), path in "[ -~\n\r\"=\\\\]*") {
+        let ring = ring("e1", 4);
+        ring.note(event::Kind::RequestRefused).customer(&customer).field("path", &path).send();
+        let line = event::line(&all(&ring)[0]);
+        prop_assert!(!line.chars().any(char::is_control), "{line:?}");
+        let keys: Vec<_> = pairs(&line).into_iter().map(|(key, _)| key).collect();
+        let want = ["event", "instance", "zone", "role", "customer", "path", "stamp"];
+        prop_assert_eq!(keys, want);
+    }
+}
+
+#[test]
+fn a_line_carries_every_field() {
+    let ring = ring("e1", 4);
+    ring.note(event::Kind::RequestRefused)
+        .request("r-1")
+        .customer("Comune di Palermo")
+        .revision(7)
+        .code(code::Code::QueueFull)
+        .field("waiting", 12)
+        .send();
+    let line = event::line(&all(&ring)[0]);
+    let (head, stamp) = line.rsplit_once(" stamp=").expect("the stamp comes last");
+    assert_eq!(
+        head,
+        "event=request_refused instance=e1 zone=sala-a role=entry request=r-1 \
+         customer=\"Comune di Palermo\" revision=7 code=204 waiting=12"
+    );
+    assert!(stamp.parse::<u64>().is_ok(), "{stamp}");
+}
+
+#[test]
+fn the_ring_and_its_values_are_bounded() {
+    let ring = ring("e1", 3);
+    for request in 0..5 {
+        let long = "é".repeat(10_000);
+        ring.note(event::Kind::RunStarted)
+            .request(request)
+            .field("head", long)
+            .send();
+    }
+    let page = ring.read(&event::Filter::default());
+    let kept: Vec<_> = page
+        .events
+        .iter()
+        .filter_map(|event| event.request.as_deref())
+        .collect();
+    assert_eq!(kept, ["2", "3", "4"]);
+    assert_eq!(page.overwritten, 2);
+    assert!(page.events[0].fields["head"].len() <= 256);
+}
+
+#[test]
+fn a_flood_leaves_other_events_on_the_ring_and_is_counted() {
+    let ring = ring("e1", 1000);
+    ring.note(event::Kind::RequestFinished)
+        .customer("small")
+        .send();
+    for _ in 0..100_000 {
+        ring.note(event::Kind::RequestRefused)
+            .customer("flood")
+            .send();
+    }
+    let (small, flood): (Vec<_>, Vec<_>) = all(&ring)
+        .into_iter()
+        .partition(|event| event.customer.as_deref() == Some("small"));
+    assert_eq!(small.len(), 1);
+    // However slowly this ran, nothing is lost from the count but the last second's drops.
+    let counted = flood.len() as u64 + flood.iter().map(|event| event.repeats).sum::<u64>();
+    assert!(counted <= 100_000, "{counted}");
+    assert!(flood.len() >= 64, "{}", flood.len());
+}
+
+#[test]
+fn an_effect_is_stamped_after_its_cause_in_another_process() {
+    let (entry, sidecar) = (ring("e1", 8), ring("s1", 8));
+    for round in 0..50 {
+        entry
+            .note(event::Kind::RequestHandedOver)
+            .request(round)
+            .send();
+        assert!(sidecar.observe(entry.stamp()));
+        sidecar.note(event::Kind::RunStarted).request(round).send();
+        assert!(entry.observe(sidecar.stamp()));
+    }
+    let mut merged = [all(&entry), all(&sidecar)].concat();
+    merged.sort_by_key(|event| event.stamp);
+    let names: Vec<_> = merged.iter().map(|event| event.name.as_ref()).collect();
+    assert_eq!(names, ["request_handed_over", "run_started"].repeat(8));
+}
+
+#[test]
+fn a_clock_far_ahead_is_not_followed() {
+    let ring = ring("e1", 8);
+    let before = ring.stamp();
+    let ahead = event::Stamp::from_unix_ms(before.unix_ms() + 3_600_000);
+    assert!(!ring.observe(ahead));
+    assert!(ring.stamp() < ahead);
+}
+
+#[test]
+fn filters_select() {
+    struct Case {
+        request: Option<&'static str>,
+        customer: Option<&'static str>,
+        want: usize,
+    }
+    let ring = ring("e1", 8);
+    for (request, customer) in [("1", "a"), ("2", "a"), ("3", "b")] {
+        ring.note(event::Kind::RunStarted)
+            .request(request)
+            .customer(customer)
+            .send();
+    }
+    let cases = [
+        Case {
+            request: None,
+            customer: None,
+            want: 3,
+        },
+        Case {
+            request: Some("2"),
+            customer: None,
+            want: 1,
+        },
+        Case {
+            request: None,
+            customer: Some("a"),
+            want: 2,
+        },
+        Case {
+            request: Some("3"),
+            customer: Some("a"),
+            want: 0,
+        },
+    ];
+    for case in cases {
+        let filter = event::Filter {
+            since: event::Stamp::default(),
+            request: case.request.map(String::from),
+            customer: case.customer.map(String::from),
+        };
+        let got = ring.read(&filter).events.len();
+        assert_eq!(got, case.want, "{:?} {:?}", case.request, case.customer);
+    }
+    let since = all(&ring)[1].stamp;
+    let filter = event::Filter {
+        since,
+        ..event::Filter::default()
+    };
+    assert_eq!(ring.read(&filter).events.len(), 1);
+}
+
+#[test]
+fn names_differ_and_rows_are_found() {
+    let names: collections::BTreeSet<_> = event::KINDS.iter().map(|(_, row)| row.name).collect();
+    assert_eq!(names.len(), event::KINDS.len());
+    for (kind, row) in event::KINDS {
+        assert_eq!(kind.row().name, row.name);
+    }
+}
