Add the catalogue's types and checks, and the log and instance list with stand-ins

Cause: the data path needs customers, routes and a platform to talk to. Change: catalogue::parse with faults by line and column; key and route lookups; blocking clients of the log and the instance list; stand-ins with switches for lost answers, outage, slowness, retention cut and lag. Conclusion: a model belongs to one service; routes of plain services may nest, the longest wins.

--- /dev/null
+++ b/src/standin/log.rs
@@ -0,0 +1,224 @@
+//! Stand-in for the platform's log: in memory, with switches for its faults.
+
+use std::{collections, net, sync, thread, time};
+
+use serde::{Deserialize, Serialize};
+
+use crate::error;
+use crate::platform::log;
+use crate::standin::serve;
+
+/// Faults, set by [`Handle::switch`] or `POST /switch`. What is absent stays as it is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Switches {
+    /// Every call is answered with 503 and has no effect.
+    pub outage: Option<bool>,
+    /// Answers of this many appends are lost after the record was kept.
+    pub lose_answers: Option<u32>,
+    /// This many appends are lost before they have any effect.
+    pub lose_appends: Option<u32>,
+    /// Delay before each call, in milliseconds.
+    pub delay_ms: Option<u64>,
+    /// Records with a smaller offset are dropped from all streams, once.
+    pub cut_before: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Stream {
+    next: u64,
+    records: collections::VecDeque<log::Record>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    streams: collections::HashMap<String, Stream>,
+    outage: bool,
+    lose_answers: u32,
+    lose_appends: u32,
+    delay: time::Duration,
+    appends: u64,
+    reads: u64,
+}
+
+/// A running stand-in; it stops when this is dropped.
+#[derive(Debug)]
+pub struct Handle {
+    /// Where it listens.
+    pub addr: net::SocketAddr,
+    shared: sync::Arc<Shared>,
+    _server: serve::Server,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: sync::Mutex<State>,
+    appended: sync::Condvar,
+}
+
+/// Starts a log at this address.
+pub fn spawn(addr: net::SocketAddr, switches: Switches) -> error::Result<Handle> {
+    let shared = sync::Arc::new(Shared::default());
+    shared.switch(switches);
+    let handler = sync::Arc::clone(&shared);
+    let server = serve::spawn(addr, move |request| handler.serve(request))?;
+    Ok(Handle {
+        addr: server.addr,
+        shared,
+        _server: server,
+    })
+}
+
+impl Handle {
+    /// Sets faults.
+    pub fn switch(&self, switches: Switches) {
+        self.shared.switch(switches);
+    }
+
+    /// Every record that a stream still holds.
+    pub fn records(&self, stream: &str) -> Vec<log::Record> {
+        let state = self.shared.lock();
+        let found = state.streams.get(stream);
+        found
+            .map(|s| s.records.iter().cloned().collect())
+            .unwrap_or_default()
+    }
+
+    /// Appends and reads that reached the log so far.
+    pub fn calls(&self) -> (u64, u64) {
+        let state = self.shared.lock();
+        (state.appends, state.reads)
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn switch(&self, switches: Switches) {
+        let mut state = self.lock();
+        state.outage = switches.outage.unwrap_or(state.outage);
+        state.lose_answers = switches.lose_answers.unwrap_or(state.lose_answers);
+        state.lose_appends = switches.lose_appends.unwrap_or(state.lose_appends);
+        state.delay = switches
+            .delay_ms
+            .map_or(state.delay, time::Duration::from_millis);
+        if let Some(before) = switches.cut_before {
+            for stream in state.streams.values_mut() {
+                stream.records.retain(|r| r.offset >= before);
+            }
+        }
+        drop(state);
+        self.appended.notify_all();
+    }
+
+    fn serve(&self, mut request: tiny_http::Request) {
+        let (path, [from, max, wait_ms]) = serve::query(request.url(), ["from", "max", "wait_ms"]);
+        if path == "/switch" {
+            return self.serve_switch(request);
+        }
+        let delay = self.lock().delay;
+        thread::sleep(delay);
+        if self.lock().outage {
+            return serve::answer(request, 503, "{}");
+        }
+        let name = path
+            .strip_prefix("/v1/streams/")
+            .and_then(|p| p.strip_suffix("/records"));
+        match (request.method(), name) {
+            (tiny_http::Method::Post, Some(name)) => {
+                let Some(body) = serve::body(&mut request) else {
+                    return serve::answer(request, 400, "{}");
+                };
+                self.serve_append(request, name, body);
+            }
+            (tiny_http::Method::Get, Some(name)) => {
+                let wait = time::Duration::from_millis(wait_ms.unwrap_or(0));
+                let batch = self.read(name, from.unwrap_or(1), max.unwrap_or(1000), wait);
+                match batch {
+                    Some(batch) => serve::answer(request, 200, &to_json(&batch)),
+                    None => serve::answer(request, 503, "{}"),
+                }
+            }
+            _ => serve::answer(request, 404, "{}"),
+        }
+    }
+
+    fn serve_switch(&self, mut request: tiny_http::Request) {
+        let text = serve::body(&mut request).unwrap_or_default();
+        match serde_json::from_str(&text) {
+            Ok(switches) => {
+                self.switch(switches);
+                serve::answer(request, 200, "{}");
+            }
+            Err(err) => serve::answer(request, 400, &to_json(&err.to_string())),
+        }
+    }
+
+    fn serve_append(&self, request: tiny_http::Request, name: &str, body: String) {
+        let mut state = self.lock();
+        state.appends += 1;
+        if state.lose_appends > 0 {
+            state.lose_appends -= 1;
+            drop(state);
+            return serve::lose(request);
+        }
+        let stream = state.streams.entry(name.to_owned()).or_default();
+        stream.next = stream.next.max(1);
+        let offset = stream.next;
+        stream.next += 1;
+        stream.records.push_back(log::Record { offset, body });
+        let lost = state.lose_answers > 0;
+        state.lose_answers = state.lose_answers.saturating_sub(1);
+        drop(state);
+        self.appended.notify_all();
+        if lost {
+            return serve::lose(request);
+        }
+        serve::answer(request, 200, &to_json(&log::Appended { offset }));
+    }
+
+    /// The records from an offset, or nothing if an outage began meanwhile.
+    fn read(&self, name: &str, from: u64, max: u64, wait: time::Duration) -> Option<log::Batch> {
+        let end = time::Instant::now() + wait;
+        let mut state = self.lock();
+        state.reads += 1;
+        loop {
+            if state.outage {
+                return None;
+            }
+            let batch = state.batch(name, from, max);
+            let left = end.saturating_duration_since(time::Instant::now());
+            if !batch.records.is_empty() || left.is_zero() {
+                return Some(batch);
+            }
+            let waited = self.appended.wait_timeout(state, left);
+            state = waited.unwrap_or_else(sync::PoisonError::into_inner).0;
+        }
+    }
+}
+
+impl State {
+    fn batch(&self, name: &str, from: u64, max: u64) -> log::Batch {
+        let Some(stream) = self.streams.get(name) else {
+            return log::Batch {
+                first: 1,
+                next: 1,
+                records: Vec::new(),
+            };
+        };
+        let records = stream.records.iter().filter(|r| r.offset >= from);
+        log::Batch {
+            first: stream.records.front().map_or(stream.next, |r| r.offset),
+            next: stream.next,
+            records: records.take(max as usize).cloned().collect(),
+        }
+    }
+}
+
+fn to_json(value: &impl Serialize) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
--- /dev/null
+++ b/tests/catalogue.rs
@@ -0,0 +1,319 @@
+//! Catalogue files: what is accepted, what is refused and where the fault stands.
+
+use chivebend::{catalogue, code};
+
+/// API keys of the test customers hash to these.
+fn hash(key: &str) -> String {
+    use std::fmt::Write;
+    catalogue::digest(key)
+        .iter()
+        .fold(String::new(), |mut hex, byte| {
+            write!(hex, "{byte:02x}").expect("a string takes all");
+            hex
+        })
+}
+
+fn sample() -> String {
+    format!(
+        r#"[class.desk]
+weight = 2.0
+deadline_ms = 1300
+
+[[customer]]
+name = "sala-1"
+owner = "ana"
+class = "desk"
+key_hashes = ["{}", "{}"]
+limits = {{ concurrency = 40, queue = 200 }}
+
+[[customer]]
+name = "sala-2"
+owner = "ana"
+class = "desk"
+key_hashes = ["{}"]
+
+[[service]]
+name = "modello"
+kind = "model"
+models = ["m1", "m2"]
+window = 8
+
+[[service]]
+name = "archivio"
+kind = "plain"
+window = 4
+
+[[service.route]]
+path = "/answers"
+methods = ["POST"]
+
+[[service.route]]
+path = "/answers/drafts/"
+idempotent = true
+weight = 0.5
+"#,
+        hash("k1"),
+        hash("k1b"),
+        hash("k2")
+    )
+}
+
+struct KeyCase {
+    key: &'static str,
+    customer: Option<&'static str>,
+}
+
+#[test]
+fn keys_find_their_customers() {
+    let parsed = catalogue::parse(&sample()).expect("the sample is valid");
+    let cases = [
+        KeyCase {
+            key: "k1",
+            customer: Some("sala-1"),
+        },
+        KeyCase {
+            key: "k1b",
+            customer: Some("sala-1"),
+        },
+        KeyCase {
+            key: "k2",
+            customer: Some("sala-2"),
+        },
+        KeyCase {
+            key: "K2",
+            customer: None,
+        },
+        KeyCase {
+            key: "",
+            customer: None,
+        },
+    ];
+    for case in cases {
+        let found = parsed.customer_by_key(case.key).map(|c| c.name.as_str());
+        assert_eq!(found, case.customer, "key {:?}", case.key);
+    }
+}
+
+struct RouteCase {
+    method: &'static str,
+    path: &'static str,
+    model: Option<&'static str>,
+    want: Result<(&'static str, bool), code::Code>,
+}
+
+#[test]
+fn routes() {
+    let parsed = catalogue::parse(&sample()).expect("the sample is valid");
+    let cases = [
+        RouteCase {
+            method: "POST",
+            path: "/v1/completions",
+            model: Some("m2"),
+            want: Ok(("modello", true)),
+        },
+        RouteCase {
+            method: "POST",
+            path: "/v2/completions",
+            model: Some("m2"),
+            want: Err(code::Code::NoSuchRoute),
+        },
+        RouteCase {
+            method: "POST",
+            path: "/v1/completions",
+            model: Some("m3"),
+            want: Err(code::Code::NoSuchModel),
+        },
+        RouteCase {
+            method: "POST",
+            path: "/answers",
+            model: None,
+            want: Ok(("archivio", false)),
+        },
+        RouteCase {
+            method: "POST",
+            path: "/answers/7?x=/",
+            model: None,
+            want: Ok(("archivio", false)),
+        },
+        RouteCase {
+            method: "POST",
+            path: "/answersx",
+            model: None,
+            want: Err(code::Code::NoSuchRoute),
+        },
+        RouteCase {
+            method: "GET",
+            path: "/answers",
+            model: None,
+            want: Err(code::Code::NoSuchRoute),
+        },
+        RouteCase {
+            method: "POST",
+            path: "/answers/drafts",
+            model: None,
+            want: Ok(("archivio", true)),
+        },
+        RouteCase {
+            method: "GET",
+            path: "/answers/drafts/1",
+            model: None,
+            want: Ok(("archivio", true)),
+        },
+    ];
+    for case in cases {
+        let got = parsed.route(case.method, case.path, case.model);
+        let got = got.map(|r| (r.service.name.as_str(), r.idempotent));
+        assert_eq!(
+            got, case.want,
+            "{} {} {:?}",
+            case.method, case.path, case.model
+        );
+    }
+}
+
+struct FaultCase {
+    name: &'static str,
+    from: &'static str,
+    to: &'static str,
+    want: &'static str,
+}
+
+const FAULTS: &[FaultCase] = &[
+    FaultCase {
+        name: "unknown field",
+        from: "window = 8",
+        to: "windw = 8",
+        want: "22:1: unknown field `windw`",
+    },
+    FaultCase {
+        name: "syntax",
+        from: "weight = 2.0",
+        to: "weight = ",
+        want: "2:10: ",
+    },
+    FaultCase {
+        name: "class",
+        from: "class = \"desk\"",
+        to: "class = \"dsk\"",
+        want: "8:9: no class \"dsk\"",
+    },
+    FaultCase {
+        name: "twice",
+        from: "sala-2",
+        to: "sala-1",
+        want: "13:8: customer \"sala-1\" stands twice",
+    },
+    FaultCase {
+        name: "weight",
+        from: "weight = 2.0",
+        to: "weight = 0",
+        want: "2:10: weight 0 is not above 0",
+    },
+    FaultCase {
+        name: "infinite weight",
+        from: "weight = 2.0",
+        to: "weight = inf",
+        want: "2:10: weight inf",
+    },
+    FaultCase {
+        name: "limit",
+        from: "concurrency = 40",
+        to: "concurrency = 0",
+        want: "10:26: concurrency is not above 0",
+    },
+    FaultCase {
+        name: "window",
+        from: "window = 8",
+        to: "window = 0",
+        want: "22:10: window is not",
+    },
+    FaultCase {
+        name: "model twice",
+        from: "\"m2\"",
+        to: "\"m1\"",
+        want: "21:17: model \"m1\" is in service \"modello\"",
+    },
+    FaultCase {
+        name: "plain with models",
+        from: "kind = \"model\"",
+        to: "kind = \"plain\"",
+        want: "21:10: a plain service has no models",
+    },
+    FaultCase {
+        name: "overlap",
+        from: "/answers/drafts/",
+        to: "/answers/",
+        want: "34:8: service \"archivio\" has this route",
+    },
+    FaultCase {
+        name: "path",
+        from: "\"/answers\"",
+        to: "\"answers\"",
+        want: "30:8: a path starts with /",
+    },
+    FaultCase {
+        name: "owner",
+        from: "owner = \"ana\"",
+        to: "owner = \"\"",
+        want: "7:9: the owner is empty",
+    },
+    FaultCase {
+        name: "method",
+        from: "\"POST\"",
+        to: "\"POTS\"",
+        want: "31:12: unknown variant `POTS`",
+    },
+];
+
+#[test]
+fn faults_have_their_place() {
+    for case in FAULTS {
+        let text = sample().replacen(case.from, case.to, 1);
+        let faults = catalogue::parse(&text).err().unwrap_or_default();
+        let shown: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        assert!(
+            shown.iter().any(|f| f.starts_with(case.want)),
+            "{}: {shown:?}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn key_hashes_are_checked() {
+    let text = sample().replace(&hash("k2"), &hash("k1"));
+    let faults = catalogue::parse(&text).expect_err("two customers with one key");
+    assert!(
+        faults[0].text.contains("has the same key hash"),
+        "{faults:?}"
+    );
+    let text = sample().replace(&hash("k2"), &hash("k2")[1..]);
+    let faults = catalogue::parse(&text).expect_err("a short hash");
+    assert!(
+        faults[0].text.contains("64 hexadecimal digits"),
+        "{faults:?}"
+    );
+}
+
+proptest::proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        cases: 300,
+        failure_persistence: None,
+        ..Default::default()
+    })]
+
+    /// No text makes the parser panic, and each fault lies inside the text.
+    #[test]
+    fn any_text_has_a_verdict(at in 0_usize..900, cut in 0_usize..40, put in "\\PC{0,12}") {
+        let mut text: Vec<char> = sample().chars().collect();
+        let at = at.min(text.len());
+        let end = (at + cut).min(text.len());
+        text.splice(at..end, put.chars());
+        let text: String = text.into_iter().collect();
+        for fault in catalogue::parse(&text).err().unwrap_or_default() {
+            let lines = text.split('\n').count();
+            proptest::prop_assert!((1..=lines).contains(&fault.line), "{fault}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/log.rs
@@ -0,0 +1,174 @@
+//! The log and instance list clients against their stand-ins, with each fault.
+
+use std::{net, time};
+
+use chivebend::platform::{instances, log};
+use chivebend::{code, standin};
+
+const SHORT: time::Duration = time::Duration::from_millis(300);
+
+fn any() -> net::SocketAddr {
+    net::SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn spawn() -> (standin::log::Handle, log::Log) {
+    let handle =
+        standin::log::spawn(any(), standin::log::Switches::default()).expect("a free port");
+    let client = log::open_with(handle.addr, SHORT);
+    (handle, client)
+}
+
+#[test]
+fn append_and_read() {
+    let (handle, client) = spawn();
+    for (at, body) in ["one", "two", "three"].iter().enumerate() {
+        assert_eq!(client.append("s", body).expect("appended"), at as u64 + 1);
+    }
+    let batch = client.read("s", 2, 1, time::Duration::ZERO).expect("read");
+    let two = log::Record {
+        offset: 2,
+        body: "two".into(),
+    };
+    assert_eq!(
+        batch,
+        log::Batch {
+            first: 1,
+            next: 4,
+            records: vec![two]
+        }
+    );
+    handle.switch(standin::log::Switches {
+        cut_before: Some(9),
+        ..Default::default()
+    });
+    let batch = client.read("s", 1, 9, time::Duration::ZERO).expect("read");
+    assert_eq!(
+        batch,
+        log::Batch {
+            first: 4,
+            next: 4,
+            records: Vec::new()
+        }
+    );
+}
+
+#[test]
+fn a_long_poll_returns_on_append() {
+    let (handle, client) = spawn();
+    let writer = log::open(handle.addr);
+    let reader = std::thread::spawn(move || {
+        client
+            .read("s", 1, 9, time::Duration::from_secs(30))
+            .expect("read")
+    });
+    writer.append("s", "one").expect("appended");
+    assert_eq!(reader.join().expect("no panic").records.len(), 1);
+}
+
+#[test]
+fn faults_of_an_append() {
+    struct Case {
+        name: &'static str,
+        switches: standin::log::Switches,
+        code: code::Code,
+        kept: usize,
+    }
+    let cases = [
+        Case {
+            name: "answer lost",
+            switches: standin::log::Switches {
+                lose_answers: Some(1),
+                ..Default::default()
+            },
+            code: code::Code::PublishUnknown,
+            kept: 1,
+        },
+        Case {
+            name: "append lost",
+            switches: standin::log::Switches {
+                lose_appends: Some(1),
+                ..Default::default()
+            },
+            code: code::Code::PublishUnknown,
+            kept: 0,
+        },
+        Case {
+            name: "outage",
+            switches: standin::log::Switches {
+                outage: Some(true),
+                ..Default::default()
+            },
+            code: code::Code::PublishUnknown,
+            kept: 0,
+        },
+        Case {
+            name: "slow",
+            switches: standin::log::Switches {
+                delay_ms: Some(2000),
+                ..Default::default()
+            },
+            code: code::Code::PublishUnknown,
+            kept: 0,
+        },
+    ];
+    for case in cases {
+        let (handle, client) = spawn();
+        handle.switch(case.switches);
+        let err = client.append("s", "one").expect_err(case.name);
+        assert_eq!(err.code(), case.code, "{}", case.name);
+        assert_eq!(handle.records("s").len(), case.kept, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_refused_connection_is_surely_not_appended() {
+    // Port 1 is reserved and nobody listens there; a port that was just freed may be taken again.
+    let client = log::open_with(net::SocketAddr::from(([127, 0, 0, 1], 1)), SHORT);
+    let err = client.append("s", "one").expect_err("nobody listens");
+    assert_eq!(err.code(), code::Code::LogUnavailable);
+}
+
+#[test]
+fn instances_come_and_go_and_lag() {
+    let switches = standin::instances::Switches::default();
+    let handle = standin::instances::spawn(any(), switches).expect("a free port");
+    let client = instances::open(handle.addr);
+    let instance = instances::Instance {
+        id: "e1".into(),
+        address: any(),
+        ops_address: None,
+        role: instances::Role::Entry,
+        zone: "sala-a".into(),
+        region: "palermo".into(),
+        service: String::new(),
+        state: instances::State::Live,
+        incarnation: 7,
+    };
+    client.put(&instance).expect("registered");
+    let list = client.list(None).expect("listed").expect("new");
+    assert_eq!(list.instances, [instance]);
+    assert_eq!(client.list(Some(list.version)).expect("listed"), None);
+    client.delete("e1").expect("deleted");
+    let list = client
+        .list(Some(list.version))
+        .expect("listed")
+        .expect("changed");
+    assert_eq!(list.instances, []);
+    let lag = standin::instances::Switches {
+        lag_ms: Some(3_600_000),
+        ..Default::default()
+    };
+    handle.switch(lag);
+    let old = client
+        .list(Some(list.version))
+        .expect("listed")
+        .expect("an older list");
+    assert_eq!(old.version, 0);
+    let outage = standin::instances::Switches {
+        outage: Some(true),
+        ..Default::default()
+    };
+    handle.switch(outage);
+    let err = client.list(None).expect_err("outage");
+    assert_eq!(err.code(), code::Code::LogUnavailable);
+}
