Order tickets by weighted service

Cause: the data path needs the order of tickets at a sidecar and the service counters behind it. Conclusion: public API for the sidecar and entry to build on.

--- /dev/null
+++ b/src/decide/share.rs
@@ -0,0 +1,313 @@
+//! Service counters: how much each customer has received, and whose turn it is.
+//!
+//! Load pattern: customers with very different request costs and request counts compete for the
+//! same slots, and a request's cost is known only when it ends. Without counters the customer with
+//! the most or the longest requests takes the capacity (first come, first served), and with
+//! counters that trust hints the customer with the most hostile hint does.
+//!
+//! Service is counted in cost units: prompt plus generated tokens, or milliseconds held for plain
+//! services. The tag of a customer is its service divided by its weight; the least tag is served
+//! first (virtual token counters: Sheng et al., OSDI 2024; start-time fair queueing: Goyal et al.,
+//! SIGCOMM 1996). A request is reserved at an estimate when it is picked, charged as it is rendered
+//! and settled at its cost, so that a customer can't start many requests before the first is
+//! counted.
+//!
+//! The same table serves both roles. A sidecar adds what it has picked itself to the fleet totals
+//! it hears on tickets; an entry adds what it has charged since the last total it heard. Time is
+//! the duration since the process started.
+
+use std::time;
+
+use slotmap::SecondaryMap;
+
+use crate::key;
+
+/// Share of the newest finished request in a customer's mean cost. One eighth follows a change of
+/// habits within about twenty requests and halves the noise of a single one four times over; the
+/// same gain as the smoothed round-trip time of RFC 6298.
+pub const MEAN_GAIN: f64 = 0.125;
+
+/// Cost units expected of a request before anything has finished in this process: the order of one
+/// short prompt with a short answer. Wrong by 10x it misplaces the first few picks only.
+pub const FIRST_ESTIMATE: f64 = 500.0;
+
+/// Lowest weight; a weight of zero or less in a catalogue would divide by zero and starve.
+pub const LEAST_WEIGHT: f64 = 0.001;
+
+/// Service of one customer.
+#[derive(Clone, Copy, Debug)]
+pub struct Counter {
+    weight: f64,
+    // Largest fleet total heard.
+    total: f64,
+    // Settled plus outstanding at this process; falls when an estimate was too high.
+    net: f64,
+    // Running maximum of `net`: cumulative and monotonic, so that reports merge by maximum.
+    charged: f64,
+    // Part of `charged` that `total` contains.
+    contained: f64,
+    // What `charged` was at two earlier times, the older at least one lag ago.
+    marks: [(time::Duration, f64); 2],
+    mean: Option<f64>,
+}
+
+/// A picked request that has not ended: hand it back with [`Table::settle`] or [`Table::release`].
+#[derive(Debug)]
+pub struct Reservation {
+    customer: key::Customer,
+    estimate: f64,
+    rendered: f64,
+}
+
+/// The counters of a process.
+#[derive(Debug)]
+pub struct Table {
+    counters: SecondaryMap<key::Customer, Counter>,
+    lag: time::Duration,
+    virtual_time: f64,
+    mean: Option<f64>,
+}
+
+/// The fleet's virtual time as an entry knows it, from the heartbeats of sidecars.
+#[derive(Debug, Default)]
+pub struct Clock {
+    heard: SecondaryMap<key::Sidecar, Option<f64>>,
+}
+
+impl Counter {
+    fn tag(&self) -> f64 {
+        (self.total + self.charged - self.contained) / self.weight
+    }
+
+    fn add(&mut self, cost: f64) {
+        self.net += cost;
+        self.charged = self.charged.max(self.net);
+    }
+}
+
+impl Default for Counter {
+    fn default() -> Self {
+        Self {
+            weight: 1.0,
+            total: 0.0,
+            net: 0.0,
+            charged: 0.0,
+            contained: 0.0,
+            marks: [(time::Duration::ZERO, 0.0); 2],
+            mean: None,
+        }
+    }
+}
+
+impl Reservation {
+    /// The customer that is charged.
+    pub fn customer(&self) -> key::Customer {
+        self.customer
+    }
+
+    /// Cost units rendered so far.
+    pub fn rendered(&self) -> f64 {
+        self.rendered
+    }
+
+    /// Cost units reserved so far: the estimate, or what was rendered if that is more.
+    pub fn reserved(&self) -> f64 {
+        self.estimate.max(self.rendered)
+    }
+}
+
+impl Clock {
+    /// Takes in a sidecar's heartbeat. One without waiting tickets picks whatever comes, so its
+    /// virtual time says nothing about the others.
+    pub fn hear(&mut self, sidecar: key::Sidecar, virtual_time: f64, waiting: u32) {
+        self.heard
+            .insert(sidecar, (waiting > 0).then_some(virtual_time));
+    }
+
+    /// Forgets a sidecar that left or fell silent.
+    pub fn remove(&mut self, sidecar: key::Sidecar) {
+        self.heard.remove(sidecar);
+    }
+
+    /// The least virtual time among the sidecars with waiting tickets, for [`Table::advance`]. The
+    /// least, because lifting above the furthest-behind backlogged customer would take from the
+    /// lifted one what it is owed.
+    pub fn time(&self) -> f64 {
+        let least = self.heard.values().flatten().copied().reduce(f64::min);
+        least.unwrap_or(0.0)
+    }
+}
+
+impl Table {
+    /// An empty table. `lag` is how long a charge takes until the fleet totals heard here contain
+    /// it; own charges younger than that are added to the totals.
+    pub fn new(lag: time::Duration) -> Self {
+        Self {
+            counters: SecondaryMap::new(),
+            lag,
+            virtual_time: 0.0,
+            mean: None,
+        }
+    }
+
+    fn counter(&mut self, customer: key::Customer) -> Option<&mut Counter> {
+        // `None` only for a key that was removed from its arena and taken again.
+        self.counters
+            .entry(customer)
+            .map(slotmap::secondary::Entry::or_default)
+    }
+
+    /// Sets a customer's weight. Service received so far keeps its amount and is weighted anew, so
+    /// call [`crate::decide::queue::Queue::reorder`] afterwards.
+    pub fn set_weight(&mut self, customer: key::Customer, weight: f64) {
+        if let Some(counter) = self.counter(customer) {
+            counter.weight = weight.max(LEAST_WEIGHT);
+        }
+    }
+
+    /// Takes in a fleet total heard on a ticket or a totals frame. Old and repeated totals do
+    /// nothing.
+    pub fn observe(&mut self, now: time::Duration, customer: key::Customer, total: f64) {
+        let lag = self.lag;
+        let Some(counter) = self.counter(customer) else {
+            return;
+        };
+        if now >= counter.marks[1].0 + lag {
+            counter.marks = [counter.marks[1], (now, counter.charged)];
+        }
+        if total <= counter.total {
+            return;
+        }
+        // A total can contain no more of our charges than it grew by, nor any younger than the lag.
+        let grown = counter.contained + (total - counter.total);
+        counter.contained = counter.contained.max(grown.min(counter.marks[0].1));
+        counter.total = total;
+    }
+
+    /// Takes in a fleet total of which it is known how much of this process's charges it contains.
+    pub fn observe_counted(&mut self, customer: key::Customer, total: f64, contained: f64) {
+        let Some(counter) = self.counter(customer) else {
+            return;
+        };
+        if total - contained > counter.total - counter.contained {
+            counter.total = total;
+            counter.contained = contained.min(counter.charged);
+        }
+    }
+
+    /// Lifts a customer that starts waiting after it had nothing waiting to the current virtual
+    /// time: idleness earns no credit, and a newcomer owes nothing.
+    pub fn activate(&mut self, customer: key::Customer) {
+        let virtual_time = self.virtual_time;
+        if let Some(counter) = self.counter(customer) {
+            let short = (virtual_time - counter.tag()) * counter.weight;
+            counter.total += short.max(0.0);
+        }
+    }
+
+    /// Moves the virtual time forward to what sidecars report; it never goes back.
+    pub fn advance(&mut self, virtual_time: f64) {
+        self.virtual_time = self.virtual_time.max(virtual_time);
+    }
+
+    /// Tag of the ticket picked last, for heartbeats.
+    pub fn virtual_time(&self) -> f64 {
+        self.virtual_time
+    }
+
+    /// Weighted service of a customer; the least is served next.
+    pub fn tag(&self, customer: key::Customer) -> f64 {
+        self.counters.get(customer).map_or(0.0, Counter::tag)
+    }
+
+    /// Unweighted fleet-wide service as far as known here, for the tickets an entry places.
+    pub fn total(&self, customer: key::Customer) -> f64 {
+        self.counters
+            .get(customer)
+            .map_or(0.0, |counter| counter.tag() * counter.weight)
+    }
+
+    /// Cost units this process has charged to a customer: cumulative, never falling.
+    pub fn charged(&self, customer: key::Customer) -> f64 {
+        self.counters
+            .get(customer)
+            .map_or(0.0, |counter| counter.charged)
+    }
+
+    /// Fleet total heard last and the part of [`Table::charged`] that it contains.
+    pub fn counted(&self, customer: key::Customer) -> (f64, f64) {
+        self.counters
+            .get(customer)
+            .map_or((0.0, 0.0), |counter| (counter.total, counter.contained))
+    }
+
+    /// Cost expected of a customer's next request. The hint of the request plays no part: a mean of
+    /// what really finished can't be lied to.
+    pub fn estimate(&self, customer: key::Customer) -> f64 {
+        self.counters
+            .get(customer)
+            .and_then(|counter| counter.mean)
+            .or(self.mean)
+            .unwrap_or(FIRST_ESTIMATE)
+    }
+
+    /// Reserves a request that was picked (at a sidecar) or claimed (at an entry).
+    pub fn reserve(&mut self, customer: key::Customer) -> Reservation {
+        let estimate = self.estimate(customer);
+        if let Some(counter) = self.counter(customer) {
+            counter.add(estimate);
+        }
+        Reservation {
+            customer,
+            estimate,
+            rendered: 0.0,
+        }
+    }
+
+    /// Charges cost units as they are rendered.
+    pub fn charge(&mut self, reservation: &mut Reservation, cost: u64) {
+        let before = reservation.reserved();
+        reservation.rendered += cost as f64;
+        let more = reservation.reserved() - before;
+        if let Some(counter) = self.counter(reservation.customer) {
+            counter.add(more);
+        }
+    }
+
+    /// Ends a finished request at its whole cost, from which the next estimate is learned.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "a reservation that ended must not end again"
+    )]
+    pub fn settle(&mut self, reservation: Reservation, cost: u64) {
+        let cost = cost as f64;
+        let reserved = reservation.reserved();
+        let fleet = self.mean;
+        self.mean = Some(learned(self.mean, cost));
+        if let Some(counter) = self.counter(reservation.customer) {
+            counter.add(cost - reserved);
+            counter.mean = Some(learned(counter.mean.or(fleet), cost));
+        }
+    }
+
+    /// Ends a request that broke off or never started: only what was rendered stays charged.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "a reservation that ended must not end again"
+    )]
+    pub fn release(&mut self, reservation: Reservation) {
+        let back = reservation.rendered - reservation.reserved();
+        if let Some(counter) = self.counter(reservation.customer) {
+            counter.add(back);
+        }
+    }
+
+    /// Forgets a customer that left the catalogue.
+    pub fn remove(&mut self, customer: key::Customer) {
+        self.counters.remove(customer);
+    }
+}
+
+fn learned(mean: Option<f64>, cost: f64) -> f64 {
+    mean.map_or(cost, |mean| mean + MEAN_GAIN * (cost - mean))
+}
--- /dev/null
+++ b/tests/share.rs
@@ -0,0 +1,218 @@
+//! Service counters: charging, learning, lifting.
+
+use std::time;
+
+use chivebend::{decide::share, key};
+use proptest::{prelude::*, test_runner};
+use slotmap::SlotMap;
+
+const LAG: time::Duration = time::Duration::from_millis(300);
+
+fn ms(ms: u64) -> time::Duration {
+    time::Duration::from_millis(ms)
+}
+
+/// The same cases on every run.
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: test_runner::RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn customers<const N: usize>() -> [key::Customer; N] {
+    let mut arena = SlotMap::<key::Customer, ()>::with_key();
+    std::array::from_fn(|_| arena.insert(()))
+}
+
+#[test]
+fn estimate_comes_from_what_finished() {
+    let [ana, ugo] = customers();
+    let mut shares = share::Table::new(LAG);
+    assert_eq!(
+        shares.estimate(ana).to_bits(),
+        share::FIRST_ESTIMATE.to_bits()
+    );
+    for _ in 0..100 {
+        let reservation = shares.reserve(ana);
+        shares.settle(reservation, 80);
+    }
+    assert!((shares.estimate(ana) - 80.0).abs() < 1.0);
+    // A customer without history is expected to be like the others.
+    assert!((shares.estimate(ugo) - 80.0).abs() < 1.0);
+}
+
+#[test]
+fn reservation_counts_at_once_and_is_corrected() {
+    struct Case {
+        rendered: &'static [u64],
+        settled: Option<u64>,
+        charged: f64,
+    }
+    // The estimate is 500 before anything finished.
+    let cases = [
+        Case {
+            rendered: &[],
+            settled: None,
+            charged: 0.0,
+        },
+        Case {
+            rendered: &[100],
+            settled: None,
+            charged: 100.0,
+        },
+        Case {
+            rendered: &[100, 700],
+            settled: None,
+            charged: 800.0,
+        },
+        Case {
+            rendered: &[100],
+            settled: Some(200),
+            charged: 200.0,
+        },
+        Case {
+            rendered: &[600],
+            settled: Some(900),
+            charged: 900.0,
+        },
+    ];
+    for case in cases {
+        let [ana] = customers();
+        let mut shares = share::Table::new(LAG);
+        let mut reservation = shares.reserve(ana);
+        assert!(shares.tag(ana) >= share::FIRST_ESTIMATE);
+        for cost in case.rendered {
+            shares.charge(&mut reservation, *cost);
+        }
+        match case.settled {
+            Some(cost) => shares.settle(reservation, cost),
+            None => shares.release(reservation),
+        }
+        // What was reserved too much is worked off by the next charges, never taken back.
+        let next = shares.reserve(ana);
+        let estimate = next.reserved();
+        let expected = (case.charged + estimate).max(shares.charged(ana));
+        assert!((shares.charged(ana) - expected).abs() < 1e-9);
+        assert!(shares.charged(ana) >= case.charged);
+    }
+}
+
+#[test]
+fn newcomer_and_returner_start_at_the_virtual_time() {
+    let [old, new] = customers();
+    let mut shares = share::Table::new(LAG);
+    shares.set_weight(new, 4.0);
+    shares.observe(ms(0), old, 9_000.0);
+    shares.advance(5_000.0);
+    shares.advance(3_000.0);
+    shares.activate(new);
+    shares.activate(old);
+    assert!((shares.tag(new) - 5_000.0).abs() < 1e-9, "lifted, weighted");
+    assert!((shares.tag(old) - 9_000.0).abs() < 1e-9, "never lowered");
+}
+
+#[test]
+fn total_absorbs_only_own_charges_older_than_the_lag() {
+    let [ana] = customers();
+    let mut shares = share::Table::new(LAG);
+    let reservation = shares.reserve(ana);
+    shares.settle(reservation, 500);
+    shares.observe(ms(1), ana, 100.0);
+    assert!(
+        (shares.tag(ana) - 600.0).abs() < 1e-9,
+        "too young to be contained"
+    );
+    shares.observe(ms(400), ana, 100.0);
+    shares.observe(ms(800), ana, 550.0);
+    assert!(
+        (shares.tag(ana) - 600.0).abs() < 1e-9,
+        "contained up to what the total grew by"
+    );
+    shares.observe(ms(900), ana, 5_000.0);
+    assert!((shares.tag(ana) - 5_000.0).abs() < 1e-9);
+    shares.observe(ms(950), ana, 4_000.0);
+    assert!(
+        (shares.tag(ana) - 5_000.0).abs() < 1e-9,
+        "old totals do nothing"
+    );
+}
+
+#[test]
+fn clock_takes_the_least_of_busy_sidecars() {
+    let mut arena = SlotMap::<key::Sidecar, ()>::with_key();
+    let [one, two, idle] = std::array::from_fn(|_| arena.insert(()));
+    let mut clock = share::Clock::default();
+    assert!(clock.time().abs() < 1e-9);
+    clock.hear(one, 70.0, 3);
+    clock.hear(two, 50.0, 1);
+    clock.hear(idle, 10.0, 0);
+    assert!((clock.time() - 50.0).abs() < 1e-9);
+    clock.remove(two);
+    assert!((clock.time() - 70.0).abs() < 1e-9);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Observe(u64, u64),
+    Reserve,
+    Charge(u64),
+    Settle(u64),
+    Release,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..2_000_u64, 0..50_000_u64).prop_map(|(after, total)| Step::Observe(after, total)),
+        Just(Step::Reserve),
+        (0..2_000_u64).prop_map(Step::Charge),
+        (0..4_000_u64).prop_map(Step::Settle),
+        Just(Step::Release),
+    ]
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// The heap of the queue relies on tags that never fall.
+    #[test]
+    fn tag_and_charged_never_fall(steps in prop::collection::vec(step(), 1..200)) {
+        let [ana] = customers();
+        let mut shares = share::Table::new(LAG);
+        let mut running = Vec::new();
+        let mut now = 0;
+        let (mut tag, mut charged, mut real) = (0.0, 0.0, 0.0);
+        for step in steps {
+            match step {
+                Step::Observe(after, total) => {
+                    now += after;
+                    shares.observe(ms(now), ana, total as f64);
+                }
+                Step::Reserve => running.push(shares.reserve(ana)),
+                Step::Charge(cost) => {
+                    if let Some(reservation) = running.last_mut() {
+                        shares.charge(reservation, cost);
+                    }
+                }
+                Step::Settle(cost) => {
+                    if let Some(reservation) = running.pop() {
+                        real += cost as f64;
+                        shares.settle(reservation, cost);
+                    }
+                }
+                Step::Release => {
+                    if let Some(reservation) = running.pop() {
+                        real += reservation.rendered();
+                        shares.release(reservation);
+                    }
+                }
+            }
+            let outstanding = running.iter().map(share::Reservation::rendered).sum::<f64>();
+            prop_assert!(shares.tag(ana) >= tag - 1e-6);
+            prop_assert!(shares.charged(ana) >= charged);
+            prop_assert!(shares.charged(ana) >= real + outstanding - 1e-6);
+            (tag, charged) = (shares.tag(ana), shares.charged(ana));
+        }
+    }
+}
