--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -17,8 +17,10 @@
 
 mod guard;
 mod query;
+mod report;
 
 pub use query::encode;
+pub use report::{Customer, RECENT_MS, Sidecar, Status, gap};
 
 /// Threads that answer. One would do; the second keeps health answered while a large ring is
 /// written out.
@@ -39,17 +41,14 @@
 /// Header that carries the fleet's secret on calls that change something.
 pub const SECRET_HEADER: &str = "x-chivebend-secret";
 
-/// A closure that answers with JSON.
-pub type Answer = Box<dyn Fn() -> serde_json::Value + Send + Sync>;
-
 /// Where the answers come from.
 pub struct Source {
     /// Whether the process takes work.
     pub ready: Box<dyn Fn() -> bool + Send + Sync>,
     /// State of the process.
-    pub status: Answer,
+    pub status: Box<dyn Fn() -> Status + Send + Sync>,
     /// Service, share, waiting and refusals of each customer this process knows.
-    pub customers: Answer,
+    pub customers: Box<dyn Fn() -> Vec<Customer> + Send + Sync>,
     /// Catalogue revision in force.
     pub revision: Box<dyn Fn() -> Option<u64> + Send + Sync>,
     /// Begins the shutdown.
@@ -140,6 +139,13 @@
         }
     }
 
+    fn of(value: &impl serde::Serialize) -> Self {
+        match serde_json::to_value(value) {
+            Ok(value) => Self::json(200, &value),
+            Err(err) => Self::refused(500, code::Code::Internal, &err.to_string()),
+        }
+    }
+
     fn refused(status: u16, code: code::Code, detail: &str) -> Self {
         let row = code.row();
         let value = serde_json::json!({"code": row.number, "name": row.name, "detail": detail});
@@ -159,8 +165,8 @@
             mime: "text/plain; version=0.0.4",
             body: recorder.render(),
         },
-        (tiny_http::Method::Get, "/status") => Reply::json(200, &(source.status)()),
-        (tiny_http::Method::Get, "/customers") => Reply::json(200, &(source.customers)()),
+        (tiny_http::Method::Get, "/status") => Reply::of(&(source.status)()),
+        (tiny_http::Method::Get, "/customers") => Reply::of(&(source.customers)()),
         (tiny_http::Method::Get, "/events") => events(source, query),
         (tiny_http::Method::Get, "/revision") => {
             Reply::json(200, &serde_json::json!({"revision": (source.revision)()}))
@@ -186,11 +192,7 @@
         Ok(filter) => filter,
         Err(detail) => return Reply::refused(400, code::Code::BadRequest, &detail),
     };
-    let page = source.ring.read(&filter);
-    match serde_json::to_value(page) {
-        Ok(value) => Reply::json(200, &value),
-        Err(err) => Reply::refused(500, code::Code::Internal, &err.to_string()),
-    }
+    Reply::of(&source.ring.read(&filter))
 }
 
 fn drain(req: &tiny_http::Request, source: &Source) -> Reply {
--- a/tests/ops.rs
+++ b/tests/ops.rs
@@ -10,7 +10,6 @@
 use chivebend::metric;
 use chivebend::ops;
 use chivebend::settings;
-use serde_json::json;
 
 const SECRET: &str = "an old secret of the fleet";
 
@@ -33,8 +32,16 @@
     let (is_ready, set_drained) = (sync::Arc::clone(&ready), sync::Arc::clone(&drained));
     let source = ops::Source {
         ready: Box::new(move || is_ready.load(atomic::Ordering::SeqCst)),
-        status: Box::new(|| json!({"queue": 3})),
-        customers: Box::new(|| json!([{"customer": "a"}])),
+        status: Box::new(|| ops::Status {
+            waiting: 3,
+            ..ops::Status::default()
+        }),
+        customers: Box::new(|| {
+            vec![ops::Customer {
+                customer: "a".into(),
+                ..ops::Customer::default()
+            }]
+        }),
         revision: Box::new(|| Some(42)),
         drain: Box::new(move || set_drained.store(true, atomic::Ordering::SeqCst)),
         ring: ring.clone(),
@@ -91,7 +98,7 @@
         method: "GET",
         path: "/status",
         status: 200,
-        holds: "\"queue\":3",
+        holds: "\"waiting\":3",
     },
     Case {
         method: "GET",
