--- a/src/bin/chivebend-standin.rs
+++ b/src/bin/chivebend-standin.rs
@@ -1,8 +1,8 @@
 //! Stand-ins for the platform and for backend servers, one subcommand each.
 
-use std::{net, thread};
+use std::{net, sync, thread};
 
-use chivebend::{error, standin};
+use chivebend::{error, process, standin};
 use clap::Parser;
 
 /// Stand-ins for the platform and for backend servers.
@@ -19,6 +19,10 @@
     Log(Address),
     /// The platform's instance list.
     Instances(Address),
+    /// A model engine.
+    Engine(standin::engine::Settings),
+    /// A plain service that records what it ran.
+    Service(standin::service::Settings),
 }
 
 #[derive(clap::Args)]
@@ -39,6 +43,21 @@
             let handle = standin::instances::spawn(args.address, switches)?;
             forever(handle.addr);
         }
+        Command::Engine(settings) => {
+            let runtime = process::Runtime::open("engine")?;
+            let handle = runtime
+                .handle()
+                .block_on(standin::engine::spawn(settings))?;
+            forever(handle.address);
+        }
+        Command::Service(settings) => {
+            let runtime = process::Runtime::open("service")?;
+            let record = sync::Arc::default();
+            let handle = runtime
+                .handle()
+                .block_on(standin::service::spawn(settings, record))?;
+            forever(handle.address);
+        }
     }
     Ok(())
 }
--- /dev/null
+++ b/src/control/backend/mod.rs
@@ -0,0 +1,266 @@
+//! The sidecar's controller: tickets, slots, runs and kept answers of one backend server.
+//!
+//! It claims the best ticket whenever the window has room, starts a request once at most, keeps its
+//! answer until the entry has all of it, and remembers what it started for longer than any entry
+//! may still ask.
+
+mod claim;
+mod link;
+mod run;
+mod start;
+mod status;
+
+use std::sync::atomic;
+use std::time::Duration;
+use std::{collections, sync, time};
+
+use crossbeam_channel as channel;
+use slotmap::SlotMap;
+use stakker::CX;
+
+use crate::control::{customers, tally};
+use crate::decide::{queue, share};
+use crate::ops::report;
+use crate::wire::frame;
+use crate::{key, platform, settings, wire};
+
+pub use link::Sender;
+
+/// Time between two runs of the timers.
+const TICK: time::Duration = time::Duration::from_millis(50);
+
+/// Time between two heartbeats on a link.
+const BEAT: time::Duration = time::Duration::from_millis(500);
+
+/// How long a charge takes until the totals heard on tickets contain it.
+const SHARE_LAG: time::Duration = time::Duration::from_millis(500);
+
+/// What the core thread of a sidecar is told.
+#[derive(Debug)]
+pub enum Message {
+    /// An entry has opened a link.
+    Open {
+        /// Number of the link.
+        link: u64,
+        /// Who it is.
+        process: wire::Process,
+        /// Where frames go.
+        tx: Sender,
+    },
+    /// A frame has arrived.
+    Frame {
+        /// Number of the link.
+        link: u64,
+        /// The frame.
+        kind: frame::Entry,
+    },
+    /// A link is lost.
+    Closed {
+        /// Number of the link.
+        link: u64,
+    },
+    /// Something happened to a run.
+    Run(key::Run, platform::backend::Event),
+    /// The catalogue's figures for this service.
+    Service {
+        /// Revision of the catalogue.
+        revision: u64,
+        /// Models that it serves.
+        models: Vec<String>,
+        /// Requests a backend server runs at once to begin with.
+        window: u32,
+    },
+    /// Take no new work.
+    Drain,
+    /// Answer with the state for operators.
+    Status(channel::Sender<report::Status>),
+    /// Answer with the customers for operators.
+    Customers(channel::Sender<Vec<report::Customer>>),
+    /// End the thread.
+    Stop,
+}
+
+/// Counters that other threads read.
+#[derive(Debug, Default)]
+pub struct Gauges {
+    /// Requests running or kept for an entry that has not acknowledged them.
+    pub in_progress: atomic::AtomicU64,
+    /// Catalogue revision in force, 0 before the first.
+    pub revision: atomic::AtomicU64,
+}
+
+/// What the controller is created with.
+#[derive(Debug)]
+pub struct Setup {
+    /// This process.
+    pub process: wire::Process,
+    /// Its settings.
+    pub settings: settings::Sidecar,
+    /// Runs the calls to the backend server.
+    pub runtime: tokio::runtime::Handle,
+    /// Sends to this controller.
+    pub tx: channel::Sender<Message>,
+    /// Counters for other threads.
+    pub gauges: sync::Arc<Gauges>,
+}
+
+/// The controller.
+#[derive(Debug)]
+pub struct Backend {
+    setup: Setup,
+    start: time::Instant,
+    links: SlotMap<key::Link, link::Link>,
+    link_numbers: collections::HashMap<u64, key::Link>,
+    origins: collections::HashMap<link::Origin, link::Memory>,
+    customers: customers::Arena,
+    shares: share::Table,
+    tally: tally::Tally,
+    queue: queue::Queue,
+    tickets: collections::HashMap<(key::Link, u64), key::Ticket>,
+    claims: collections::HashMap<(key::Link, u64), claim::Claim>,
+    runs: SlotMap<key::Run, run::Run>,
+    running: u32,
+    window: u32,
+    models: Vec<String>,
+    leaving: bool,
+    kept_bytes: u64,
+    last_beat: time::Duration,
+    beats: u64,
+    stale: u64,
+}
+
+impl Backend {
+    /// Creates the controller; it runs its own timers.
+    pub fn init(cx: CX![], setup: Setup) -> Option<Self> {
+        stakker::after!(TICK, [cx], tick());
+        Some(Self {
+            setup,
+            start: cx.now(),
+            links: SlotMap::with_key(),
+            link_numbers: collections::HashMap::new(),
+            origins: collections::HashMap::new(),
+            customers: customers::Arena::default(),
+            shares: share::Table::new(SHARE_LAG),
+            tally: tally::Tally::default(),
+            queue: queue::Queue::new(queue::Limit::default()),
+            tickets: collections::HashMap::new(),
+            claims: collections::HashMap::new(),
+            runs: SlotMap::with_key(),
+            running: 0,
+            window: 0,
+            models: Vec::new(),
+            leaving: false,
+            kept_bytes: 0,
+            last_beat: time::Duration::ZERO,
+            beats: 0,
+            stale: 0,
+        })
+    }
+
+    /// Takes one message.
+    pub fn take(&mut self, cx: CX![], message: Message) {
+        let now = cx.now() - self.start;
+        match message {
+            Message::Open { link, process, tx } => self.open(now, link, process, tx),
+            Message::Frame { link, kind } => self.frame(now, link, kind),
+            Message::Closed { link } => self.closed(now, link),
+            Message::Run(run, event) => self.happened(now, run, event),
+            Message::Service {
+                revision,
+                models,
+                window,
+            } => {
+                self.setup
+                    .gauges
+                    .revision
+                    .store(revision, atomic::Ordering::Relaxed);
+                self.models = models;
+                self.window = window;
+            }
+            Message::Drain => self.drain(),
+            Message::Status(tx) => drop(tx.send(self.status())),
+            Message::Customers(tx) => drop(tx.send(self.report(now))),
+            Message::Stop => cx.shutdown(stakker::StopCause::Stopped),
+        }
+        self.fill(now);
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now = cx.now() - self.start;
+        self.expire_claims(now);
+        self.expire_runs(now);
+        if now >= self.last_beat + BEAT {
+            self.last_beat = now;
+            self.beat();
+        }
+        self.fill(now);
+        let in_progress = self.runs.values().filter(|run| !run.settled()).count() as u64;
+        self.setup
+            .gauges
+            .in_progress
+            .store(in_progress, atomic::Ordering::Relaxed);
+        stakker::after!(TICK, [cx], tick());
+    }
+
+    fn frame(&mut self, now: time::Duration, number: u64, kind: frame::Entry) {
+        let Some(&link) = self.link_numbers.get(&number) else {
+            return;
+        };
+        match kind {
+            frame::Entry::Offer(offer) => self.offered(now, link, &offer),
+            frame::Entry::Void(void) => self.voided(link, &void),
+            frame::Entry::Run(run) => self.handed_over(now, link, run),
+            frame::Entry::Ack(ack) => self.acknowledged(now, link, &ack),
+            frame::Entry::Resume(resume) => self.resume(now, link, &resume),
+            frame::Entry::Cancel(cancel) => self.cancelled(now, link, &cancel),
+            frame::Entry::Totals(totals) => self.totals(now, &totals),
+            frame::Entry::Beat(_) => {}
+            frame::Entry::Hello(_) => self.stale += 1,
+        }
+    }
+
+    fn totals(&mut self, now: time::Duration, totals: &wire::Totals) {
+        for total in &totals.totals {
+            if let Some(customer) = self.customers.find(&total.customer) {
+                self.shares.observe(now, customer, total.service);
+            }
+        }
+    }
+
+    fn beat(&mut self) {
+        self.beats += 1;
+        let beat = wire::SidecarBeat {
+            sequence: self.beats,
+            window: self.window,
+            running: self.running + self.claims.len() as u32,
+            waiting: self.queue.len() as u32,
+            leaving: self.leaving,
+            catalogue_revision: self.setup.gauges.revision.load(atomic::Ordering::Relaxed),
+            virtual_time: self.shares.virtual_time(),
+            first_token_ms: 0,
+            between_tokens_us: 0,
+            stamp: 0,
+        };
+        for link in self.links.values() {
+            link.send(frame::Sidecar::Beat(beat));
+        }
+    }
+
+    fn drain(&mut self) {
+        if self.leaving {
+            return;
+        }
+        self.leaving = true;
+        self.void_tickets();
+        // Entries learn at once, not with the next heartbeat.
+        self.beat();
+    }
+}
+
+/// Starts the core thread of a sidecar.
+pub fn spawn(rx: channel::Receiver<Message>, setup: Setup) -> std::io::Result<crate::core::Core> {
+    crate::core::spawn("sidecar-core", rx, move |stakker| {
+        let actor = stakker::actor!(stakker, Backend::init(setup), stakker::ret_nop!());
+        Box::new(move |_stakker, message| stakker::call!([actor], take(message)))
+    })
+}
--- /dev/null
+++ b/src/control/backend/run.rs
@@ -0,0 +1,354 @@
+//! Runs: requests that were started, and their answers until the entry has all of them.
+
+use std::time;
+
+use crate::control::backend::Backend;
+use crate::control::backend::link::Origin;
+use crate::control::kept;
+use crate::decide::share;
+use crate::platform::{backend, usage};
+use crate::wire::frame;
+use crate::{code, key, wire};
+
+/// Bytes sent ahead of the entry's acknowledgement: bounds what a slow caller makes an entry hold.
+const SEND_AHEAD: u64 = 256 << 10;
+
+/// How long a started request is remembered after its end. An entry believes "not started" for a
+/// minute after the hand-over; this is five times that.
+const MEMORY: time::Duration = time::Duration::from_secs(300);
+
+/// How long an answer is kept for an entry that does not fetch it: an entry gives an attempt up
+/// after ten seconds without a link.
+const KEEP: time::Duration = time::Duration::from_secs(30);
+
+/// How long an idempotent request runs on without its entry.
+const ORPHAN_LIMIT: time::Duration = time::Duration::from_secs(15);
+
+/// What of an answer has been sent on the link that is up.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sent {
+    head: bool,
+    bytes: u64,
+    end: bool,
+}
+
+/// A request that was started.
+#[derive(Debug)]
+pub struct Run {
+    /// The entry it came from.
+    pub origin: Origin,
+    /// The entry's number for it.
+    pub request: u64,
+    /// The attempt that was started.
+    pub attempt: u32,
+    /// When the entry's link was lost, until it asks for the rest.
+    pub detached: Option<time::Duration>,
+    /// The call to the backend server.
+    pub task: Option<tokio::task::JoinHandle<()>>,
+    /// Whose it is.
+    pub customer: key::Customer,
+    idempotent: bool,
+    answer: kept::Answer,
+    meter: usage::Meter,
+    prompt: u64,
+    cost: u64,
+    uncharged: u32,
+    sent: Sent,
+    acknowledged: u64,
+    done: bool,
+    failed: Option<code::Code>,
+    ended: Option<time::Duration>,
+    started: time::Duration,
+    reservation: Option<share::Reservation>,
+}
+
+impl Run {
+    /// A run that has just started.
+    pub fn new(
+        origin: Origin,
+        customer: key::Customer,
+        run: &wire::Run,
+        reservation: share::Reservation,
+        now: time::Duration,
+    ) -> Self {
+        let prompt = run.body.len() as u64 / usage::BYTES_PER_TOKEN;
+        Self {
+            origin,
+            request: run.request,
+            attempt: run.attempt,
+            detached: None,
+            task: None,
+            customer,
+            idempotent: run.idempotent,
+            answer: kept::Answer::default(),
+            meter: usage::Meter::default(),
+            prompt,
+            cost: 0,
+            uncharged: 0,
+            sent: Sent::default(),
+            acknowledged: 0,
+            done: false,
+            failed: None,
+            ended: None,
+            started: now,
+            reservation: Some(reservation),
+        }
+    }
+
+    /// True once it has ended and its entry needs nothing more of it.
+    pub fn settled(&self) -> bool {
+        self.done && self.ended.is_some()
+    }
+
+    /// Sends again from an offset.
+    pub fn rewind(&mut self, offset: u64) {
+        self.sent = Sent {
+            bytes: offset,
+            ..Sent::default()
+        };
+        self.acknowledged = self.acknowledged.max(offset);
+    }
+
+    fn failure(&self, code: code::Code) -> wire::Failed {
+        let ran = match code.row().ran {
+            code::Ran::No => wire::Ran::No,
+            code::Ran::Yes => wire::Ran::Yes,
+            code::Ran::Unknown => wire::Ran::Unknown,
+        };
+        wire::Failed {
+            request: self.request,
+            attempt: self.attempt,
+            code: u32::from(code.number()),
+            ran: ran.into(),
+            retry_after_ms: 0,
+        }
+    }
+
+    fn next(&mut self) -> Option<frame::Sidecar> {
+        let (request, attempt) = (self.request, self.attempt);
+        if self.answer.status != 0 && !self.sent.head {
+            self.sent.head = true;
+            let headers = self.answer.headers.clone();
+            let head = wire::Head {
+                request,
+                attempt,
+                status: self.answer.status,
+                headers,
+            };
+            return Some(frame::Sidecar::Head(head));
+        }
+        if self.sent.bytes < self.acknowledged + SEND_AHEAD
+            && let Some(data) = self.answer.from_offset(self.sent.bytes)
+        {
+            let offset = self.sent.bytes;
+            self.sent.bytes += data.len() as u64;
+            let cost = std::mem::take(&mut self.uncharged);
+            let chunk = wire::Chunk {
+                request,
+                attempt,
+                offset,
+                data,
+                cost,
+            };
+            return Some(frame::Sidecar::Chunk(chunk));
+        }
+        if self.sent.end || self.sent.bytes < self.answer.length() {
+            return None;
+        }
+        if let Some(code) = self.failed {
+            self.sent.end = true;
+            return Some(frame::Sidecar::Failed(self.failure(code)));
+        }
+        if self.answer.ended() {
+            self.sent.end = true;
+            let end = wire::End {
+                request,
+                attempt,
+                length: self.answer.length(),
+                checksum: self.answer.checksum(),
+                cost: self.cost,
+            };
+            return Some(frame::Sidecar::End(end));
+        }
+        None
+    }
+}
+
+impl Backend {
+    /// Something happened to a run.
+    pub(super) fn happened(&mut self, now: time::Duration, key: key::Run, event: backend::Event) {
+        let Some(run) = self.runs.get_mut(key) else {
+            return;
+        };
+        if run.ended.is_some() {
+            return;
+        }
+        match event {
+            backend::Event::Head(status, headers) => {
+                run.answer.status = status;
+                run.answer.headers = headers;
+            }
+            backend::Event::Data(data) => {
+                let tokens = run.meter.take(&data);
+                run.cost += u64::from(tokens);
+                run.uncharged += tokens;
+                self.tally.served(now, run.customer, f64::from(tokens));
+                if let Some(reservation) = &mut run.reservation {
+                    self.shares.charge(reservation, u64::from(tokens));
+                }
+                self.kept_bytes += data.len() as u64;
+                run.answer.push(data);
+            }
+            backend::Event::End => {
+                run.answer.end();
+                self.end(now, key);
+            }
+            backend::Event::Failed(code) => {
+                run.failed = Some(code);
+                self.end(now, key);
+            }
+        }
+        self.push(now, key);
+    }
+
+    fn end(&mut self, now: time::Duration, key: key::Run) {
+        self.running -= 1;
+        let run = &mut self.runs[key];
+        run.ended = Some(now);
+        run.task = None;
+        self.tally.running(run.customer, -1);
+        let Some(reservation) = run.reservation.take() else {
+            return;
+        };
+        if run.failed.is_some() {
+            self.shares.release(reservation);
+            return;
+        }
+        run.cost = match run.meter.finish() {
+            Some(usage) => usage.prompt_tokens + usage.completion_tokens,
+            None if self.models.is_empty() => now.saturating_sub(run.started).as_millis() as u64,
+            None => run.prompt + run.cost,
+        };
+        self.shares.settle(reservation, run.cost);
+    }
+
+    /// Sends what the entry may be sent.
+    pub(super) fn push(&mut self, now: time::Duration, key: key::Run) {
+        let run = &mut self.runs[key];
+        let Some(link) = self.origins.get(&run.origin).and_then(|memory| memory.link) else {
+            // Also a run that started just as the link was lost.
+            run.detached = run.detached.or(Some(now));
+            return;
+        };
+        if run.detached.is_some() {
+            return;
+        }
+        while let Some(kind) = run.next() {
+            self.links[link].send(kind);
+        }
+        if run.sent.end && run.failed.is_some() {
+            // An entry does not acknowledge a failure; asked again, it is sent again.
+            run.done = true;
+        }
+    }
+
+    /// The entry has bytes, or all of the answer.
+    pub(super) fn acknowledged(&mut self, now: time::Duration, link: key::Link, ack: &wire::Ack) {
+        let Some(key) = self.find(link, ack.request, ack.attempt) else {
+            return;
+        };
+        let run = &mut self.runs[key];
+        run.acknowledged = run.acknowledged.max(ack.offset);
+        if ack.done {
+            run.done = true;
+            self.drop_answer(key);
+        } else {
+            self.push(now, key);
+        }
+    }
+
+    /// The caller has left. A call that is not idempotent runs to its end all the same: cutting it
+    /// would leave half its effect.
+    pub(super) fn cancelled(
+        &mut self,
+        now: time::Duration,
+        link: key::Link,
+        cancel: &wire::Cancel,
+    ) {
+        let Some(key) = self.find(link, cancel.request, cancel.attempt) else {
+            return;
+        };
+        self.runs[key].done = true;
+        self.stop(now, key);
+    }
+
+    /// Ends idempotent runs whose entry is gone, drops answers nobody fetches, and forgets runs
+    /// that no entry may ask for any more.
+    pub(super) fn expire_runs(&mut self, now: time::Duration) {
+        let mut orphans = Vec::new();
+        let mut stale = Vec::new();
+        let mut old = Vec::new();
+        for (key, run) in &self.runs {
+            match (run.ended, run.detached) {
+                (None, Some(since)) if now > since + ORPHAN_LIMIT => orphans.push(key),
+                (Some(ended), _) if now > ended + MEMORY => old.push(key),
+                (Some(ended), _) if now > ended + KEEP && !run.done => stale.push(key),
+                _ => {}
+            }
+        }
+        for key in orphans {
+            self.stop(now, key);
+        }
+        for key in stale {
+            self.runs[key].done = true;
+            self.drop_answer(key);
+        }
+        for key in old {
+            self.forget(key);
+        }
+        for memory in self.origins.values_mut() {
+            memory.voided.retain(|_, (_, at)| now <= *at + MEMORY);
+        }
+        self.origins.retain(|_, memory| {
+            memory.link.is_some() || !memory.runs.is_empty() || !memory.voided.is_empty()
+        });
+    }
+
+    fn stop(&mut self, now: time::Duration, key: key::Run) {
+        let run = &mut self.runs[key];
+        if run.ended.is_some() || !run.idempotent {
+            return;
+        }
+        if let Some(task) = run.task.take() {
+            task.abort();
+        }
+        run.failed = Some(code::Code::CallerLeft);
+        self.end(now, key);
+    }
+
+    fn find(&self, link: key::Link, request: u64, attempt: u32) -> Option<key::Run> {
+        let origin = &self.links.get(link)?.origin;
+        let key = *self.origins.get(origin)?.runs.get(&request)?;
+        (self.runs.get(key)?.attempt == attempt).then_some(key)
+    }
+
+    fn drop_answer(&mut self, key: key::Run) {
+        let run = &mut self.runs[key];
+        self.kept_bytes = self.kept_bytes.saturating_sub(run.answer.length());
+        run.answer = kept::Answer::default();
+        run.sent.head = true;
+        run.sent.end = true;
+    }
+
+    fn forget(&mut self, key: key::Run) {
+        self.drop_answer(key);
+        let Some(run) = self.runs.remove(key) else {
+            return;
+        };
+        if let Some(memory) = self.origins.get_mut(&run.origin)
+            && memory.runs.get(&run.request) == Some(&key)
+        {
+            memory.runs.remove(&run.request);
+        }
+    }
+}
--- /dev/null
+++ b/src/control/dispatch/frames.rs
@@ -0,0 +1,247 @@
+//! Frames of sidecars: claims, answers and their endings.
+
+use std::time;
+
+use crate::control::answer;
+use crate::control::dispatch::request::{Attempt, Reply};
+use crate::control::dispatch::{Dispatch, Stage, number, request};
+use crate::wire::frame;
+use crate::{code, key, wire};
+
+/// Bytes the caller must have taken before they are acknowledged: an eighth of what a sidecar sends
+/// ahead, so that acknowledgements are few and the sidecar never waits for one.
+const ACK_EVERY: u64 = 32 << 10;
+
+impl Dispatch {
+    /// Takes a frame; one of an older link is dropped.
+    pub(super) fn frame(&mut self, now: time::Duration, id: &str, link: u64, kind: frame::Sidecar) {
+        let Some(&sidecar) = self.by_id.get(id) else {
+            return;
+        };
+        if !self.sidecars[sidecar].is_current(link) {
+            self.stale += 1;
+            return;
+        }
+        match kind {
+            frame::Sidecar::Claim(claim) => self.claim(now, sidecar, request(claim.request)),
+            frame::Sidecar::Voided(voided) => self.voided(now, sidecar, &voided),
+            frame::Sidecar::Head(head) => self.head(sidecar, head),
+            frame::Sidecar::Chunk(chunk) => self.chunk(now, sidecar, chunk),
+            frame::Sidecar::End(end) => self.end(now, sidecar, &end),
+            frame::Sidecar::Failed(failed) => self.failed(now, sidecar, &failed),
+            frame::Sidecar::Beat(beat) => self.heard(now, sidecar, &beat),
+            frame::Sidecar::Want(want) => self.feed(now, sidecar, want.slots),
+            frame::Sidecar::Welcome(_) => self.stale += 1,
+        }
+    }
+
+    /// The first claim wins; any later one is void.
+    fn claim(&mut self, now: time::Duration, sidecar: key::Sidecar, request: key::Request) {
+        let waits = self.requests.get(request).is_some_and(|held| {
+            matches!(&held.stage, Stage::Waiting { tickets, .. } if tickets.contains(&sidecar))
+        });
+        if waits {
+            self.hand_over(now, sidecar, request);
+        } else {
+            let void = wire::Void {
+                request: number(request),
+                attempt: 0,
+                acknowledge: false,
+            };
+            self.sidecars[sidecar].send(frame::Entry::Void(void));
+        }
+    }
+
+    fn hand_over(&mut self, now: time::Duration, sidecar: key::Sidecar, request: key::Request) {
+        let held = &mut self.requests[request];
+        held.attempt += 1;
+        let attempt = Attempt {
+            sidecar,
+            incarnation: self.sidecars[sidecar].incarnation,
+            since: now,
+            lost: None,
+            answer: answer::Progress::default(),
+        };
+        let stage = std::mem::replace(&mut held.stage, Stage::HandedOver(attempt));
+        held.reservation = Some(self.shares.reserve(held.customer));
+        self.tally.running(held.customer, 1);
+        self.waiting.remove(request, held);
+        let run = wire::Run {
+            request: number(request),
+            attempt: held.attempt,
+            method: held.ask.method.clone(),
+            path: held.ask.path.clone(),
+            headers: held.ask.headers.clone(),
+            body: held.ask.body.clone(),
+            idempotent: held.ask.idempotent,
+            idempotency_key: held.ask.key.clone(),
+            deadline_ms: 0,
+            customer: held.ask.customer.clone(),
+            request_id: held.ask.id.clone(),
+        };
+        let known = &mut self.sidecars[sidecar];
+        known.outstanding += 1;
+        known.tickets = known.tickets.saturating_sub(1);
+        known.send(frame::Entry::Run(run));
+        if let Stage::Waiting { tickets, .. } = stage {
+            self.void(request, &tickets, Some(sidecar));
+        }
+    }
+
+    fn voided(&mut self, now: time::Duration, sidecar: key::Sidecar, voided: &wire::Voided) {
+        let key = request(voided.request);
+        let Some(held) = self.requests.get_mut(key) else {
+            return;
+        };
+        if voided.attempt == 0 {
+            if let Stage::Waiting { tickets, .. } = &mut held.stage {
+                tickets.retain(|at| *at != sidecar);
+                self.place(now, key);
+            }
+            return;
+        }
+        if held.current(sidecar, voided.attempt).is_none() {
+            self.stale += 1;
+            return;
+        }
+        let code = code::Code::from_number(voided.code).unwrap_or(code::Code::BackendRefused);
+        if voided.not_started {
+            self.not_started(now, key, code);
+        } else {
+            self.outcome_unknown(now, key);
+        }
+    }
+
+    fn head(&mut self, sidecar: key::Sidecar, frame: wire::Head) {
+        let key = request(frame.request);
+        let Some(held) = self.requests.get_mut(key) else {
+            return;
+        };
+        if held.current(sidecar, frame.attempt).is_none() {
+            self.stale += 1;
+            return;
+        }
+        if !held.passed && held.head.is_none() {
+            held.head = Some((frame.status, frame.headers));
+        }
+    }
+
+    fn chunk(&mut self, now: time::Duration, sidecar: key::Sidecar, chunk: wire::Chunk) {
+        let key = request(chunk.request);
+        let Some(held) = self.requests.get_mut(key) else {
+            return;
+        };
+        let Some(attempt) = held.current(sidecar, chunk.attempt) else {
+            self.stale += 1;
+            return;
+        };
+        match attempt.answer.chunk(chunk.offset, chunk.data) {
+            answer::Step::Next(data) => {
+                self.tally.served(now, held.customer, f64::from(chunk.cost));
+                if let Some(reservation) = &mut held.reservation {
+                    self.shares.charge(reservation, u64::from(chunk.cost));
+                }
+                held.pass_head();
+                held.send(Reply::Data(data));
+            }
+            answer::Step::Duplicate => self.stale += 1,
+            answer::Step::Gap(offset) => self.ask_again(sidecar, key, offset),
+        }
+    }
+
+    fn end(&mut self, now: time::Duration, sidecar: key::Sidecar, end: &wire::End) {
+        let key = request(end.request);
+        let Some(held) = self.requests.get_mut(key) else {
+            return;
+        };
+        let Some(attempt) = held.current(sidecar, end.attempt) else {
+            self.stale += 1;
+            return;
+        };
+        match attempt.answer.end(end.length, end.checksum) {
+            answer::Ending::Whole => {
+                held.pass_head();
+                held.send(Reply::End);
+                let ack = wire::Ack {
+                    request: end.request,
+                    attempt: end.attempt,
+                    offset: end.length,
+                    done: true,
+                };
+                if let Some(reservation) = held.reservation.take() {
+                    self.shares.settle(reservation, end.cost);
+                }
+                self.sidecars[sidecar].send(frame::Entry::Ack(ack));
+                self.finish(key);
+            }
+            answer::Ending::Gap(offset) => self.ask_again(sidecar, key, offset),
+            answer::Ending::Corrupt => self.outcome_unknown(now, key),
+        }
+    }
+
+    fn failed(&mut self, now: time::Duration, sidecar: key::Sidecar, failed: &wire::Failed) {
+        let key = request(failed.request);
+        let Some(held) = self.requests.get_mut(key) else {
+            return;
+        };
+        if held.current(sidecar, failed.attempt).is_none() {
+            self.stale += 1;
+            return;
+        }
+        let code = code::Code::from_number(failed.code).unwrap_or(code::Code::OutcomeUnknown);
+        self.attempt_failed(now, key, code, failed.ran());
+    }
+
+    fn heard(&mut self, now: time::Duration, sidecar: key::Sidecar, beat: &wire::SidecarBeat) {
+        let known = &mut self.sidecars[sidecar];
+        known.window = beat.window;
+        known.running = beat.running;
+        known.waiting = beat.waiting;
+        known.reported = now;
+        let began_leaving = beat.leaving && !known.leaving;
+        known.leaving = beat.leaving;
+        self.shares.advance(beat.virtual_time);
+        if began_leaving {
+            self.drop_tickets(now, sidecar);
+        }
+        let idle = beat.window.saturating_sub(beat.running + beat.waiting);
+        if idle > 0 && !beat.leaving {
+            self.feed(now, sidecar, idle);
+        }
+    }
+
+    /// The caller's connection has taken bytes: lets the sidecar send more.
+    pub(super) fn consumed(&mut self, request: key::Request, bytes: u64) {
+        let Some(held) = self.requests.get_mut(request) else {
+            return;
+        };
+        held.consumed += bytes;
+        if held.consumed < held.acknowledged + ACK_EVERY {
+            return;
+        }
+        held.acknowledged = held.consumed;
+        let Stage::HandedOver(attempt) = &held.stage else {
+            return;
+        };
+        let ack = wire::Ack {
+            request: number(request),
+            attempt: held.attempt,
+            offset: held.consumed,
+            done: false,
+        };
+        if let Some(sidecar) = self.sidecars.get(attempt.sidecar) {
+            sidecar.send(frame::Entry::Ack(ack));
+        }
+    }
+
+    fn ask_again(&mut self, sidecar: key::Sidecar, request: key::Request, offset: u64) {
+        self.stale += 1;
+        let resume = wire::Resume {
+            request: number(request),
+            attempt: self.requests[request].attempt,
+            offset,
+            incarnation: self.sidecars[sidecar].incarnation,
+        };
+        self.sidecars[sidecar].send(frame::Entry::Resume(resume));
+    }
+}
--- /dev/null
+++ b/src/control/dispatch/links.rs
@@ -0,0 +1,172 @@
+//! Links to sidecars that come and go.
+
+use std::time;
+
+use crate::control::dispatch::sidecar::{self, Sidecar};
+use crate::control::dispatch::{Dispatch, Found, Stage, number};
+use crate::wire::frame;
+use crate::{key, wire};
+
+/// How long an attempt whose link is lost may wait to be resumed. Three times the silence limit of
+/// a link: time to notice, to connect again, and once more.
+const RESUME_LIMIT: time::Duration = time::Duration::from_secs(10);
+
+impl Dispatch {
+    /// A link is up: resumes what the sidecar has, gives up what an earlier incarnation had.
+    pub(super) fn up(
+        &mut self,
+        now: time::Duration,
+        id: &str,
+        link: u64,
+        welcome: wire::Welcome,
+        tx: sidecar::Sender,
+    ) {
+        let key = self.known(id);
+        let process = welcome.process.unwrap_or_default();
+        let known = &mut self.sidecars[key];
+        known.incarnation = process.incarnation;
+        known.zone = process.zone;
+        known.service = welcome.service;
+        known.models = welcome.models;
+        known.window = welcome.window;
+        known.reported = now;
+        known.tickets = 0;
+        known.leaving = false;
+        known.link = Some(sidecar::Link { number: link, tx });
+        log::info!(event = "link_up", sidecar = id, incarnation = process.incarnation; "");
+        self.drop_tickets(now, key);
+        for request in self.handed_over(key) {
+            self.resume(now, request, key, process.incarnation);
+        }
+        self.place_waiting(now);
+    }
+
+    /// A link is lost: tickets there are void, attempts there wait to be resumed.
+    pub(super) fn down(&mut self, now: time::Duration, id: &str, link: u64) {
+        let Some(&key) = self.by_id.get(id) else {
+            return;
+        };
+        if self.sidecars[key].is_current(link) {
+            self.lose(now, key);
+        }
+    }
+
+    /// A sidecar is not to be used any more.
+    pub(super) fn gone(&mut self, now: time::Duration, id: &str) {
+        if let Some(&key) = self.by_id.get(id) {
+            self.lose(now, key);
+        }
+    }
+
+    fn lose(&mut self, now: time::Duration, key: key::Sidecar) {
+        self.sidecars[key].link = None;
+        self.sidecars[key].tickets = 0;
+        log::info!(event = "link_down", sidecar = self.sidecars[key].id.as_str(); "");
+        self.drop_tickets(now, key);
+        for request in self.handed_over(key) {
+            if let Stage::HandedOver(attempt) = &mut self.requests[request].stage {
+                attempt.lost = Some(now);
+                self.lost.push(request);
+            }
+        }
+    }
+
+    /// Takes in which sidecars there are.
+    pub(super) fn members(&mut self, now: time::Duration, members: Vec<(Found, bool)>) {
+        for (found, leaving) in members {
+            let key = self.known(&found.id);
+            let known = &mut self.sidecars[key];
+            known.zone = found.zone;
+            known.service = found.service;
+            if leaving && !known.leaving {
+                known.leaving = true;
+                self.drop_tickets(now, key);
+            }
+        }
+    }
+
+    /// Gives up attempts that could not be resumed in time.
+    pub(super) fn abandon(&mut self, now: time::Duration) {
+        let mut lost = std::mem::take(&mut self.lost);
+        lost.retain(|request| {
+            let Some(held) = self.requests.get(*request) else {
+                return false;
+            };
+            let Stage::HandedOver(attempt) = &held.stage else {
+                return false;
+            };
+            let Some(since) = attempt.lost else {
+                return false;
+            };
+            if now < since + RESUME_LIMIT {
+                return true;
+            }
+            self.outcome_unknown(now, *request);
+            false
+        });
+        self.lost.append(&mut lost);
+    }
+
+    /// Takes a sidecar's tickets back without telling it, and places them elsewhere.
+    pub(super) fn drop_tickets(&mut self, now: time::Duration, sidecar: key::Sidecar) {
+        let affected: Vec<_> = self
+            .waiting
+            .iter()
+            .filter(|request| match &self.requests[*request].stage {
+                Stage::Waiting { tickets, .. } => tickets.contains(&sidecar),
+                Stage::HandedOver(_) => false,
+            })
+            .collect();
+        for request in affected {
+            if let Stage::Waiting { tickets, .. } = &mut self.requests[request].stage {
+                tickets.retain(|key| *key != sidecar);
+            }
+            self.place(now, request);
+        }
+    }
+
+    fn known(&mut self, id: &str) -> key::Sidecar {
+        if let Some(key) = self.by_id.get(id) {
+            return *key;
+        }
+        let key = self.sidecars.insert(Sidecar::unknown(id));
+        self.by_id.insert(id.to_owned(), key);
+        key
+    }
+
+    fn handed_over(&self, sidecar: key::Sidecar) -> Vec<key::Request> {
+        self.requests
+            .iter()
+            .filter(|(_, held)| match &held.stage {
+                Stage::HandedOver(attempt) => attempt.sidecar == sidecar,
+                Stage::Waiting { .. } => false,
+            })
+            .map(|(request, _)| request)
+            .collect()
+    }
+
+    fn resume(
+        &mut self,
+        now: time::Duration,
+        request: key::Request,
+        sidecar: key::Sidecar,
+        incarnation: u64,
+    ) {
+        let held = &mut self.requests[request];
+        let Stage::HandedOver(attempt) = &mut held.stage else {
+            return;
+        };
+        if attempt.incarnation != incarnation {
+            self.outcome_unknown(now, request);
+            return;
+        }
+        attempt.lost = None;
+        let resume = wire::Resume {
+            request: number(request),
+            attempt: held.attempt,
+            offset: attempt.answer.received(),
+            incarnation,
+        };
+        self.sidecars[sidecar].send(frame::Entry::Resume(resume));
+    }
+}
--- /dev/null
+++ b/src/control/dispatch/mod.rs
@@ -0,0 +1,330 @@
+//! The entry's controller: requests that wait, tickets placed for them, and answers under way.
+//!
+//! A request waits here, not at a backend server. Small tickets for it are placed at a few sidecars;
+//! the first claim wins and the request is handed over. Its answer is passed on in order, resumed
+//! after a lost link, and ended so that the caller can tell a whole answer from a broken one.
+
+mod frames;
+mod links;
+mod place;
+mod request;
+mod retry;
+mod sidecar;
+mod status;
+mod waiting;
+
+use std::time::Duration;
+use std::{collections, sync, time};
+
+use crossbeam_channel as channel;
+use slotmap::{Key as _, KeyData, SlotMap};
+use stakker::CX;
+
+use crate::control::{customers, tally};
+use crate::decide::share;
+use crate::ops::report;
+use crate::wire::frame;
+use crate::{code, filter, key, wire};
+
+pub use request::{Reply, Request, Stage, Submission};
+pub use sidecar::Sender;
+
+/// Time between two runs of the timers.
+const TICK: time::Duration = time::Duration::from_millis(50);
+
+/// Time between two heartbeats to a sidecar.
+const BEAT: time::Duration = time::Duration::from_millis(500);
+
+/// A sidecar of which this entry has been told.
+#[derive(Clone, Debug)]
+pub struct Found {
+    /// Its name.
+    pub id: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// The service of its backend server.
+    pub service: String,
+}
+
+/// What the core thread of an entry is told.
+#[derive(Debug)]
+pub enum Message {
+    /// A caller's request.
+    Submit(Box<Submission>),
+    /// A caller's connection has taken bytes of its answer.
+    Consumed(key::Request, u64),
+    /// A caller has left.
+    Left(key::Request),
+    /// A link is up.
+    Up {
+        /// The sidecar's name.
+        id: String,
+        /// Number of the link.
+        link: u64,
+        /// The sidecar's first frame.
+        welcome: wire::Welcome,
+        /// Where frames go.
+        tx: Sender,
+    },
+    /// A frame has arrived.
+    Frame {
+        /// The sidecar's name.
+        id: String,
+        /// Number of the link.
+        link: u64,
+        /// The frame.
+        kind: frame::Sidecar,
+    },
+    /// A link is lost.
+    Down {
+        /// The sidecar's name.
+        id: String,
+        /// Number of the link.
+        link: u64,
+    },
+    /// A sidecar is not to be used any more.
+    Gone {
+        /// The sidecar's name.
+        id: String,
+    },
+    /// The sidecars there are, and whether each is leaving.
+    Members(Vec<(Found, bool)>),
+    /// Weights or limits of customers may have changed.
+    Catalogue(sync::Arc<crate::catalogue::Accepted>),
+    /// Answer with the state for operators.
+    Status(channel::Sender<report::Status>),
+    /// Answer with the customers for operators.
+    Customers(channel::Sender<Vec<report::Customer>>),
+    /// End the thread.
+    Stop,
+}
+
+/// The controller.
+#[derive(Debug)]
+pub struct Dispatch {
+    start: time::Instant,
+    requests: SlotMap<key::Request, Request>,
+    sidecars: sidecar::Arena,
+    by_id: collections::HashMap<String, key::Sidecar>,
+    waiting: waiting::Index,
+    customers: customers::Arena,
+    shares: share::Table,
+    tally: tally::Tally,
+    last_beat: time::Duration,
+    beats: u64,
+    stale: u64,
+    revision: u64,
+    turn: usize,
+    /// Requests without a ticket.
+    unplaced: collections::VecDeque<key::Request>,
+    /// Requests whose attempt waits to be resumed.
+    lost: Vec<key::Request>,
+    /// Requests in progress, read by a shutdown.
+    in_progress: sync::Arc<sync::atomic::AtomicU64>,
+}
+
+/// Number of a request on the wire.
+fn number(request: key::Request) -> u64 {
+    request.data().as_ffi()
+}
+
+/// The request that a number on the wire means.
+fn request(number: u64) -> key::Request {
+    KeyData::from_ffi(number).into()
+}
+
+impl Dispatch {
+    /// Creates the controller; it runs its own timers.
+    pub fn init(cx: CX![], in_progress: sync::Arc<sync::atomic::AtomicU64>) -> Option<Self> {
+        stakker::after!(TICK, [cx], tick());
+        Some(Self {
+            start: cx.now(),
+            requests: SlotMap::with_key(),
+            sidecars: SlotMap::with_key(),
+            by_id: collections::HashMap::new(),
+            waiting: waiting::Index::default(),
+            customers: customers::Arena::default(),
+            shares: share::Table::new(SHARE_LAG),
+            tally: tally::Tally::default(),
+            last_beat: time::Duration::ZERO,
+            beats: 0,
+            stale: 0,
+            revision: 0,
+            turn: 0,
+            unplaced: collections::VecDeque::new(),
+            lost: Vec::new(),
+            in_progress,
+        })
+    }
+
+    /// Takes one message.
+    pub fn take(&mut self, cx: CX![], message: Message) {
+        let now = cx.now() - self.start;
+        match message {
+            Message::Submit(submission) => self.submit(now, *submission),
+            Message::Consumed(request, bytes) => self.consumed(request, bytes),
+            Message::Left(request) => self.left(request),
+            Message::Up {
+                id,
+                link,
+                welcome,
+                tx,
+            } => self.up(now, &id, link, welcome, tx),
+            Message::Frame { id, link, kind } => self.frame(now, &id, link, kind),
+            Message::Down { id, link } => self.down(now, &id, link),
+            Message::Gone { id } => self.gone(now, &id),
+            Message::Members(members) => self.members(now, members),
+            Message::Catalogue(accepted) => self.catalogue(&accepted),
+            Message::Status(tx) => drop(tx.send(self.status())),
+            Message::Customers(tx) => drop(tx.send(self.report(now))),
+            Message::Stop => cx.shutdown(stakker::StopCause::Stopped),
+        }
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now = cx.now() - self.start;
+        self.expire(now);
+        self.abandon(now);
+        self.place_waiting(now);
+        if now >= self.last_beat + BEAT {
+            self.last_beat = now;
+            self.beat();
+        }
+        stakker::after!(TICK, [cx], tick());
+    }
+
+    fn submit(&mut self, now: time::Duration, submission: Submission) {
+        let Submission {
+            ask,
+            reply,
+            accepted,
+        } = submission;
+        let customer = self.customers.intern(&ask.customer);
+        self.shares.set_weight(customer, ask.weight);
+        self.tally.weight(customer, ask.weight);
+        if !self.waiting.has(customer) {
+            self.shares.activate(customer);
+        }
+        let expires = ask.deadline.map(|deadline| now + deadline);
+        let request = self.requests.insert(Request {
+            customer,
+            reply,
+            arrived: now,
+            expires,
+            attempt: 0,
+            tried: smallvec::SmallVec::new(),
+            stage: Stage::Waiting {
+                tickets: smallvec::SmallVec::new(),
+                not_before: now,
+            },
+            head: None,
+            passed: false,
+            consumed: 0,
+            acknowledged: 0,
+            reservation: None,
+            ask,
+        });
+        self.in_progress
+            .fetch_add(1, sync::atomic::Ordering::Relaxed);
+        if accepted.send(request).is_err() {
+            self.finish(request);
+            return;
+        }
+        self.waiting.add(request, &self.requests[request]);
+        self.place(now, request);
+    }
+
+    /// Gives a request its final answer and forgets it.
+    fn refuse(&mut self, request: key::Request, refusal: filter::Refusal) {
+        if let Some(held) = self.requests.get(request) {
+            self.tally.refused(held.customer, refusal.code);
+            if held.passed {
+                held.send(Reply::Broken(refusal.code));
+            } else {
+                held.send(Reply::Refused(refusal));
+            }
+        }
+        self.finish(request);
+    }
+
+    /// Forgets a request and takes its tickets back.
+    fn finish(&mut self, request: key::Request) {
+        let Some(mut held) = self.requests.remove(request) else {
+            return;
+        };
+        self.in_progress
+            .fetch_sub(1, sync::atomic::Ordering::Relaxed);
+        self.waiting.remove(request, &held);
+        if let Some(reservation) = held.reservation.take() {
+            self.shares.release(reservation);
+        }
+        match held.stage {
+            Stage::Waiting { tickets, .. } => self.void(request, &tickets, None),
+            Stage::HandedOver(attempt) => {
+                self.tally.running(held.customer, -1);
+                if let Some(sidecar) = self.sidecars.get_mut(attempt.sidecar) {
+                    sidecar.outstanding = sidecar.outstanding.saturating_sub(1);
+                }
+            }
+        }
+    }
+
+    fn left(&mut self, request: key::Request) {
+        let Some(held) = self.requests.get(request) else {
+            return;
+        };
+        if let Stage::HandedOver(attempt) = &held.stage {
+            let cancel = wire::Cancel {
+                request: number(request),
+                attempt: held.attempt,
+            };
+            if let Some(sidecar) = self.sidecars.get(attempt.sidecar) {
+                sidecar.send(frame::Entry::Cancel(cancel));
+            }
+        }
+        log::info!(
+            event = "caller_left", request = held.ask.id.as_str(),
+            customer = held.ask.customer.as_str(), code = code::Code::CallerLeft.number(); ""
+        );
+        self.finish(request);
+    }
+
+    fn expire(&mut self, now: time::Duration) {
+        while let Some(request) = self.waiting.expired(now) {
+            let refusal = filter::Refusal::new(
+                code::Code::DeadlinePassed,
+                "the deadline passed in the queue",
+            );
+            self.refuse(request, refusal);
+        }
+    }
+
+    fn beat(&mut self) {
+        self.beats += 1;
+        for sidecar in self.sidecars.values() {
+            sidecar.send(frame::Entry::Beat(wire::EntryBeat {
+                sequence: self.beats,
+                catalogue_revision: self.revision,
+                stamp: 0,
+            }));
+        }
+    }
+
+    fn catalogue(&mut self, accepted: &crate::catalogue::Accepted) {
+        self.revision = accepted.revision;
+    }
+}
+
+/// How long a charge takes until the totals heard here contain it.
+const SHARE_LAG: time::Duration = time::Duration::from_millis(500);
+
+/// Starts the core thread of an entry.
+pub fn spawn(
+    rx: channel::Receiver<Message>,
+    in_progress: sync::Arc<sync::atomic::AtomicU64>,
+) -> std::io::Result<crate::core::Core> {
+    crate::core::spawn("entry-core", rx, move |stakker| {
+        let actor = stakker::actor!(stakker, Dispatch::init(in_progress), stakker::ret_nop!());
+        Box::new(move |_stakker, message| stakker::call!([actor], take(message)))
+    })
+}
--- /dev/null
+++ b/src/control/dispatch/place.rs
@@ -0,0 +1,174 @@
+//! Places tickets for waiting requests.
+
+use std::time;
+
+use smallvec::SmallVec;
+
+use crate::control::dispatch::{Dispatch, Stage, number};
+use crate::wire::frame;
+use crate::{code, filter, key, wire};
+
+/// Tickets placed for a request at once. Two find the less loaded of two servers (Mitzenmacher,
+/// "The Power of Two Choices", 2001); each more costs a frame and a void.
+const TICKETS: usize = 2;
+
+/// How long a request without deadline waits for a backend server to appear: longer than a sidecar
+/// takes to restart and be linked again.
+const NO_SERVER_LIMIT: time::Duration = time::Duration::from_secs(10);
+
+impl Dispatch {
+    /// Places tickets for a request that has none, or leaves it for the next tick.
+    pub(super) fn place(&mut self, now: time::Duration, request: key::Request) {
+        let Some(held) = self.requests.get(request) else {
+            return;
+        };
+        let Stage::Waiting {
+            tickets,
+            not_before,
+        } = &held.stage
+        else {
+            return;
+        };
+        if !tickets.is_empty() {
+            return;
+        }
+        if *not_before > now {
+            self.unplaced.push_back(request);
+            return;
+        }
+        let chosen = self.choose(request);
+        if chosen.is_empty() {
+            self.wait_for_server(now, request);
+        }
+        for sidecar in chosen {
+            self.offer(now, request, sidecar);
+        }
+    }
+
+    /// Tries again for all requests without a ticket.
+    pub(super) fn place_waiting(&mut self, now: time::Duration) {
+        for _ in 0..self.unplaced.len() {
+            if let Some(request) = self.unplaced.pop_front() {
+                self.place(now, request);
+            }
+        }
+    }
+
+    /// Offers waiting requests to a sidecar that has idle slots and no ticket.
+    pub(super) fn feed(&mut self, now: time::Duration, sidecar: key::Sidecar, slots: u32) {
+        let Some(known) = self.sidecars.get(sidecar) else {
+            return;
+        };
+        let fits = |request: &key::Request| {
+            let Some(held) = self.requests.get(*request) else {
+                return false;
+            };
+            let Stage::Waiting {
+                tickets,
+                not_before,
+            } = &held.stage
+            else {
+                return false;
+            };
+            held.ask.key.is_empty()
+                && *not_before <= now
+                && !tickets.contains(&sidecar)
+                && !held.tried.contains(&sidecar)
+                && known.open(&held.ask.service, &held.ask.model)
+        };
+        let chosen: SmallVec<[key::Request; 16]> = self
+            .waiting
+            .service(&known.service)
+            .filter(fits)
+            .take(slots as usize)
+            .collect();
+        for request in chosen {
+            self.offer(now, request, sidecar);
+        }
+    }
+
+    /// Takes tickets back from all sidecars but one.
+    pub(super) fn void(
+        &mut self,
+        request: key::Request,
+        tickets: &[key::Sidecar],
+        except: Option<key::Sidecar>,
+    ) {
+        for key in tickets.iter().filter(|key| Some(**key) != except) {
+            if let Some(sidecar) = self.sidecars.get_mut(*key) {
+                sidecar.tickets = sidecar.tickets.saturating_sub(1);
+                let void = wire::Void {
+                    request: number(request),
+                    attempt: 0,
+                    acknowledge: false,
+                };
+                sidecar.send(frame::Entry::Void(void));
+            }
+        }
+    }
+
+    fn choose(&mut self, request: key::Request) -> SmallVec<[key::Sidecar; 4]> {
+        let held = &self.requests[request];
+        let ask = &held.ask;
+        self.turn = self.turn.wrapping_add(1);
+        let mut open: Vec<_> = self
+            .sidecars
+            .iter()
+            .filter(|(_, sidecar)| sidecar.open(&ask.service, &ask.model))
+            .enumerate()
+            .map(|(at, (key, sidecar))| {
+                let load = f64::from(sidecar.outstanding + sidecar.tickets)
+                    / f64::from(sidecar.window.max(1));
+                (held.tried.contains(&key), load, (at + self.turn) % 17, key)
+            })
+            .collect();
+        open.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        open.into_iter()
+            .take(TICKETS)
+            .map(|(_, _, _, key)| key)
+            .collect()
+    }
+
+    fn wait_for_server(&mut self, now: time::Duration, request: key::Request) {
+        let held = &self.requests[request];
+        if held.expires.is_none() && now >= held.arrived + NO_SERVER_LIMIT {
+            let refusal = filter::Refusal {
+                code: code::Code::NoBackendServer,
+                detail: format!("service {}", held.ask.service),
+                retry_after: Some(NO_SERVER_LIMIT),
+            };
+            self.refuse(request, refusal);
+            return;
+        }
+        self.unplaced.push_back(request);
+    }
+
+    fn offer(&mut self, now: time::Duration, request: key::Request, sidecar: key::Sidecar) {
+        let Some(held) = self.requests.get_mut(request) else {
+            return;
+        };
+        let Stage::Waiting { tickets, .. } = &mut held.stage else {
+            return;
+        };
+        tickets.push(sidecar);
+        let left = held
+            .expires
+            .map_or(0, |at| at.saturating_sub(now).as_millis().max(1) as u64);
+        let offer = wire::Offer {
+            request: number(request),
+            customer: held.ask.customer.clone(),
+            model: held.ask.model.clone(),
+            cost_hint: held.ask.cost_hint,
+            prefix_hash: held.ask.prefix_hash,
+            deadline_ms: left,
+            service_total: self.shares.total(held.customer),
+            weight: held.ask.weight,
+            idempotency_key: held.ask.key.clone(),
+            body_bytes: held.ask.body.len() as u64,
+        };
+        if let Some(known) = self.sidecars.get_mut(sidecar) {
+            known.tickets += 1;
+            known.send(frame::Entry::Offer(offer));
+        }
+    }
+}
--- /dev/null
+++ b/src/control/dispatch/status.rs
@@ -0,0 +1,70 @@
+//! The entry's state as operators see it.
+
+use std::time;
+
+use crate::control::dispatch::{Dispatch, sidecar};
+use crate::key;
+use crate::ops::report;
+
+impl Dispatch {
+    /// The state; what only the process knows is left to it.
+    pub(super) fn status(&self) -> report::Status {
+        report::Status {
+            revision: (self.revision > 0).then_some(self.revision),
+            waiting: self.waiting.len() as u64,
+            running: (self.requests.len() - self.waiting.len()) as u64,
+            sidecars: self.sidecars.values().map(sidecar).collect(),
+            ..report::Status::default()
+        }
+    }
+
+    /// The customers.
+    pub(super) fn report(&mut self, now: time::Duration) -> Vec<report::Customer> {
+        let known: Vec<_> = self
+            .customers
+            .iter()
+            .map(|(key, name)| (key, name.to_owned()))
+            .collect();
+        known
+            .into_iter()
+            .map(|(key, name)| self.customer(now, key, &name))
+            .collect()
+    }
+
+    fn customer(
+        &mut self,
+        now: time::Duration,
+        key: key::Customer,
+        name: &str,
+    ) -> report::Customer {
+        let oldest = self
+            .waiting
+            .oldest(key)
+            .and_then(|request| self.requests.get(request));
+        let waited = oldest.map(|held| now.saturating_sub(held.arrived).as_millis() as u64);
+        report::Customer {
+            service: self.shares.charged(key),
+            waiting: u64::from(self.waiting.count(key)),
+            oldest_wait_ms: waited.unwrap_or_default(),
+            ..self.tally.report(now, key, name)
+        }
+    }
+}
+
+fn sidecar(known: &sidecar::Sidecar) -> report::Sidecar {
+    let state = match (&known.link, known.leaving) {
+        (None, _) => "lost",
+        (Some(_), true) => "leaving",
+        (Some(_), false) => "live",
+    };
+    report::Sidecar {
+        instance: known.id.clone(),
+        zone: known.zone.clone(),
+        service: known.service.clone(),
+        state: state.to_owned(),
+        waiting: u64::from(known.waiting),
+        running: u64::from(known.running),
+        window: u64::from(known.window),
+        ..report::Sidecar::default()
+    }
+}
--- /dev/null
+++ b/src/control/dispatch/waiting.rs
@@ -0,0 +1,96 @@
+//! Which requests wait, by service and by customer, in order of arrival.
+
+use std::{collections, time};
+
+use crate::control::dispatch::request;
+use crate::key;
+
+/// Index of the waiting requests.
+#[derive(Debug, Default)]
+pub struct Index {
+    services: collections::HashMap<String, collections::BTreeMap<u64, key::Request>>,
+    customers: collections::HashMap<key::Customer, collections::BTreeMap<u64, key::Request>>,
+    deadlines: collections::BTreeSet<(time::Duration, key::Request)>,
+    members: collections::HashMap<key::Request, u64>,
+    arrivals: u64,
+}
+
+impl Index {
+    /// Adds a request at the end.
+    pub fn add(&mut self, request: key::Request, held: &request::Request) {
+        self.arrivals += 1;
+        self.members.insert(request, self.arrivals);
+        let service = self.services.entry(held.ask.service.clone()).or_default();
+        service.insert(self.arrivals, request);
+        let customer = self.customers.entry(held.customer).or_default();
+        customer.insert(self.arrivals, request);
+        if let Some(expires) = held.expires {
+            self.deadlines.insert((expires, request));
+        }
+    }
+
+    /// Takes a request out, if it is in.
+    pub fn remove(&mut self, request: key::Request, held: &request::Request) {
+        let Some(arrival) = self.members.remove(&request) else {
+            return;
+        };
+        if let Some(service) = self.services.get_mut(&held.ask.service) {
+            service.remove(&arrival);
+        }
+        if let Some(customer) = self.customers.get_mut(&held.customer) {
+            customer.remove(&arrival);
+            if customer.is_empty() {
+                self.customers.remove(&held.customer);
+            }
+        }
+        if let Some(expires) = held.expires {
+            self.deadlines.remove(&(expires, request));
+        }
+    }
+
+    /// True if a request of the customer waits.
+    pub fn has(&self, customer: key::Customer) -> bool {
+        self.customers.contains_key(&customer)
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Requests of a customer that wait.
+    pub fn count(&self, customer: key::Customer) -> u32 {
+        self.customers
+            .get(&customer)
+            .map_or(0, |customer| customer.len() as u32)
+    }
+
+    /// The request of a customer that has waited longest.
+    pub fn oldest(&self, customer: key::Customer) -> Option<key::Request> {
+        self.customers
+            .get(&customer)?
+            .first_key_value()
+            .map(|(_, request)| *request)
+    }
+
+    /// A request whose time has passed.
+    pub fn expired(&self, now: time::Duration) -> Option<key::Request> {
+        self.deadlines
+            .first()
+            .filter(|(expires, _)| *expires <= now)
+            .map(|(_, request)| *request)
+    }
+
+    /// Requests of a service that wait, oldest first.
+    pub fn service(&self, name: &str) -> impl Iterator<Item = key::Request> {
+        self.services
+            .get(name)
+            .into_iter()
+            .flat_map(|service| service.values().copied())
+    }
+
+    /// All requests that wait.
+    pub fn iter(&self) -> impl Iterator<Item = key::Request> {
+        self.members.keys().copied()
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,1 +1,9 @@
 //! Controllers: the actors that keep the state of a process.
+
+pub mod answer;
+pub mod backend;
+pub mod customers;
+pub mod dispatch;
+pub mod kept;
+pub mod link;
+pub mod tally;
--- /dev/null
+++ b/src/control/tally.rs
@@ -0,0 +1,99 @@
+//! What operators are shown of each customer: recent service and refusals.
+
+use std::{collections, time};
+
+use slotmap::SecondaryMap;
+
+use crate::ops::report;
+use crate::{code, key};
+
+/// Slots of the recent service; each is a tenth of the interval reported.
+const SLOTS: usize = 10;
+
+/// Length of one slot.
+const SLOT: time::Duration = time::Duration::from_millis(report::RECENT_MS / SLOTS as u64);
+
+/// Tallies of all customers.
+#[derive(Debug, Default)]
+pub struct Tally {
+    customers: SecondaryMap<key::Customer, Counts>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Counts {
+    slots: [f64; SLOTS],
+    newest: u64,
+    running: u32,
+    weight: f64,
+    refused: collections::BTreeMap<u16, u64>,
+}
+
+impl Counts {
+    fn advance(&mut self, now: time::Duration) {
+        let slot = (now.as_millis() / SLOT.as_millis()) as u64;
+        let passed = slot.saturating_sub(self.newest).min(SLOTS as u64);
+        for age in 0..passed {
+            self.slots[((slot - age) % SLOTS as u64) as usize] = 0.0;
+        }
+        self.newest = self.newest.max(slot);
+    }
+}
+
+impl Tally {
+    fn counts(&mut self, customer: key::Customer) -> Option<&mut Counts> {
+        self.customers
+            .entry(customer)
+            .map(slotmap::secondary::Entry::or_default)
+    }
+
+    /// Sets the weight that is reported.
+    pub fn weight(&mut self, customer: key::Customer, weight: f64) {
+        if let Some(counts) = self.counts(customer) {
+            counts.weight = weight;
+        }
+    }
+
+    /// Counts service as it is rendered.
+    pub fn served(&mut self, now: time::Duration, customer: key::Customer, cost: f64) {
+        if let Some(counts) = self.counts(customer) {
+            counts.advance(now);
+            let slot = (counts.newest % SLOTS as u64) as usize;
+            counts.slots[slot] += cost;
+        }
+    }
+
+    /// Counts a request that starts to run, or with a negative number one that ends.
+    pub fn running(&mut self, customer: key::Customer, change: i32) {
+        if let Some(counts) = self.counts(customer) {
+            counts.running = counts.running.saturating_add_signed(change);
+        }
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&mut self, customer: key::Customer, code: code::Code) {
+        if let Some(counts) = self.counts(customer) {
+            *counts.refused.entry(code.number()).or_default() += 1;
+        }
+    }
+
+    /// The report on one customer, but for what only the caller knows.
+    pub fn report(
+        &mut self,
+        now: time::Duration,
+        customer: key::Customer,
+        name: &str,
+    ) -> report::Customer {
+        let Some(counts) = self.counts(customer) else {
+            return report::Customer::default();
+        };
+        counts.advance(now);
+        report::Customer {
+            customer: name.to_owned(),
+            weight: counts.weight,
+            recent: counts.slots.iter().sum(),
+            running: u64::from(counts.running),
+            refused: counts.refused.clone(),
+            ..report::Customer::default()
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/body.rs
@@ -0,0 +1,96 @@
+//! The answer's body on a caller's connection.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use crossbeam_channel as channel;
+use http_body_util::combinators::BoxBody;
+use hyper::body::Frame;
+use tokio::sync::mpsc;
+
+use crate::control::dispatch;
+use crate::key;
+
+/// Body of every answer.
+pub type Body = BoxBody<Bytes, io::Error>;
+
+/// Tells the core that the caller has left, unless the answer has ended.
+#[derive(Debug)]
+pub struct Guard {
+    request: Option<key::Request>,
+    core: channel::Sender<dispatch::Message>,
+}
+
+/// An answer that is streamed from the core.
+#[derive(Debug)]
+pub struct Stream {
+    rx: mpsc::UnboundedReceiver<dispatch::Reply>,
+    guard: Guard,
+}
+
+impl Guard {
+    /// Guards a request.
+    pub fn new(request: key::Request, core: channel::Sender<dispatch::Message>) -> Self {
+        Self {
+            request: Some(request),
+            core,
+        }
+    }
+
+    /// The request has its final answer.
+    pub fn disarm(&mut self) {
+        self.request = None;
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if let Some(request) = self.request.take() {
+            drop(self.core.send(dispatch::Message::Left(request)));
+        }
+    }
+}
+
+impl Stream {
+    /// Streams what comes after the head.
+    pub fn new(rx: mpsc::UnboundedReceiver<dispatch::Reply>, guard: Guard) -> Self {
+        Self { rx, guard }
+    }
+}
+
+impl hyper::body::Body for Stream {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let reply = ready!(self.rx.poll_recv(cx));
+        Poll::Ready(match reply {
+            Some(dispatch::Reply::Data(data)) => {
+                if let Some(request) = self.guard.request {
+                    let bytes = data.len() as u64;
+                    drop(
+                        self.guard
+                            .core
+                            .send(dispatch::Message::Consumed(request, bytes)),
+                    );
+                }
+                Some(Ok(Frame::data(data)))
+            }
+            Some(dispatch::Reply::End) => {
+                self.guard.disarm();
+                None
+            }
+            // An error makes hyper close the connection without the last chunk, so the caller
+            // cannot take the part for the whole.
+            _ => {
+                self.guard.disarm();
+                Some(Err(io::Error::other("the answer broke off")))
+            }
+        })
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,1 +1,228 @@
 //! The entry process, from settings to running handle.
+
+mod body;
+mod callers;
+mod refusal;
+
+use std::sync::atomic;
+use std::{net, sync, thread, time};
+
+use crossbeam_channel as channel;
+
+use crate::control::{dispatch, link};
+use crate::ops::report;
+use crate::platform::instances;
+use crate::{core, error, event, ops, process, settings, wire};
+
+/// Time between two looks at whether a shutdown is done.
+const POLL: time::Duration = time::Duration::from_millis(20);
+
+/// Time a leaving entry goes on accepting while it is already unready: balancers look every second
+/// or so and must find it unready before a connection is refused.
+const GRACE: time::Duration = time::Duration::from_secs(2);
+
+/// A running entry.
+#[derive(Debug)]
+pub struct Handle {
+    /// Address for callers.
+    pub caller_address: net::SocketAddr,
+    /// Address of the operators' port.
+    pub ops_address: net::SocketAddr,
+    /// Events of this process.
+    pub ring: event::Ring,
+    shared: sync::Arc<callers::Shared>,
+    tx: channel::Sender<dispatch::Message>,
+    own: sync::Arc<sync::Mutex<instances::Instance>>,
+    core: Option<core::Core>,
+    shutdown_limit: time::Duration,
+    _pollers: [process::Poller; 2],
+    _ops: ops::Handle,
+    _runtime: process::Runtime,
+}
+
+/// Starts an entry.
+pub fn spawn(settings: &settings::Entry) -> error::Result<Handle> {
+    let runtime = process::Runtime::open("entry")?;
+    let listener = runtime
+        .handle()
+        .block_on(tokio::net::TcpListener::bind(settings.caller_address))?;
+    let caller_address = listener.local_addr()?;
+    let process = process::identity(&settings.process, wire::Role::Entry, caller_address);
+    let (tx, rx) = channel::unbounded();
+    let in_progress = sync::Arc::new(atomic::AtomicU64::new(0));
+    let core = dispatch::spawn(rx, sync::Arc::clone(&in_progress))?;
+    let ring = event::Ring::open(event::CAPACITY, &settings.process.identity("entry"));
+    let shared = sync::Arc::new(callers::Shared::new(
+        settings,
+        process.incarnation,
+        tx.clone(),
+        in_progress,
+        ring.clone(),
+    ));
+    runtime
+        .handle()
+        .spawn(callers::serve(listener, sync::Arc::clone(&shared)));
+    let ops = ops::spawn(
+        settings.process.ops_address,
+        source(settings, &process, &tx, &shared),
+    )?;
+    let own = sync::Arc::new(sync::Mutex::new(instances::Instance {
+        id: process.id.clone(),
+        address: caller_address,
+        ops_address: Some(ops.addr),
+        role: instances::Role::Entry,
+        zone: process.zone.clone(),
+        region: process.region.clone(),
+        service: String::new(),
+        state: instances::State::Live,
+        incarnation: process.incarnation,
+    }));
+    let pollers = [
+        members(settings, &own, process, tx.clone(), runtime.handle())?,
+        follow(settings, &shared, tx.clone())?,
+    ];
+    ring.note(event::Kind::ProcessStarted)
+        .field("address", caller_address)
+        .send();
+    Ok(Handle {
+        caller_address,
+        ops_address: ops.addr,
+        ring,
+        shared,
+        tx,
+        own,
+        core: Some(core),
+        shutdown_limit: time::Duration::from_millis(settings.shutdown_limit_ms),
+        _pollers: pollers,
+        _ops: ops,
+        _runtime: runtime,
+    })
+}
+
+/// Keeps links to the sidecars on the platform's list.
+fn members(
+    settings: &settings::Entry,
+    own: &sync::Arc<sync::Mutex<instances::Instance>>,
+    process: wire::Process,
+    tx: channel::Sender<dispatch::Message>,
+    runtime: tokio::runtime::Handle,
+) -> error::Result<process::Poller> {
+    let mut links = link::Links::new(process, settings.process.secret.clone(), tx.clone());
+    process::watch_instances(
+        settings.process.instances_address,
+        sync::Arc::clone(own),
+        move |list| {
+            let sidecars: Vec<_> = list
+                .instances
+                .into_iter()
+                .filter(|instance| instance.role == instances::Role::Sidecar)
+                .collect();
+            let targets: Vec<_> = sidecars
+                .iter()
+                .map(|sidecar| link::Target {
+                    id: sidecar.id.clone(),
+                    address: sidecar.address,
+                })
+                .collect();
+            let _entered = runtime.enter();
+            links.set(&targets);
+            drop(tx.send(dispatch::Message::Members(
+                sidecars.into_iter().map(found).collect(),
+            )));
+        },
+    )
+}
+
+fn found(sidecar: instances::Instance) -> (dispatch::Found, bool) {
+    let leaving = sidecar.state == instances::State::Leaving;
+    let found = dispatch::Found {
+        id: sidecar.id,
+        zone: sidecar.zone,
+        service: sidecar.service,
+    };
+    (found, leaving)
+}
+
+fn follow(
+    settings: &settings::Entry,
+    shared: &sync::Arc<callers::Shared>,
+    tx: channel::Sender<dispatch::Message>,
+) -> error::Result<process::Poller> {
+    let shared = sync::Arc::clone(shared);
+    process::watch_catalogue(settings.process.log_address, move |accepted| {
+        shared.set_catalogue(sync::Arc::clone(&accepted));
+        drop(tx.send(dispatch::Message::Catalogue(accepted)));
+    })
+}
+
+fn source(
+    settings: &settings::Entry,
+    process: &wire::Process,
+    tx: &channel::Sender<dispatch::Message>,
+    shared: &sync::Arc<callers::Shared>,
+) -> ops::Source {
+    let (process, seen) = (process.clone(), sync::Arc::clone(shared));
+    let (status, customers) = (tx.clone(), tx.clone());
+    let (ready, revision, drain) = (
+        sync::Arc::clone(shared),
+        sync::Arc::clone(shared),
+        sync::Arc::clone(shared),
+    );
+    ops::Source {
+        ready: Box::new(move || ready.is_ready()),
+        status: Box::new(move || {
+            let state = report::Status {
+                ready: seen.is_ready(),
+                leaving: seen.is_leaving(),
+                caller_address: process.address.parse().ok(),
+                ..process::ask(&status, dispatch::Message::Status)
+            };
+            process::describe(state, &process, "entry")
+        }),
+        customers: Box::new(move || process::ask(&customers, dispatch::Message::Customers)),
+        revision: Box::new(move || revision.catalogue().map(|accepted| accepted.revision)),
+        drain: Box::new(move || drain.drain()),
+        ring: shared.ring.clone(),
+        secret: settings.process.secret.clone(),
+    }
+}
+
+impl Handle {
+    /// Becomes unready; requests are still served.
+    pub fn drain(&self) {
+        self.own
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+            .state = instances::State::Leaving;
+        self.shared.drain();
+        self.ring.note(event::Kind::ProcessLeaving).send();
+    }
+
+    /// Leaves: unready first, then no new connections, then ends when every request in progress has
+    /// its answer or the limit has passed. True if nothing was cut.
+    pub fn shutdown(mut self) -> bool {
+        self.drain();
+        thread::sleep(GRACE);
+        self.shared.close();
+        let deadline = time::Instant::now() + self.shutdown_limit;
+        while self.shared.busy() > 0 && time::Instant::now() < deadline {
+            thread::sleep(POLL);
+        }
+        let cut = self.shared.busy();
+        self.ring
+            .note(event::Kind::ProcessStopped)
+            .field("cut", cut)
+            .send();
+        drop(self.tx.send(dispatch::Message::Stop));
+        if let Some(core) = self.core.take() {
+            core.join();
+        }
+        cut == 0
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        drop(self.tx.send(dispatch::Message::Stop));
+    }
+}
--- /dev/null
+++ b/src/filter/deadline.rs
@@ -0,0 +1,30 @@
+//! Reads the caller's deadline.
+
+use std::time;
+
+use crate::code;
+use crate::filter::{Ask, Context, Refusal};
+
+/// Header with the milliseconds the caller will wait for the beginning of its answer.
+pub const HEADER: &str = "chivebend-deadline-ms";
+
+/// Largest deadline: a day; anything longer is a mistake.
+const LIMIT_MS: u64 = 86_400_000;
+
+/// Sets the deadline; without a header the class's default stays.
+pub fn filter(_context: &Context, ask: &mut Ask) -> Result<(), Refusal> {
+    if !ask.headers.iter().any(|header| header.name == HEADER) {
+        return Ok(());
+    }
+    let ms = ask
+        .header(HEADER)
+        .and_then(|value| value.parse::<u64>().ok())
+        .filter(|ms| (1..=LIMIT_MS).contains(ms))
+        .ok_or_else(|| {
+            let detail = format!("{HEADER}: 1 to {LIMIT_MS} milliseconds");
+            Refusal::new(code::Code::BadDeadline, detail)
+        })?;
+    ask.deadline = Some(time::Duration::from_millis(ms));
+    ask.remove_header(HEADER);
+    Ok(())
+}
--- /dev/null
+++ b/src/filter/prefix.rs
@@ -0,0 +1,39 @@
+//! Hashes the beginning of the prompt, so that requests which share it can go to one cache.
+
+use serde::Deserialize;
+use serde_json::value;
+use xxhash_rust::xxh3;
+
+use crate::filter::{Ask, Context, Refusal};
+
+/// Bytes of the prompt that are hashed: about 256 tokens, the length of a system prompt. A longer
+/// part would tell callers of one questionnaire apart, a shorter one would mix unlike prompts.
+const LENGTH: usize = 1024;
+
+#[derive(Deserialize)]
+struct Body<'a> {
+    #[serde(borrow)]
+    prompt: Option<&'a value::RawValue>,
+    #[serde(borrow)]
+    messages: Option<&'a value::RawValue>,
+}
+
+/// Sets the prefix hash of a completion; other requests pass.
+#[expect(clippy::unnecessary_wraps, reason = "the shape of a filter")]
+pub fn filter(_context: &Context, ask: &mut Ask) -> Result<(), Refusal> {
+    if ask.model.is_empty() {
+        return Ok(());
+    }
+    let Ok(body) = serde_json::from_slice::<Body<'_>>(&ask.body) else {
+        return Ok(());
+    };
+    let text = body
+        .messages
+        .or(body.prompt)
+        .map_or("", value::RawValue::get);
+    let bytes = text.as_bytes();
+    // The model is part of the key: caches of different models share nothing.
+    let seed = xxh3::xxh3_64(ask.model.as_bytes());
+    ask.prefix_hash = xxh3::xxh3_64_with_seed(&bytes[..bytes.len().min(LENGTH)], seed);
+    Ok(())
+}
--- a/src/key.rs
+++ b/src/key.rs
@@ -11,6 +11,8 @@
     pub struct Ticket;
     /// A sidecar that an entry uses, or a backend server, which is the same.
     pub struct Sidecar;
+    /// A request that a sidecar has started.
+    pub struct Run;
     /// A link between an entry and a sidecar.
     pub struct Link;
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metric;
 pub mod ops;
 pub mod platform;
+pub mod process;
 pub mod settings;
 pub mod sidecar;
 pub mod standin;
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -17,7 +17,7 @@
 
 mod guard;
 mod query;
-mod report;
+pub mod report;
 
 pub use query::encode;
 pub use report::{Customer, RECENT_MS, Sidecar, Status, gap};
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,7 +1,9 @@
 //! What lies outside the fleet: log service, instance list, backend servers.
 
+pub mod backend;
 pub mod instances;
 pub mod log;
+pub mod usage;
 
 /// An HTTP client for the platform's services.
 fn agent() -> ureq::Agent {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,1 +1,217 @@
 //! The sidecar process, from settings to running handle.
+
+mod server;
+
+use std::sync::atomic;
+use std::{net, sync, thread, time};
+
+use crossbeam_channel as channel;
+use tokio_stream::wrappers::TcpListenerStream;
+
+use crate::control::{backend, link};
+use crate::ops::report;
+use crate::platform::instances;
+use crate::wire::{self, sidecar_server};
+use crate::{catalogue, core, error, event, ops, process, settings};
+
+/// Time between two looks at whether a shutdown is done.
+const POLL: time::Duration = time::Duration::from_millis(20);
+
+/// Time a leaving sidecar goes on answering after its last run: entries have acknowledged by then.
+const LINGER: time::Duration = time::Duration::from_millis(200);
+
+/// A running sidecar.
+#[derive(Debug)]
+pub struct Handle {
+    /// Address for the fleet's own processes.
+    pub fleet_address: net::SocketAddr,
+    /// Address of the operators' port.
+    pub ops_address: net::SocketAddr,
+    /// Events of this process.
+    pub ring: event::Ring,
+    tx: channel::Sender<backend::Message>,
+    gauges: sync::Arc<backend::Gauges>,
+    own: sync::Arc<sync::Mutex<instances::Instance>>,
+    core: Option<core::Core>,
+    shutdown_limit: time::Duration,
+    _pollers: [process::Poller; 2],
+    _ops: ops::Handle,
+    _runtime: process::Runtime,
+}
+
+/// Starts a sidecar.
+pub fn spawn(settings: &settings::Sidecar) -> error::Result<Handle> {
+    let runtime = process::Runtime::open("sidecar")?;
+    let listener = runtime.handle().block_on(tokio::net::TcpListener::bind(
+        settings.process.fleet_address,
+    ))?;
+    let fleet_address = listener.local_addr()?;
+    let process = process::identity(&settings.process, wire::Role::Sidecar, fleet_address);
+    let (tx, rx) = channel::unbounded();
+    let gauges = sync::Arc::new(backend::Gauges::default());
+    let core = backend::spawn(
+        rx,
+        backend::Setup {
+            process: process.clone(),
+            settings: settings.clone(),
+            runtime: runtime.handle(),
+            tx: tx.clone(),
+            gauges: sync::Arc::clone(&gauges),
+        },
+    )?;
+    serve(&runtime, listener, settings, &tx);
+    let ring = event::Ring::open(event::CAPACITY, &settings.process.identity("sidecar"));
+    let ops = ops::spawn(
+        settings.process.ops_address,
+        source(settings, &process, &tx, &gauges, &ring),
+    )?;
+    let own = sync::Arc::new(sync::Mutex::new(instances::Instance {
+        id: process.id.clone(),
+        address: fleet_address,
+        ops_address: Some(ops.addr),
+        role: instances::Role::Sidecar,
+        zone: process.zone.clone(),
+        region: process.region.clone(),
+        service: settings.service.clone(),
+        state: instances::State::Live,
+        incarnation: process.incarnation,
+    }));
+    let pollers = [
+        process::watch_instances(
+            settings.process.instances_address,
+            sync::Arc::clone(&own),
+            |_| (),
+        )?,
+        follow(settings, tx.clone())?,
+    ];
+    ring.note(event::Kind::ProcessStarted)
+        .field("address", fleet_address)
+        .send();
+    Ok(Handle {
+        fleet_address,
+        ops_address: ops.addr,
+        ring,
+        tx,
+        gauges,
+        own,
+        core: Some(core),
+        shutdown_limit: time::Duration::from_millis(settings.shutdown_limit_ms),
+        _pollers: pollers,
+        _ops: ops,
+        _runtime: runtime,
+    })
+}
+
+fn serve(
+    runtime: &process::Runtime,
+    listener: tokio::net::TcpListener,
+    settings: &settings::Sidecar,
+    tx: &channel::Sender<backend::Message>,
+) {
+    let server = server::Server {
+        tx: tx.clone(),
+        secret: settings.process.secret.clone(),
+        links: sync::Arc::default(),
+    };
+    let router = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .initial_stream_window_size(link::STREAM_WINDOW)
+        .initial_connection_window_size(link::STREAM_WINDOW)
+        .add_service(sidecar_server::SidecarServer::new(server));
+    runtime.handle().spawn(async move {
+        let incoming = TcpListenerStream::new(listener);
+        if let Err(err) = router.serve_with_incoming(incoming).await {
+            log::error!(event = "internal_fault", error:% = err; "");
+        }
+    });
+}
+
+fn follow(
+    settings: &settings::Sidecar,
+    tx: channel::Sender<backend::Message>,
+) -> error::Result<process::Poller> {
+    let name = settings.service.clone();
+    process::watch_catalogue(settings.process.log_address, move |accepted| {
+        if let Some(service) = accepted.catalogue.service(&name) {
+            drop(tx.send(figures(accepted.revision, service)));
+        }
+    })
+}
+
+fn figures(revision: u64, service: &catalogue::Service) -> backend::Message {
+    backend::Message::Service {
+        revision,
+        models: service.models.clone(),
+        window: service.window,
+    }
+}
+
+fn source(
+    settings: &settings::Sidecar,
+    process: &wire::Process,
+    tx: &channel::Sender<backend::Message>,
+    gauges: &sync::Arc<backend::Gauges>,
+    ring: &event::Ring,
+) -> ops::Source {
+    let process = process.clone();
+    let (status, customers, drain) = (tx.clone(), tx.clone(), tx.clone());
+    let (ready, revision) = (sync::Arc::clone(gauges), sync::Arc::clone(gauges));
+    let known = |gauges: &backend::Gauges| {
+        let revision = gauges.revision.load(atomic::Ordering::Relaxed);
+        (revision > 0).then_some(revision)
+    };
+    ops::Source {
+        ready: Box::new(move || known(&ready).is_some()),
+        status: Box::new(move || {
+            let state = process::ask(&status, backend::Message::Status);
+            let ready = state.revision.is_some() && !state.leaving;
+            process::describe(report::Status { ready, ..state }, &process, "sidecar")
+        }),
+        customers: Box::new(move || process::ask(&customers, backend::Message::Customers)),
+        revision: Box::new(move || known(&revision)),
+        drain: Box::new(move || drop(drain.send(backend::Message::Drain))),
+        ring: ring.clone(),
+        secret: settings.process.secret.clone(),
+    }
+}
+
+impl Handle {
+    /// Begins to leave: no new work from now on.
+    pub fn drain(&self) {
+        self.own
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+            .state = instances::State::Leaving;
+        drop(self.tx.send(backend::Message::Drain));
+        self.ring.note(event::Kind::ProcessLeaving).send();
+    }
+
+    /// Leaves: finishes what runs, within the limit, and ends. True if nothing was cut.
+    pub fn shutdown(mut self) -> bool {
+        self.drain();
+        let deadline = time::Instant::now() + self.shutdown_limit;
+        // The core counts again after it has taken the drain.
+        thread::sleep(LINGER);
+        let in_progress = || self.gauges.in_progress.load(atomic::Ordering::Relaxed);
+        while in_progress() > 0 && time::Instant::now() < deadline {
+            thread::sleep(POLL);
+        }
+        let cut = in_progress();
+        thread::sleep(LINGER);
+        self.ring
+            .note(event::Kind::ProcessStopped)
+            .field("cut", cut)
+            .send();
+        drop(self.tx.send(backend::Message::Stop));
+        if let Some(core) = self.core.take() {
+            core.join();
+        }
+        cut == 0
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        drop(self.tx.send(backend::Message::Stop));
+    }
+}
--- /dev/null
+++ b/src/sidecar/server.rs
@@ -0,0 +1,91 @@
+//! The sidecar's side of the links: a tonic service that hands frames to the core.
+
+use std::sync::atomic;
+use std::{pin, sync};
+
+use crossbeam_channel as channel;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::UnboundedReceiverStream;
+use tokio_stream::{Stream, StreamExt};
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::control::{backend, link};
+use crate::wire::{self, frame, secret, sidecar_server};
+use crate::{code, settings};
+
+/// The service.
+#[derive(Debug)]
+pub struct Server {
+    /// Sends to the core.
+    pub tx: channel::Sender<backend::Message>,
+    /// Secrets that entries must prove.
+    pub secret: settings::Secret,
+    /// Number of the newest link.
+    pub links: sync::Arc<atomic::AtomicU64>,
+}
+
+#[tonic::async_trait]
+impl sidecar_server::Sidecar for Server {
+    type LinkStream = pin::Pin<Box<dyn Stream<Item = Result<wire::SidecarFrame, Status>> + Send>>;
+
+    async fn link(
+        &self,
+        request: Request<Streaming<wire::EntryFrame>>,
+    ) -> Result<Response<Self::LinkStream>, Status> {
+        secret::check(&self.secret, &request)?;
+        let mut frames = request.into_inner();
+        let first = tokio::time::timeout(link::SILENCE, frames.message()).await;
+        let process = match first {
+            Ok(Ok(Some(wire::EntryFrame {
+                kind: Some(frame::Entry::Hello(hello)),
+            }))) => hello.process.filter(|process| !process.id.is_empty()),
+            _ => None,
+        };
+        let process = process.ok_or_else(|| {
+            Status::invalid_argument(format!("{}: no hello", code::Code::BadFrame))
+        })?;
+        let number = self.links.fetch_add(1, atomic::Ordering::Relaxed) + 1;
+        let (tx, rx) = mpsc::unbounded_channel();
+        let open = backend::Message::Open {
+            link: number,
+            process,
+            tx: tx.clone(),
+        };
+        self.tx
+            .send(open)
+            .map_err(|_stopped| Status::unavailable("stopped"))?;
+        tokio::spawn(read(frames, number, self.tx.clone(), tx));
+        Ok(Response::new(Box::pin(UnboundedReceiverStream::new(rx))))
+    }
+
+    async fn handover(
+        &self,
+        _request: Request<wire::HandoverRequest>,
+    ) -> Result<Response<wire::HandoverReply>, Status> {
+        Err(Status::unimplemented("handover"))
+    }
+}
+
+/// Reads a link until it ends or is silent.
+async fn read(
+    mut frames: Streaming<wire::EntryFrame>,
+    link: u64,
+    core: channel::Sender<backend::Message>,
+    tx: backend::Sender,
+) {
+    loop {
+        let frame = tokio::select! {
+            frame = tokio::time::timeout(link::SILENCE, frames.next()) => frame,
+            // The answer's direction has broken: nobody would see what a frame leads to.
+            () = tx.closed() => break,
+        };
+        let Ok(Some(Ok(frame))) = frame else { break };
+        let Some(kind) = frame.kind else { continue };
+        if core.send(backend::Message::Frame { link, kind }).is_err() {
+            break;
+        }
+    }
+    drop(core.send(backend::Message::Closed { link }));
+    // Ends the entry's side too, should it still be there.
+    drop(tx.send(Err(Status::cancelled("link ended"))));
+}
--- /dev/null
+++ b/src/standin/service.rs
@@ -0,0 +1,118 @@
+//! Stand-in for a plain service: it records every call it runs, by idempotency key.
+//!
+//! `GET /executions` answers how often each key ran; any other call is executed and echoed.
+
+use std::sync::atomic;
+use std::{collections, net, sync, time};
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::error;
+use crate::standin::engine;
+
+/// Settings of the service.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Settings {
+    /// Address to listen on; port 0 takes a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub address: net::SocketAddr,
+    /// Time that a call takes, in milliseconds.
+    #[arg(long, default_value_t = 5)]
+    pub work_ms: u64,
+}
+
+/// Executions by key, and faults. Several stand-ins can share one record, as backend servers of one
+/// service share a database.
+#[derive(Debug, Default)]
+pub struct Record {
+    executions: sync::Mutex<collections::BTreeMap<String, u64>>,
+    /// Break the connection after the call has run.
+    pub lose_answer: atomic::AtomicBool,
+}
+
+impl Record {
+    /// How often each key ran.
+    pub fn executions(&self) -> collections::BTreeMap<String, u64> {
+        self.executions
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+            .clone()
+    }
+
+    fn count(&self, key: &str) -> u64 {
+        let mut executions = self
+            .executions
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let count = executions.entry(key.to_owned()).or_default();
+        *count += 1;
+        *count
+    }
+}
+
+/// A running service.
+#[derive(Debug)]
+pub struct Handle {
+    /// Address it listens on.
+    pub address: net::SocketAddr,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Starts a service that writes to `record`.
+pub async fn spawn(settings: Settings, record: sync::Arc<Record>) -> error::Result<Handle> {
+    let listener = tokio::net::TcpListener::bind(settings.address).await?;
+    let address = listener.local_addr()?;
+    let work = time::Duration::from_millis(settings.work_ms);
+    let task = tokio::spawn(engine::serve(listener, move |request| {
+        let record = sync::Arc::clone(&record);
+        async move { answer(&record, work, request).await }
+    }));
+    Ok(Handle { address, task })
+}
+
+async fn answer(
+    record: &Record,
+    work: time::Duration,
+    request: hyper::Request<Incoming>,
+) -> hyper::Response<engine::Body> {
+    if request.method() == hyper::Method::GET && request.uri().path() == "/executions" {
+        let body = serde_json::json!(record.executions());
+        return engine::whole(200, body.to_string());
+    }
+    let key = request
+        .headers()
+        .get("idempotency-key")
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_owned();
+    let path = request.uri().path().to_owned();
+    let Ok(body) = request.into_body().collect().await else {
+        return engine::whole(400, "{\"error\":\"body\"}");
+    };
+    let executions = record.count(&key);
+    tokio::time::sleep(work).await;
+    let body = body.to_bytes();
+    if record.lose_answer.load(atomic::Ordering::Relaxed) {
+        return broken();
+    }
+    let echo = serde_json::json!({
+        "path": path,
+        "key": key,
+        "executions": executions,
+        "bytes": body.len(),
+        "echo": String::from_utf8_lossy(&body),
+    });
+    engine::whole(200, echo.to_string())
+}
+
+fn broken() -> hyper::Response<engine::Body> {
+    let frames = tokio_stream::iter([Err(std::io::Error::other("cut by a switch"))]);
+    hyper::Response::new(BodyExt::boxed(http_body_util::StreamBody::new(frames)))
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,6 +3,9 @@
 //! The code in `chivebend.v1.rs` is generated from `proto/chivebend.proto` by `tools/codegen` and
 //! committed, so that the build needs no generator.
 
+pub mod frame;
+pub mod secret;
+
 #[allow(
     missing_docs,
     clippy::pedantic,
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,349 @@
+//! A small fleet on loopback for tests: stand-ins in this process, entries and sidecars as real
+//! processes.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::io::{BufRead, BufReader, Read};
+use std::{net, process, sync, thread, time};
+
+use chivebend::{platform, standin};
+
+/// Longest wait for a state to come about; far beyond what any takes.
+pub const PATIENCE: time::Duration = time::Duration::from_secs(30);
+
+/// API key of customer `alpha`; its hash is in [`CATALOGUE`].
+pub const KEY: &str = "alpha-key";
+
+/// Waits until something is true.
+pub fn until(what: &str, mut test: impl FnMut() -> bool) {
+    let began = time::Instant::now();
+    while !test() {
+        assert!(began.elapsed() < PATIENCE, "still waiting for {what}");
+        thread::sleep(time::Duration::from_millis(20));
+    }
+}
+
+/// The catalogue of most tests: two customers, a model service and a plain one.
+pub fn catalogue() -> String {
+    let hash = |key: &str| {
+        let digest = chivebend::catalogue::digest(key);
+        digest
+            .iter()
+            .fold(String::new(), |hex, byte| hex + &format!("{byte:02x}"))
+    };
+    format!(
+        r#"
+[class.standard]
+weight = 1.0
+
+[[customer]]
+name = "alpha"
+owner = "tests"
+class = "standard"
+key_hashes = ["{}"]
+
+[[customer]]
+name = "beta"
+owner = "tests"
+class = "standard"
+key_hashes = ["{}"]
+
+[[service]]
+name = "llm"
+owner = "tests"
+kind = "model"
+models = ["default"]
+window = 4
+
+[[service]]
+name = "records"
+owner = "tests"
+kind = "plain"
+window = 8
+
+[[service.route]]
+path = "/records"
+"#,
+        hash(KEY),
+        hash("beta-key")
+    )
+}
+
+/// A process of the fleet; killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: process::Child,
+    /// Address for callers, of an entry.
+    pub callers: Option<net::SocketAddr>,
+    /// Address for the fleet, of a sidecar.
+    pub fleet: Option<net::SocketAddr>,
+    /// Operators' port.
+    pub ops: net::SocketAddr,
+}
+
+impl Process {
+    fn start(program: &str, args: &[String]) -> Self {
+        let mut child = process::Command::new(program)
+            .args(args)
+            .env("CHIVEBEND_SECRET", "test-secret")
+            .env("CHIVEBEND_LOG_LEVEL", "warn")
+            .stdout(process::Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let mut line = String::new();
+        BufReader::new(stdout)
+            .read_line(&mut line)
+            .expect("a line is printed");
+        let find = |name: &str| {
+            let word = line
+                .split_whitespace()
+                .find_map(|word| word.strip_prefix(name));
+            word.map(|addr| addr.parse().expect("an address"))
+        };
+        let ops = find("ops=").unwrap_or_else(|| panic!("{program} printed {line:?}"));
+        Self {
+            callers: find("callers="),
+            fleet: find("fleet="),
+            ops,
+            child,
+        }
+    }
+
+    /// Sends a signal by number.
+    pub fn signal(&self, name: &str) {
+        let status = process::Command::new("kill")
+            .args([&format!("-{name}"), &self.child.id().to_string()])
+            .status()
+            .expect("kill runs");
+        assert!(status.success(), "signal {name}");
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+
+    /// Waits until it has ended by itself.
+    pub fn wait(&mut self) -> process::ExitStatus {
+        let began = time::Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("the child can be waited for") {
+                return status;
+            }
+            assert!(began.elapsed() < PATIENCE, "the process does not end");
+            thread::sleep(time::Duration::from_millis(20));
+        }
+    }
+
+    /// An answer of the operators' port.
+    pub fn ops(&self, path: &str) -> Option<String> {
+        let mut answer = agent()
+            .get(format!("http://{}{path}", self.ops))
+            .call()
+            .ok()?;
+        answer.body_mut().read_to_string().ok()
+    }
+
+    /// True once the operators' port says ready.
+    pub fn is_ready(&self) -> bool {
+        let answer = agent().get(format!("http://{}/ready", self.ops)).call();
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// An HTTP client that takes every status as an answer.
+pub fn agent() -> ureq::Agent {
+    ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(PATIENCE))
+        .build()
+        .new_agent()
+}
+
+/// The platform and the fleet of a test.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Runs the stand-ins for backend servers.
+    pub runtime: chivebend::process::Runtime,
+    /// The platform's log.
+    pub log: standin::log::Handle,
+    /// The platform's instance list.
+    pub instances: standin::instances::Handle,
+    /// What the plain service ran.
+    pub record: sync::Arc<standin::service::Record>,
+    /// Model engines.
+    pub engines: Vec<standin::engine::Handle>,
+    /// Plain services.
+    pub services: Vec<standin::service::Handle>,
+}
+
+impl Fleet {
+    /// The platform alone, with the catalogue published.
+    pub fn open() -> Self {
+        let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        let log = standin::log::spawn(any, standin::log::Switches::default()).expect("log");
+        let instances =
+            standin::instances::spawn(any, standin::instances::Switches::default()).expect("list");
+        publish(&log, &catalogue());
+        Self {
+            runtime: chivebend::process::Runtime::open("test").expect("runtime"),
+            log,
+            instances,
+            record: sync::Arc::default(),
+            engines: Vec::new(),
+            services: Vec::new(),
+        }
+    }
+
+    /// Starts a model engine and its sidecar.
+    pub fn model(&mut self, id: &str, token_ms: u64) -> Process {
+        let settings = standin::engine::Settings {
+            address: "127.0.0.1:0".parse().expect("an address"),
+            slots: 4,
+            token_ms,
+            models: vec!["default".to_owned()],
+        };
+        let engine = self
+            .runtime
+            .handle()
+            .block_on(standin::engine::spawn(settings));
+        let engine = engine.expect("engine");
+        let sidecar = self.sidecar(id, "llm", engine.address);
+        self.engines.push(engine);
+        sidecar
+    }
+
+    /// Starts a plain service and its sidecar.
+    pub fn plain(&mut self, id: &str, work_ms: u64) -> Process {
+        let settings = standin::service::Settings {
+            address: "127.0.0.1:0".parse().expect("an address"),
+            work_ms,
+        };
+        let record = sync::Arc::clone(&self.record);
+        let service = self
+            .runtime
+            .handle()
+            .block_on(standin::service::spawn(settings, record));
+        let service = service.expect("service");
+        let sidecar = self.sidecar(id, "records", service.address);
+        self.services.push(service);
+        sidecar
+    }
+
+    /// Starts a sidecar before a backend server.
+    pub fn sidecar(&self, id: &str, service: &str, backend: net::SocketAddr) -> Process {
+        let mut args = self.args(id);
+        args.extend(["--backend-address".into(), backend.to_string()]);
+        args.extend(["--service".into(), service.into()]);
+        args.extend(["--key-retention-ms".into(), "3000".into()]);
+        Process::start(env!("CARGO_BIN_EXE_chivebend-sidecar"), &args)
+    }
+
+    /// Starts an entry.
+    pub fn entry(&self, id: &str) -> Process {
+        Process::start(env!("CARGO_BIN_EXE_chivebend-entry"), &self.args(id))
+    }
+
+    fn args(&self, id: &str) -> Vec<String> {
+        let args = [
+            ("--id", id.to_owned()),
+            ("--zone", "sala-a".to_owned()),
+            ("--log-address", self.log.addr.to_string()),
+            ("--instances-address", self.instances.addr.to_string()),
+        ];
+        args.into_iter()
+            .flat_map(|(name, value)| [name.to_owned(), value])
+            .collect()
+    }
+}
+
+/// Publishes a catalogue.
+pub fn publish(log: &standin::log::Handle, toml: &str) {
+    let client = platform::log::open(log.addr);
+    client
+        .append(platform::log::CATALOGUE_STREAM, toml)
+        .expect("the log appends");
+}
+
+/// What a caller received.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// HTTP status.
+    pub status: u16,
+    /// The numbered code of a refusal.
+    pub code: Option<u16>,
+    /// Whether it ran, of a refusal.
+    pub ran: Option<String>,
+    /// The body, if it arrived whole.
+    pub body: Result<String, String>,
+}
+
+/// Makes a call and reads its answer to the end.
+pub fn call(to: &Process, path: &str, headers: &[(&str, &str)], body: &str) -> Received {
+    let url = format!("http://{}{path}", to.callers.expect("an entry"));
+    let mut request = agent()
+        .post(url)
+        .header("authorization", format!("Bearer {KEY}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let mut answer = match request.send(body) {
+        Ok(answer) => answer,
+        Err(err) => {
+            return Received {
+                status: 0,
+                code: None,
+                ran: None,
+                body: Err(err.to_string()),
+            };
+        }
+    };
+    let header = |name: &str| {
+        answer
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned)
+    };
+    let (code, ran) = (header("chivebend-code"), header("chivebend-ran"));
+    let mut text = String::new();
+    let read = answer.body_mut().as_reader().read_to_string(&mut text);
+    Received {
+        status: answer.status().as_u16(),
+        code: code.and_then(|code| code.parse().ok()),
+        ran,
+        body: read.map(|_| text).map_err(|err| err.to_string()),
+    }
+}
+
+/// The body of a completion request.
+pub fn completion(prompt: &str, tokens: u64, stream: bool) -> String {
+    serde_json::json!({
+        "model": "default", "prompt": prompt, "max_tokens": tokens, "stream": stream,
+    })
+    .to_string()
+}
+
+/// The text that an engine answers a prompt with.
+pub fn expected(prompt: &str, tokens: u64) -> String {
+    (0..tokens)
+        .map(|index| standin::engine::token(prompt, index))
+        .collect()
+}
+
+/// The text of a streamed answer.
+pub fn streamed(body: &str) -> String {
+    body.lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter_map(|data| serde_json::from_str::<serde_json::Value>(data).ok())
+        .filter_map(|event| event["choices"][0]["text"].as_str().map(str::to_owned))
+        .collect()
+}
