--- /dev/null
+++ b/src/cmd/fleet.rs
@@ -0,0 +1,131 @@
+//! Asks all processes of a fleet at their operators' ports.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use serde::de;
+
+use crate::code;
+use crate::error;
+use crate::platform::instances;
+
+/// How long one process may take to answer.
+const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+/// Processes asked at once. With 1,270 processes and a few milliseconds each, the whole fleet takes
+/// less than a second.
+const AT_ONCE: usize = 32;
+
+/// Largest answer that is read, in bytes: a full ring is about 4 MB.
+const ANSWER_LIMIT: u64 = 64 << 20;
+
+/// Which processes to ask.
+#[derive(Clone, Debug, clap::Args)]
+#[group(skip)]
+pub struct Args {
+    /// Address of the platform's instance list, which names the processes.
+    #[arg(long, env = "CHIVEBEND_INSTANCES_ADDRESS", value_name = "IP:PORT")]
+    pub instances: Option<net::SocketAddr>,
+    /// Operators' port of a process to ask; may be repeated.
+    #[arg(long, value_name = "IP:PORT")]
+    pub ops: Vec<net::SocketAddr>,
+}
+
+/// What the processes answered.
+#[derive(Debug)]
+pub struct Answers<T> {
+    /// The answers, in order of the processes.
+    pub answers: Vec<T>,
+    /// Addresses of the processes that gave none, and why.
+    pub silent: Vec<(net::SocketAddr, error::Error)>,
+}
+
+impl<T> Answers<T> {
+    /// Names the processes that gave no answer, on standard error; fails if there are any.
+    pub fn report(&self) -> error::Result<()> {
+        for (addr, err) in &self.silent {
+            eprintln!("no answer from {addr}: {err}");
+        }
+        match self.silent.len() {
+            0 => Ok(()),
+            count => Err(error::Error::coded(
+                code::Code::Internal,
+                format!("{count} processes gave no answer"),
+            )),
+        }
+    }
+}
+
+impl Args {
+    /// Operators' ports of the processes.
+    pub fn addrs(&self) -> error::Result<Vec<net::SocketAddr>> {
+        let mut addrs = self.ops.clone();
+        if let Some(list) = self.instances {
+            let list = instances::open(list).list(None)?.unwrap_or_default();
+            addrs.extend(list.instances.iter().filter_map(|row| row.ops_address));
+        }
+        addrs.sort_unstable();
+        addrs.dedup();
+        if addrs.is_empty() {
+            let text = "no processes: give --instances or --ops, or look whether any runs";
+            return Err(error::Error::coded(code::Code::BadSettings, text));
+        }
+        Ok(addrs)
+    }
+
+    /// Asks every process for a path.
+    pub fn ask<T: de::DeserializeOwned + Send>(&self, path: &str) -> error::Result<Answers<T>> {
+        Ok(ask(&self.addrs()?, path))
+    }
+}
+
+/// Asks every address for a path.
+pub fn ask<T: de::DeserializeOwned + Send>(addrs: &[net::SocketAddr], path: &str) -> Answers<T> {
+    let agent = ureq::Agent::new_with_config(
+        ureq::Agent::config_builder()
+            .timeout_global(Some(TIMEOUT))
+            .proxy(None)
+            .build(),
+    );
+    let next = atomic::AtomicUsize::new(0);
+    let results = sync::Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..AT_ONCE.min(addrs.len()) {
+            scope.spawn(|| {
+                while let Some(&addr) = addrs.get(next.fetch_add(1, atomic::Ordering::Relaxed)) {
+                    let result = get(&agent, addr, path);
+                    let mut results = results.lock().unwrap_or_else(sync::PoisonError::into_inner);
+                    results.push((addr, result));
+                }
+            });
+        }
+    });
+    let mut results = results
+        .into_inner()
+        .unwrap_or_else(sync::PoisonError::into_inner);
+    results.sort_by_key(|(addr, _)| *addr);
+    let mut all = Answers {
+        answers: Vec::new(),
+        silent: Vec::new(),
+    };
+    for (addr, result) in results {
+        match result {
+            Ok(answer) => all.answers.push(answer),
+            Err(err) => all.silent.push((addr, err)),
+        }
+    }
+    all
+}
+
+fn get<T: de::DeserializeOwned>(
+    agent: &ureq::Agent,
+    addr: net::SocketAddr,
+    path: &str,
+) -> error::Result<T> {
+    let mut res = agent.get(format!("http://{addr}{path}")).call()?;
+    let body = res.body_mut().with_config().limit(ANSWER_LIMIT);
+    Ok(body.read_json()?)
+}
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -17,7 +17,7 @@
 mod text;
 
 pub use kind::{KINDS, Kind, Row};
-pub use text::line;
+pub use text::{details, line};
 
 /// Events a process keeps by default. At 512 bytes each, 4 MB of the node's 256 MB; at 40 requests
 /// a second with four events each, the last 50 seconds.
--- a/src/event/text.rs
+++ b/src/event/text.rs
@@ -1,7 +1,5 @@
 //! Events as text: one key=value line that a hostile value cannot forge.
 
-use std::fmt::Write as _;
-
 use crate::event;
 
 /// Longest value kept of one field, in bytes; longer ones are cut, so that a caller cannot fill the
@@ -44,23 +42,28 @@
     pair(&mut line, "instance", &event.instance);
     pair(&mut line, "zone", &event.zone);
     pair(&mut line, "role", &event.role);
-    for (key, value) in [("request", &event.request), ("customer", &event.customer)] {
+    line.push_str(&details(event));
+    pair(&mut line, "stamp", &event.stamp.to_string());
+    line
+}
+
+/// What the event says beyond its name and who recorded it, as ` key=value` pairs.
+pub fn details(event: &event::Event) -> String {
+    let mut line = String::new();
+    let mut optional = |key, value: Option<&str>| {
         if let Some(value) = value {
             pair(&mut line, key, value);
         }
-    }
-    if let Some(revision) = event.revision {
-        write!(line, " revision={revision}").expect("a String takes every write");
-    }
-    if let Some(code) = event.code {
-        write!(line, " code={code}").expect("a String takes every write");
-    }
+    };
+    optional("request", event.request.as_deref());
+    optional("customer", event.customer.as_deref());
+    optional("revision", event.revision.map(|n| n.to_string()).as_deref());
+    optional("code", event.code.map(|n| n.to_string()).as_deref());
     for (key, value) in &event.fields {
-        pair(&mut line, key, value);
+        optional(key, Some(value));
     }
     if event.repeats > 0 {
-        write!(line, " repeats={}", event.repeats).expect("a String takes every write");
+        optional("repeats", Some(&event.repeats.to_string()));
     }
-    write!(line, " stamp={}", event.stamp).expect("a String takes every write");
     line
 }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -5,6 +5,7 @@
 
 use std::fmt;
 use std::io;
+use std::mem;
 use std::net;
 use std::sync;
 use std::thread;
@@ -20,7 +21,7 @@
 pub mod report;
 
 pub use query::encode;
-pub use report::{Customer, RECENT_MS, Sidecar, Status, gap};
+pub use report::{Customer, Customers, RECENT_MS, Sidecar, Status, gap};
 
 /// Threads that answer. One would do; the second keeps health answered while a large ring is
 /// written out.
@@ -74,7 +75,9 @@
     server: sync::Arc<Server>,
 }
 
-struct Server(tiny_http::Server);
+/// Never dropped: the library's drop cannot wake a listener on an abstract socket and panics. What
+/// stays behind a closed port, until the process ends, is the library's five idle threads.
+struct Server(mem::ManuallyDrop<tiny_http::Server>);
 
 impl fmt::Debug for Server {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -94,7 +97,7 @@
     let recorder = metric::install();
     let (listener, name) = guard::inner()?;
     let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
-    let server = sync::Arc::new(Server(server));
+    let server = sync::Arc::new(Server(mem::ManuallyDrop::new(server)));
     let source = sync::Arc::new(source);
     let guard = guard::spawn(addr, name)?;
     for _ in 0..WORKERS {
@@ -166,7 +169,7 @@
             body: recorder.render(),
         },
         (tiny_http::Method::Get, "/status") => Reply::of(&(source.status)()),
-        (tiny_http::Method::Get, "/customers") => Reply::of(&(source.customers)()),
+        (tiny_http::Method::Get, "/customers") => customers(source),
         (tiny_http::Method::Get, "/events") => events(source, query),
         (tiny_http::Method::Get, "/revision") => {
             Reply::json(200, &serde_json::json!({"revision": (source.revision)()}))
@@ -187,6 +190,15 @@
     Reply::json(status, &serde_json::json!({"ready": ready}))
 }
 
+fn customers(source: &Source) -> Reply {
+    let identity = source.ring.identity();
+    Reply::of(&Customers {
+        instance: identity.instance.clone(),
+        role: identity.role.into(),
+        customers: (source.customers)(),
+    })
+}
+
 fn events(source: &Source, query: &str) -> Reply {
     let filter = match query::filter(query) {
         Ok(filter) => filter,
--- a/src/ops/report.rs
+++ b/src/ops/report.rs
@@ -61,7 +61,18 @@
     pub between_tokens_us: u64,
 }
 
-/// A customer as a process sees it, answered in a list on `/customers`.
+/// A process's customers, answered on `/customers`.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Customers {
+    /// Name of the instance.
+    pub instance: String,
+    /// `entry` or `sidecar`; both see a request, so only the entries' customers are summed.
+    pub role: String,
+    /// The customers.
+    pub customers: Vec<Customer>,
+}
+
+/// A customer as a process sees it.
 #[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 pub struct Customer {
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,367 @@
+//! The command line, run as a process against operators' ports of this test.
+
+use std::collections;
+use std::fs;
+use std::net;
+use std::process;
+
+use chivebend::event;
+use chivebend::ops;
+use chivebend::settings;
+use chivebend::standin;
+
+const HOSTILE: &str = "<script>alert(1)</script>\n\u{1b}[2J";
+
+struct Bench {
+    handles: Vec<ops::Handle>,
+    rings: Vec<event::Ring>,
+}
+
+fn customers(instance: &str) -> Vec<ops::Customer> {
+    let row = |name: &str, recent: f64, waiting: u64| ops::Customer {
+        customer: name.into(),
+        weight: 1.0,
+        service: recent * 2.0,
+        recent,
+        waiting,
+        refused: collections::BTreeMap::from([(204, waiting)]),
+        ..ops::Customer::default()
+    };
+    match instance {
+        "e1" => vec![row("small", 10.0, 1), row("flood", 30.0, 90)],
+        "e2" => vec![row("flood", 10.0, 30)],
+        _ => vec![row("flood", 40.0, 7)],
+    }
+}
+
+fn status(instance: &str, role: &str) -> ops::Status {
+    let seen = |name: &str, state: &str, ms: u64| ops::Sidecar {
+        instance: name.into(),
+        state: state.into(),
+        first_token_ms: ms,
+        ..ops::Sidecar::default()
+    };
+    ops::Status {
+        instance: instance.into(),
+        role: role.into(),
+        ready: true,
+        revision: Some(17),
+        sidecars: match role {
+            "entry" => vec![seen("s1", "live", 300), seen("s2", "ejected", 9000)],
+            _ => Vec::new(),
+        },
+        ..ops::Status::default()
+    }
+}
+
+fn open(processes: &[(&'static str, &'static str)]) -> Bench {
+    let mut bench = Bench {
+        handles: Vec::new(),
+        rings: Vec::new(),
+    };
+    for &(instance, role) in processes {
+        let identity = event::Identity {
+            instance: instance.into(),
+            zone: "sala-a".into(),
+            role,
+        };
+        let ring = event::Ring::open(64, &identity);
+        let source = ops::Source {
+            ready: Box::new(|| true),
+            status: Box::new(move || status(instance, role)),
+            customers: Box::new(move || customers(instance)),
+            revision: Box::new(|| Some(17)),
+            drain: Box::new(|| ()),
+            ring: ring.clone(),
+            secret: settings::Secret::default(),
+        };
+        let addr = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+        bench
+            .handles
+            .push(ops::spawn(addr, source).expect("the port opens"));
+        bench.rings.push(ring);
+    }
+    bench
+}
+
+fn fleet() -> Bench {
+    open(&[("e1", "entry"), ("e2", "entry"), ("s1", "sidecar")])
+}
+
+impl Bench {
+    fn flags(&self) -> Vec<String> {
+        self.handles
+            .iter()
+            .map(|handle| format!("--ops={}", handle.addr))
+            .collect()
+    }
+
+    fn run(&self, args: &[&str]) -> Output {
+        let flags = self.flags();
+        run(&[args, &flags.iter().map(String::as_str).collect::<Vec<_>>()].concat())
+    }
+}
+
+struct Output {
+    code: i32,
+    out: String,
+    err: String,
+}
+
+fn run(args: &[&str]) -> Output {
+    let mut cmd = process::Command::new(env!("CARGO_BIN_EXE_chivebend"));
+    let out = cmd
+        .env_clear()
+        .args(args)
+        .output()
+        .expect("the binary runs");
+    Output {
+        code: out.status.code().expect("it ended by itself"),
+        out: String::from_utf8(out.stdout).expect("text"),
+        err: String::from_utf8(out.stderr).expect("text"),
+    }
+}
+
+fn json(output: &Output) -> serde_json::Value {
+    serde_json::from_str(&output.out).expect("JSON")
+}
+
+#[test]
+fn exit_codes_and_outputs() {
+    struct Case {
+        args: &'static [&'static str],
+        code: i32,
+        holds: &'static str,
+    }
+    let cases = [
+        Case {
+            args: &["explain", "204"],
+            code: 0,
+            holds: "204 queue_full",
+        },
+        Case {
+            args: &["explain", "queue_full", "--json"],
+            code: 0,
+            holds: "\"number\": 204",
+        },
+        Case {
+            args: &["explain", "999"],
+            code: 2,
+            holds: "no result code \"999\"",
+        },
+        Case {
+            args: &["explain"],
+            code: 2,
+            holds: "Usage",
+        },
+        Case {
+            args: &["completions", "bash"],
+            code: 0,
+            holds: "_chivebend",
+        },
+        Case {
+            args: &["status"],
+            code: 2,
+            holds: "no processes",
+        },
+        Case {
+            args: &["status", "--ops=localhost:1"],
+            code: 2,
+            holds: "invalid socket address",
+        },
+        Case {
+            args: &["status", "--ops=127.0.0.1:1"],
+            code: 1,
+            holds: "no answer from 127.0.0.1:1",
+        },
+        Case {
+            args: &["timeline", "--since=yesterday", "--ops=127.0.0.1:1"],
+            code: 2,
+            holds: "5m",
+        },
+        Case {
+            args: &["--help"],
+            code: 0,
+            holds: "Exit codes: 0 done;",
+        },
+    ];
+    for case in cases {
+        let output = run(case.args);
+        assert_eq!(output.code, case.code, "{:?}: {}", case.args, output.err);
+        let text = [output.out, output.err].concat();
+        assert!(text.contains(case.holds), "{:?}: {text}", case.args);
+    }
+}
+
+#[test]
+fn status_lists_processes_and_puts_ejected_backend_servers_first() {
+    let output = fleet().run(&["status"]);
+    assert_eq!(output.code, 0, "{}", output.err);
+    let first = |line: &str| {
+        line.split_whitespace()
+            .next()
+            .unwrap_or_default()
+            .to_owned()
+    };
+    let firsts: Vec<_> = output.out.lines().map(first).collect();
+    assert_eq!(
+        firsts,
+        ["INSTANCE", "e1", "e2", "s1", "", "BACKEND", "s2", "s1"],
+        "{}",
+        output.out
+    );
+    assert!(output.out.contains("ejected (2)"), "{}", output.out);
+    assert_eq!(json(&fleet().run(&["status", "--json"]))[0]["revision"], 17);
+}
+
+#[test]
+fn customers_sums_the_entries_and_leaves_sidecars_out() {
+    let bench = fleet();
+    let output = bench.run(&["customers", "--json"]);
+    let rows = json(&output);
+    let flood = &rows[0];
+    assert_eq!(flood["customer"], "flood");
+    assert_eq!(
+        (&flood["recent"], &flood["waiting"]),
+        (&40.0.into(), &120.into())
+    );
+    assert_eq!(flood["refused"]["204"], 120);
+    let text = bench.run(&["customers", "--limit=1"]).out;
+    assert!(
+        text.contains("80.0%") && text.contains("and 1 more"),
+        "{text}"
+    );
+    assert!(text.contains("last 10 s: 30 cost units"), "{text}");
+}
+
+#[test]
+fn the_time_line_is_merged_in_causal_order_and_filtered() {
+    struct Case {
+        args: &'static [&'static str],
+        names: &'static [&'static str],
+    }
+    let bench = fleet();
+    let [entry, other, sidecar] = bench.rings.as_slice() else {
+        panic!("three processes")
+    };
+    entry
+        .note(event::Kind::RequestHandedOver)
+        .request("r 1")
+        .customer("a")
+        .send();
+    sidecar.observe(entry.stamp());
+    sidecar
+        .note(event::Kind::RunStarted)
+        .request("r 1")
+        .customer("a")
+        .send();
+    entry.observe(sidecar.stamp());
+    entry
+        .note(event::Kind::RequestFinished)
+        .request("r 1")
+        .customer("a")
+        .send();
+    other.observe(entry.stamp());
+    other.note(event::Kind::RequestRefused).customer("b").send();
+    let cases = [
+        Case {
+            args: &[],
+            names: &[
+                "request_handed_over",
+                "run_started",
+                "request_finished",
+                "request_refused",
+            ],
+        },
+        Case {
+            args: &["--request=r 1"],
+            names: &["request_handed_over", "run_started", "request_finished"],
+        },
+        Case {
+            args: &["--customer=b", "--since=1h"],
+            names: &["request_refused"],
+        },
+        Case {
+            args: &["--instance=s1"],
+            names: &["run_started"],
+        },
+        Case {
+            args: &["--until=2020-01-01T00:00:00Z"],
+            names: &[],
+        },
+        Case {
+            args: &["--since=4000000000000"],
+            names: &[],
+        },
+    ];
+    for case in cases {
+        let events = json(&bench.run(&[&["timeline", "--json"], case.args].concat()));
+        let events = events.as_array().expect("a list");
+        let names: Vec<_> = events
+            .iter()
+            .filter_map(|event| event["name"].as_str())
+            .collect();
+        assert_eq!(names, case.names, "{:?}", case.args);
+        let text = bench.run(&[&["timeline"], case.args].concat()).out;
+        assert_eq!(
+            text.lines().count(),
+            case.names.len(),
+            "{:?}: {text}",
+            case.args
+        );
+    }
+}
+
+#[test]
+fn the_picture_has_a_lane_for_each_process_and_runs_nothing_hostile() {
+    let bench = fleet();
+    for (ring, kind) in bench.rings.iter().zip([
+        event::Kind::RequestHandedOver,
+        event::Kind::RequestRefused,
+        event::Kind::RunStarted,
+    ]) {
+        ring.note(kind)
+            .request(HOSTILE)
+            .customer(HOSTILE)
+            .field("path", HOSTILE)
+            .send();
+    }
+    let dir = tempfile::tempdir().expect("a directory");
+    let file = dir.path().join("line.html");
+    let output = bench.run(&["timeline", "--html", file.to_str().expect("text")]);
+    assert_eq!(output.code, 0, "{}", output.err);
+    let page = fs::read_to_string(&file).expect("the page");
+    assert_eq!(page.matches("class=\"lane\"").count(), 3);
+    assert_eq!(page.matches("<circle").count(), 3);
+    assert_eq!(page.matches("<polyline").count(), 1);
+    assert!(!page.contains("<script"), "{page}");
+    assert!(!page.contains('\u{1b}'), "{page}");
+    let text = bench.run(&["timeline"]).out;
+    assert!(
+        !text.contains('\u{1b}') && text.lines().count() == 3,
+        "{text}"
+    );
+}
+
+#[test]
+fn processes_are_found_through_the_instance_list() {
+    use chivebend::platform::instances;
+
+    let bench = open(&[("e1", "entry")]);
+    let loopback = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+    let switches = standin::instances::Switches::default();
+    let list = standin::instances::spawn(loopback, switches).expect("the list opens");
+    list.put(instances::Instance {
+        id: "e1".into(),
+        address: loopback,
+        ops_address: Some(bench.handles[0].addr),
+        role: instances::Role::Entry,
+        zone: "sala-a".into(),
+        region: "default".into(),
+        service: String::new(),
+        state: instances::State::Live,
+        incarnation: 1,
+    });
+    let output = run(&["status", "--json", &format!("--instances={}", list.addr)]);
+    assert_eq!(json(&output)[0]["instance"], "e1");
+}
