--- /dev/null
+++ b/examples/measure/event.rs
@@ -0,0 +1,116 @@
+//! Events of the delay queue.
+
+use std::{cmp, time};
+
+use chivebend::{decide::ledger, key};
+
+use super::plan::Fault;
+
+/// Something that happens at a virtual time.
+#[derive(Debug)]
+pub enum Event {
+    Arrive {
+        customer: usize,
+        load: u32,
+    },
+    Offer {
+        server: usize,
+        request: usize,
+        total: f64,
+    },
+    Void {
+        server: usize,
+        request: usize,
+    },
+    Claim {
+        entry: usize,
+        server: usize,
+        request: usize,
+    },
+    Refuse {
+        server: usize,
+        request: usize,
+    },
+    Run {
+        server: usize,
+        claimed: usize,
+        request: usize,
+    },
+    Chunk {
+        server: usize,
+        epoch: u32,
+        request: usize,
+    },
+    Charge {
+        request: usize,
+        cost: u64,
+        end: bool,
+    },
+    Want {
+        entry: usize,
+        server: usize,
+    },
+    WantAgain {
+        server: usize,
+    },
+    Beat {
+        server: usize,
+    },
+    Heard {
+        entry: usize,
+        server: usize,
+        virtual_time: f64,
+        waiting: u32,
+        leaving: bool,
+    },
+    Tick {
+        entry: usize,
+    },
+    Report {
+        entry: usize,
+        home: usize,
+        source: ledger::Source,
+        accounts: Vec<ledger::Account>,
+    },
+    Reply {
+        entry: usize,
+        source: ledger::Source,
+        accounts: Vec<ledger::Account>,
+    },
+    Totals {
+        server: usize,
+        totals: Vec<(key::Customer, f64)>,
+    },
+    Expire {
+        request: usize,
+    },
+    Fault(Fault),
+}
+
+/// An event with its time; earlier ones first, then in order of being scheduled.
+#[derive(Debug)]
+pub struct Timed {
+    pub at: time::Duration,
+    pub turn: u64,
+    pub event: Event,
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> cmp::Ordering {
+        (other.at, other.turn).cmp(&(self.at, self.turn))
+    }
+}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        self.turn == other.turn
+    }
+}
+
+impl Eq for Timed {}
--- /dev/null
+++ b/examples/measure/exchange.rs
@@ -0,0 +1,122 @@
+//! Reports of service between entries, and totals to sidecars.
+
+use std::{collections, time};
+
+use chivebend::{decide::ledger, key};
+
+use super::{Event, FRAME_BYTES, TICK, World, plan::Policy};
+
+const TOTAL_BYTES: u64 = 25;
+const ACCOUNT_BYTES: usize = 43;
+const EXCHANGE_BYTES: usize = 65;
+
+fn message_bytes(accounts: usize) -> u64 {
+    (EXCHANGE_BYTES + accounts * ACCOUNT_BYTES) as u64
+}
+
+impl World {
+    pub fn tick(&mut self, entry: usize) {
+        self.after(TICK, Event::Tick { entry });
+        if self.plan.policy != Policy::Fleet {
+            return;
+        }
+        let mut sent = collections::BTreeMap::<usize, Vec<ledger::Account>>::new();
+        let active = self.entries[entry].active();
+        let names = self.names();
+        let homes = |customer: usize| ledger::homes(customer as u64, &names);
+        let others = if names.len() > ledger::DIRECT {
+            ledger::HOMES
+        } else {
+            names.len() - 1
+        };
+        let round = active.len() * others * 4 * ACCOUNT_BYTES
+            + others.max(active.len().min(names.len())) * 4 * EXCHANGE_BYTES;
+        let interval = ledger::Reporter::interval(round, self.plan.budget);
+        for customer in active {
+            let own = &mut self.entries[entry];
+            let key = self.keys[customer];
+            if let Some(account) = own.reporter.due(self.now, key, interval, &own.shares) {
+                for home in homes(customer) {
+                    sent.entry(home).or_default().push(account);
+                }
+            }
+        }
+        let source = self.entries[entry].source;
+        for (home, accounts) in sent {
+            let n = accounts.len();
+            let event = Event::Report {
+                entry,
+                home,
+                source,
+                accounts,
+            };
+            self.exchange(entry == home, n, event);
+        }
+    }
+
+    pub fn names(&self) -> Vec<u64> {
+        self.entries
+            .iter()
+            .map(|entry| entry.source.process)
+            .collect()
+    }
+
+    pub fn report(
+        &mut self,
+        entry: usize,
+        home: usize,
+        source: ledger::Source,
+        accounts: &[ledger::Account],
+    ) {
+        if entry != home && (self.entries[entry].partitioned || self.entries[home].partitioned) {
+            return;
+        }
+        let mut replies = Vec::new();
+        for account in accounts {
+            let weight = self.plan.customers[self.positions[account.customer]].weight;
+            let own = &mut self.entries[home];
+            let floor = own.clock.time() * weight;
+            replies.extend(own.book.merge(self.now, source, *account, floor));
+        }
+        let n = replies.len();
+        let event = Event::Reply {
+            entry,
+            source,
+            accounts: replies,
+        };
+        self.exchange(entry == home, n, event);
+    }
+
+    // What stays within a process takes no time and no bytes.
+    fn exchange(&mut self, within: bool, accounts: usize, event: Event) {
+        if within {
+            self.after(time::Duration::ZERO, event);
+        } else {
+            self.bytes.reports += message_bytes(accounts);
+            self.send(event);
+        }
+    }
+
+    pub fn reply(&mut self, entry: usize, source: ledger::Source, accounts: &[ledger::Account]) {
+        if self.entries[entry].source != source || self.entries[entry].partitioned {
+            return;
+        }
+        let mut frames = collections::BTreeMap::<usize, Vec<(key::Customer, f64)>>::new();
+        for account in accounts {
+            let own = &mut self.entries[entry];
+            own.shares
+                .observe_counted(account.customer, account.total, account.contained);
+            let total = own.shares.total(account.customer);
+            for server in own.tickets[self.positions[account.customer]].keys() {
+                frames
+                    .entry(*server)
+                    .or_default()
+                    .push((account.customer, total));
+            }
+        }
+        for (server, totals) in frames {
+            self.bytes.totals += FRAME_BYTES + totals.len() as u64 * TOTAL_BYTES;
+            self.send(Event::Totals { server, totals });
+        }
+    }
+}
--- /dev/null
+++ b/examples/measure/main.rs
@@ -0,0 +1,217 @@
+//! Measures the decisions in virtual time; see `docs/BENCHMARKS.md`.
+
+use std::time;
+
+use clap::Parser as _;
+
+#[allow(
+    dead_code,
+    reason = "each program that takes the world in uses its part of it"
+)]
+#[path = "world.rs"]
+mod world;
+
+use world::plan::{Customer, Hint, Load, Plan, Policy};
+
+/// Drives the decision modules through a delay queue in virtual time and prints figures; the last
+/// line is key=value.
+#[derive(Clone, Debug, clap::Parser)]
+struct Args {
+    /// What to measure.
+    case: Case,
+    /// Entry instances.
+    #[arg(long, default_value_t = 4)]
+    entries: usize,
+    /// Backend servers.
+    #[arg(long, default_value_t = 18)]
+    runners: usize,
+    /// Requests a backend server runs at once.
+    #[arg(long, default_value_t = 8)]
+    slots: u32,
+    /// Customers.
+    #[arg(long, default_value_t = 16)]
+    customers: usize,
+    /// Customers that always have work waiting; the rest come and go.
+    #[arg(long)]
+    backlogged: Option<usize>,
+    /// One-way delay between processes, in milliseconds.
+    #[arg(long, default_value_t = 1)]
+    delay_ms: u64,
+    /// Seed of everything random.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Order of waiting requests.
+    #[arg(long, value_enum, default_value_t = Policy::Fleet)]
+    policy: Policy,
+    /// Over how many entries each customer's requests come.
+    #[arg(long, value_enum, default_value_t = Skew::Even)]
+    skew: Skew,
+    /// Virtual seconds to run.
+    #[arg(long, default_value_t = 30)]
+    seconds: u64,
+    /// Bytes a second an entry may spend on service totals.
+    #[arg(long)]
+    budget: Option<usize>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+enum Case {
+    Fairness,
+    Utilisation,
+    Poller,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+enum Skew {
+    /// Each customer uses a few entries of its own, some only one.
+    Even,
+    /// All load into one entry.
+    One,
+}
+
+fn main() {
+    let args = Args::parse();
+    match args.case {
+        Case::Fairness => fairness(&args),
+        Case::Utilisation => utilisation(&args),
+        Case::Poller => poller(&args),
+    }
+}
+
+fn plan(args: &Args) -> Plan {
+    let default = Plan::default();
+    Plan {
+        entries: args.entries,
+        servers: args.runners,
+        slots: args.slots,
+        delay: time::Duration::from_millis(args.delay_ms),
+        links: if args.runners > 64 { 64 } else { usize::MAX },
+        budget: args.budget.unwrap_or(default.budget),
+        seed: args.seed,
+        policy: args.policy,
+        ..default
+    }
+}
+
+/// The entries a customer uses: one for the first, two for the second, up to eight, then round.
+fn entries_of(args: &Args, customer: usize) -> Vec<usize> {
+    if args.skew == Skew::One {
+        return vec![0];
+    }
+    let n = 1 + customer % 8.min(args.entries);
+    (0..n)
+        .map(|at| (customer * 7 + at * 5) % args.entries)
+        .collect()
+}
+
+/// Customers that always have more callers than their share of the slots; the first offers 50
+/// times as much.
+fn backlogged(args: &Args, at: usize, flooder: bool) -> Customer {
+    let share =
+        (args.runners * args.slots as usize).div_ceil(args.backlogged.unwrap_or(args.customers));
+    let callers = (3 * share as u32).max(8);
+    Customer {
+        weight: 1.0,
+        load: Load::Closed {
+            callers: if flooder { 50 * callers } else { callers },
+            think: time::Duration::ZERO,
+        },
+        // Some ask for little, some for much.
+        cost: [(50, 4_000), (50, 500), (400, 4_000), (50, 1_500)][at % 4],
+        hint: [Hint::Rough, Hint::Always(1), Hint::Always(1_000_000)][at % 3],
+        entries: entries_of(args, at),
+        patience: None,
+    }
+}
+
+/// A customer that comes and goes.
+fn occasional(args: &Args, at: usize) -> Customer {
+    Customer {
+        load: Load::Open { per_s: 0.2 },
+        ..backlogged(args, at, false)
+    }
+}
+
+fn fairness(args: &Args) {
+    let mut plan = plan(args);
+    let backlogged_n = args.backlogged.unwrap_or(args.customers);
+    plan.customers = (0..args.customers)
+        .map(|at| {
+            if at < backlogged_n {
+                backlogged(args, at, at == 0)
+            } else {
+                occasional(args, at)
+            }
+        })
+        .collect();
+    let mut world = world::World::new(plan);
+    world.run(time::Duration::from_secs(args.seconds));
+    let gap = world.gap_ratio();
+    println!("{:?}", world.bytes);
+    println!(
+        "case=fairness policy={:?} seed={} gap_ratio={gap:.2} utilisation={:.4} requests={}",
+        args.policy,
+        args.seed,
+        world.utilisation(),
+        world.outcomes().count(),
+    );
+}
+
+fn utilisation(args: &Args) {
+    let mut plan = plan(args);
+    plan.customers = (0..args.customers)
+        .map(|at| backlogged(args, at, at == 0))
+        .collect();
+    let mut world = world::World::new(plan);
+    world.at(time::Duration::ZERO, world::plan::Fault::Slow(0, 5.0));
+    world.run(time::Duration::from_secs(args.seconds));
+    println!(
+        "case=utilisation policy={:?} seed={} utilisation={:.4} gap_ratio={:.2}",
+        args.policy,
+        args.seed,
+        world.utilisation(),
+        world.gap_ratio(),
+    );
+}
+
+fn poller(args: &Args) {
+    let mut plan = plan(args);
+    plan.customers = (0..args.customers)
+        .map(|at| backlogged(args, at, at == 0))
+        .collect();
+    plan.customers[1] = Customer {
+        load: Load::Closed {
+            callers: 1,
+            think: time::Duration::from_millis(200),
+        },
+        cost: (50, 200),
+        ..plan.customers[1].clone()
+    };
+    let mut world = world::World::new(plan);
+    world.run(time::Duration::from_secs(args.seconds));
+    let mut waits = Vec::new();
+    let mut holds = Vec::new();
+    for outcome in world.outcomes() {
+        let Some(started) = outcome.started else {
+            continue;
+        };
+        if outcome.customer == 1 {
+            waits.push(started.saturating_sub(outcome.arrived).as_secs_f64());
+        }
+        if let Some(ended) = outcome.ended {
+            holds.push(ended.saturating_sub(started).as_secs_f64());
+        }
+    }
+    waits.sort_by(f64::total_cmp);
+    let p99 = waits[(waits.len() - 1) * 99 / 100];
+    let hold = holds.iter().sum::<f64>() / holds.len() as f64;
+    println!(
+        "case=poller policy={:?} seed={} poller_p99_ratio={:.2} p99_ms={:.0} mean_hold_ms={:.0} polls={}",
+        args.policy,
+        args.seed,
+        p99 / hold,
+        p99 * 1e3,
+        hold * 1e3,
+        waits.len(),
+    );
+}
--- /dev/null
+++ b/examples/measure/plan.rs
@@ -0,0 +1,157 @@
+//! What a run is made of: sizes, customers, faults, and what callers received.
+
+use std::time;
+
+use chivebend::{code, decide::queue};
+
+/// Rule that orders waiting requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Policy {
+    /// First come, first served at each backend server.
+    Fifo,
+    /// Fair queueing in each entry, no exchange.
+    Local,
+    /// Fleet-wide weighted service.
+    Fleet,
+}
+
+/// When a customer's callers send requests.
+#[derive(Clone, Copy, Debug)]
+pub enum Load {
+    /// So many callers that each send again as soon as they have their answer.
+    Closed {
+        /// Callers.
+        callers: u32,
+        /// Time each thinks between two requests.
+        think: time::Duration,
+    },
+    /// Arrivals at a rate a second, whatever the answers.
+    Open {
+        /// Requests a second.
+        per_s: f64,
+    },
+    /// Nothing.
+    Idle,
+}
+
+/// How the cost hints of a customer relate to the truth.
+#[derive(Clone, Copy, Debug)]
+pub enum Hint {
+    /// Off by a factor between 1/10 and 10.
+    Rough,
+    /// Always this.
+    Always(u64),
+}
+
+/// A customer.
+#[derive(Clone, Debug)]
+pub struct Customer {
+    /// Share relative to others.
+    pub weight: f64,
+    /// When requests come.
+    pub load: Load,
+    /// Least and greatest cost of a request, log-uniform between.
+    pub cost: (u64, u64),
+    /// What the entry is told about the cost.
+    pub hint: Hint,
+    /// Entries its callers use, as positions.
+    pub entries: Vec<usize>,
+    /// How long callers wait for their answer.
+    pub patience: Option<time::Duration>,
+}
+
+/// Something that happens to the fleet.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// An entry hears nothing from other entries and is not heard.
+    Partition(usize),
+    /// The entry rejoins.
+    Heal(usize),
+    /// An entry loses its memory and the requests it holds.
+    RestartEntry(usize),
+    /// A backend server and its sidecar are gone with what ran there.
+    Lose(usize),
+    /// A lost backend server is back, empty.
+    Return(usize),
+    /// A backend server takes so many times as long.
+    Slow(usize, f64),
+    /// A backend server takes no new work.
+    Leave(usize),
+    /// A customer's load changes.
+    Load(usize, Load),
+    /// A customer's weight changes.
+    Weight(usize, f64),
+}
+
+/// Sizes and rules of a run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Entry instances.
+    pub entries: usize,
+    /// Backend servers, each with its sidecar.
+    pub servers: usize,
+    /// Requests a backend server runs at once.
+    pub slots: u32,
+    /// Cost units a slot renders a second.
+    pub rate: f64,
+    /// One-way delay between any two processes.
+    pub delay: time::Duration,
+    /// Backend servers each entry has links to.
+    pub links: usize,
+    /// Tickets placed for each request.
+    pub placements: usize,
+    /// Requests of one customer that an entry has placed at once.
+    pub placed: u32,
+    /// Bytes a second an entry may spend on service totals, in and out.
+    pub budget: usize,
+    /// Seed of everything random.
+    pub seed: u64,
+    /// Order of waiting requests.
+    pub policy: Policy,
+    /// Bounds of the sidecars' queues.
+    pub limit: queue::Limit,
+    /// The customers.
+    pub customers: Vec<Customer>,
+}
+
+/// What became of a request, as its caller sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome {
+    /// Position of the customer in the plan.
+    pub customer: usize,
+    /// Entry that held it.
+    pub entry: usize,
+    /// When it arrived.
+    pub arrived: time::Duration,
+    /// When it started on a backend server, if it did.
+    pub started: Option<time::Duration>,
+    /// When the caller had the answer or the refusal.
+    pub ended: Option<time::Duration>,
+    /// Its true cost.
+    pub cost: u64,
+    /// Backend server that ran it.
+    pub server: Option<usize>,
+    /// Refusal or failure; `None` with `ended` is a whole answer.
+    pub code: Option<code::Code>,
+}
+
+impl Default for Plan {
+    /// The small fleet of today.
+    fn default() -> Self {
+        Self {
+            entries: 4,
+            servers: 18,
+            slots: 8,
+            rate: 400.0,
+            delay: time::Duration::from_millis(1),
+            links: usize::MAX,
+            placements: 3,
+            placed: 1_000,
+            budget: 4_000,
+            seed: 1,
+            policy: Policy::Fleet,
+            limit: queue::Limit::default(),
+            customers: Vec::new(),
+        }
+    }
+}
