--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 //! Each takes time and observations as arguments and returns a typed decision. Nothing outside
 //! this folder decides whom to serve, who waits, who is refused or where work goes.
 
+pub mod accept;
 pub mod ledger;
 pub mod queue;
 pub mod random;
