Decide where an idempotency key is decided, and what an entry may tell after trouble

Cause: the same keyed request may come through two entries with different views of the fleet, and a lost connection must not be told as "did not run". Change: decide::home (rendezvous home, lease, hold, handover on join and leave), decide::keys (bounded memory of keys) and decide::outcome (retry, resume or fail), each pure. Checked: 500 random interleavings of joins, crashes, pauses, list lag, partitions and lost or late replies (tests/home.rs) give at most one start in a key's retention. The test fails if the lease, the hold, the wait for a handover, the recording of a joining sidecar, the members in a reply, the refusal after a cold start, or the need for a settled replier is taken out.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,7 +4,10 @@
 //! this folder decides whom to serve, who waits, who is refused or where work goes.
 
 pub mod accept;
+pub mod home;
+pub mod keys;
 pub mod ledger;
+pub mod outcome;
 pub mod queue;
 pub mod random;
 pub mod share;
--- /dev/null
+++ b/tests/home.rs
@@ -0,0 +1,623 @@
+//! Two sidecars never start the same key within its retention, whatever their views.
+
+use std::{sync, time};
+
+use chivebend::decide::{home, keys};
+use proptest::prelude::*;
+
+const SLOTS: usize = 4;
+const KEYS: usize = 12;
+const IDS: [&str; SLOTS] = ["a:1", "b:1", "c:1", "d:1"];
+const TERMS: home::Terms = home::Terms {
+    retention: secs(20),
+    lease: secs(3),
+    list_lag: secs(2),
+    margin: secs(1),
+};
+
+const fn secs(n: u64) -> time::Duration {
+    time::Duration::from_secs(n)
+}
+
+/// What may happen to the service. Times are in seconds.
+#[derive(Clone, Debug)]
+enum Op {
+    Advance(u64),
+    Send {
+        process: usize,
+        key: usize,
+        ends: bool,
+    },
+    Start {
+        slot: usize,
+    },
+    Crash {
+        process: usize,
+    },
+    Leave {
+        process: usize,
+        lost: u8,
+    },
+    Pause {
+        process: usize,
+        seconds: u64,
+    },
+    Block {
+        from: usize,
+        to: usize,
+    },
+    Heal,
+    Lag {
+        process: usize,
+        seconds: u64,
+    },
+    Blind {
+        process: usize,
+        seconds: u64,
+    },
+    Unlist {
+        slot: usize,
+        seconds: u64,
+    },
+    Delay {
+        slot: usize,
+        seconds: u64,
+    },
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let process = 0..SLOTS * 2;
+    prop_oneof![
+        6 => (1_u64..4).prop_map(Op::Advance),
+        1 => (4_u64..40).prop_map(Op::Advance),
+        12 => (process.clone(), 0..KEYS, any::<bool>())
+            .prop_map(|(process, key, ends)| Op::Send { process, key, ends }),
+        3 => (0..SLOTS).prop_map(|slot| Op::Start { slot }),
+        1 => process.clone().prop_map(|process| Op::Crash { process }),
+        1 => (process.clone(), any::<u8>()).prop_map(|(process, lost)| Op::Leave { process, lost }),
+        1 => (process.clone(), 1_u64..60)
+            .prop_map(|(process, seconds)| Op::Pause { process, seconds }),
+        2 => (0..SLOTS, 0..SLOTS).prop_map(|(from, to)| Op::Block { from, to }),
+        1 => Just(Op::Heal),
+        1 => (process.clone(), 0_u64..=2).prop_map(|(process, seconds)| Op::Lag { process, seconds }),
+        1 => (process, 1_u64..40).prop_map(|(process, seconds)| Op::Blind { process, seconds }),
+        1 => (0..SLOTS, 6_u64..40).prop_map(|(slot, seconds)| Op::Unlist { slot, seconds }),
+        1 => (0..SLOTS, 0_u64..30).prop_map(|(slot, seconds)| Op::Delay { slot, seconds }),
+    ]
+}
+
+struct Process {
+    slot: usize,
+    incarnation: u64,
+    table: home::Table,
+    keys: keys::Table,
+    paused_until: u64,
+    blind_until: u64,
+    lag: u64,
+    inbox: Vec<Letter>,
+}
+
+enum Letter {
+    Ask {
+        from: (usize, u64),
+        ask: home::Ask,
+    },
+    Reply {
+        at: u64,
+        ask: home::Ask,
+        reply: home::Reply,
+        records: Vec<keys::Record>,
+    },
+    Gift {
+        from: (usize, u64),
+        records: Vec<keys::Record>,
+    },
+}
+
+struct World {
+    now: u64,
+    /// Whether the platform's list tells incarnations; only then may an old process live on.
+    incarnations: bool,
+    processes: Vec<Process>,
+    next: u64,
+    /// Who is listed since when; a read looks up to two seconds back.
+    listed: Vec<[Option<u64>; SLOTS]>,
+    relist: [Option<(u64, u64)>; SLOTS],
+    blocked: [[bool; SLOTS]; SLOTS],
+    delay: [u64; SLOTS],
+    starts: Vec<(usize, u64)>,
+}
+
+impl World {
+    fn new(incarnations: bool, history: home::History) -> Self {
+        let mut world = Self {
+            now: 0,
+            incarnations,
+            processes: Vec::new(),
+            next: 1,
+            listed: vec![[None; SLOTS]],
+            relist: [None; SLOTS],
+            blocked: [[false; SLOTS]; SLOTS],
+            delay: [0; SLOTS],
+            starts: Vec::new(),
+        };
+        for slot in 0..SLOTS - 1 {
+            world.spawn(slot, history);
+        }
+        world.advance(if history == home::History::Fresh {
+            5
+        } else {
+            40
+        });
+        world
+    }
+
+    fn spawn(&mut self, slot: usize, history: home::History) {
+        let incarnation = self.next;
+        self.next += 1;
+        let limits = keys::Limits {
+            keys: 100,
+            bytes: 1 << 20,
+            retention: TERMS.retention,
+        };
+        self.processes.push(Process {
+            slot,
+            incarnation,
+            table: home::Table::open(secs(self.now), IDS[slot], incarnation, TERMS, history),
+            keys: keys::Table::new(limits),
+            paused_until: 0,
+            blind_until: 0,
+            lag: incarnation % 3,
+            inbox: Vec::new(),
+        });
+        self.relist[slot] = None;
+        self.current()[slot] = Some(incarnation);
+    }
+
+    fn current(&mut self) -> &mut [Option<u64>; SLOTS] {
+        let last = self.listed.len() - 1;
+        &mut self.listed[last]
+    }
+
+    fn apply(&mut self, op: &Op) {
+        match *op {
+            Op::Advance(seconds) => self.advance(seconds),
+            Op::Send { process, key, ends } => self.send(process, key, ends),
+            Op::Start { slot } => {
+                let occupied = self.processes.iter().any(|p| p.slot == slot);
+                if !occupied || self.incarnations && self.processes.len() < SLOTS * 2 {
+                    self.spawn(slot, home::History::Unknown);
+                }
+            }
+            Op::Crash { process } => {
+                self.remove(process);
+            }
+            Op::Leave { process, lost } => self.leave(process, lost),
+            Op::Pause { process, seconds } => {
+                let until = self.now + seconds;
+                self.with(process, |p| p.paused_until = until);
+            }
+            Op::Blind { process, seconds } => {
+                let until = self.now + seconds;
+                self.with(process, |p| p.blind_until = until);
+            }
+            Op::Lag { process, seconds } => self.with(process, |p| p.lag = seconds),
+            Op::Block { from, to } => self.blocked[from][to] = from != to,
+            Op::Heal => self.blocked = [[false; SLOTS]; SLOTS],
+            Op::Unlist { slot, seconds } => {
+                let until = self.now + seconds;
+                if let Some(incarnation) = self.current()[slot].take() {
+                    self.relist[slot] = Some((until, incarnation));
+                }
+            }
+            Op::Delay { slot, seconds } => self.delay[slot] = seconds,
+        }
+    }
+
+    fn with(&mut self, process: usize, change: impl FnOnce(&mut Process)) {
+        if let Some(p) = self.processes.get_mut(process) {
+            change(p);
+        }
+    }
+
+    /// The platform takes a vanished instance off its list late, here on the next unlisting.
+    fn remove(&mut self, process: usize) -> Option<Process> {
+        (process < self.processes.len()).then(|| self.processes.remove(process))
+    }
+
+    fn leave(&mut self, process: usize, lost: u8) {
+        let Some(mut p) = self.remove(process) else {
+            return;
+        };
+        if p.paused_until > self.now {
+            return;
+        }
+        let records = p.keys.records(secs(self.now), |_, _| true);
+        for id in p.table.leave() {
+            let to = IDS.iter().position(|i| **i == *id).expect("a known id");
+            if lost & (1 << to) == 0 && !self.blocked[p.slot][to] {
+                let from = (p.slot, p.incarnation);
+                self.post(
+                    to,
+                    Letter::Gift {
+                        from,
+                        records: records.clone(),
+                    },
+                );
+            }
+        }
+        if self.current()[p.slot] == Some(p.incarnation) {
+            self.current()[p.slot] = None;
+        }
+    }
+
+    /// Delivers to the newest process in a slot.
+    fn post(&mut self, slot: usize, letter: Letter) {
+        if let Some(p) = self.processes.iter_mut().rfind(|p| p.slot == slot) {
+            p.inbox.push(letter);
+        }
+    }
+
+    fn send(&mut self, process: usize, key: usize, ends: bool) {
+        let now = secs(self.now);
+        let paused = |p: &Process| p.paused_until > self.now;
+        let Some(p) = self.processes.get_mut(process).filter(|p| !paused(p)) else {
+            return;
+        };
+        let key_name = format!("key-{key}");
+        if p.table.verdict(now, "customer", &key_name) != home::Verdict::Mine {
+            return;
+        }
+        if p.keys.begin(now, "customer", &key_name, 1) == keys::Verdict::Start {
+            self.starts.push((key, self.now));
+            if ends {
+                p.keys.end(now, "customer", &key_name, true);
+            }
+        }
+    }
+
+    fn advance(&mut self, seconds: u64) {
+        for _ in 0..seconds {
+            self.now += 1;
+            let last = *self.current();
+            self.listed.push(last);
+            for slot in 0..SLOTS {
+                if let Some((until, incarnation)) = self.relist[slot]
+                    && until <= self.now
+                {
+                    self.relist[slot] = None;
+                    self.current()[slot] = Some(incarnation);
+                }
+            }
+            for at in 0..self.processes.len() {
+                self.step(at);
+            }
+        }
+    }
+
+    fn step(&mut self, at: usize) {
+        let now = secs(self.now);
+        let p = &mut self.processes[at];
+        if p.paused_until > self.now {
+            return;
+        }
+        for letter in std::mem::take(&mut p.inbox) {
+            self.deliver(at, letter);
+        }
+        let p = &mut self.processes[at];
+        if p.blind_until <= self.now {
+            let back = self.listed.len().saturating_sub(1 + p.lag as usize);
+            let lines = self.listed[back].iter().enumerate();
+            let list: Vec<_> = lines
+                .filter_map(|(slot, incarnation)| {
+                    incarnation.map(|i| home::Listed {
+                        id: IDS[slot].into(),
+                        incarnation: self.incarnations.then_some(i),
+                    })
+                })
+                .collect();
+            p.table.listed(now, now, &list);
+        }
+        let from = (p.slot, p.incarnation);
+        for ask in p.table.asks() {
+            let to = IDS.iter().position(|i| **i == *ask.id).expect("a known id");
+            if !self.blocked[from.0][to] {
+                self.post(to, Letter::Ask { from, ask });
+            }
+        }
+    }
+
+    fn deliver(&mut self, at: usize, letter: Letter) {
+        let now = secs(self.now);
+        match letter {
+            Letter::Ask { from, ask } => self.answer(at, from, ask),
+            Letter::Reply { at: due, .. } if due > self.now => {
+                self.processes[at].inbox.push(letter);
+            }
+            Letter::Reply {
+                ask,
+                reply,
+                records,
+                ..
+            } => {
+                let p = &mut self.processes[at];
+                if reply.accepted && p.keys.merge(now, &records) {
+                    p.table.handed(now, &ask, &reply);
+                }
+            }
+            Letter::Gift { from, records } => {
+                let p = &mut self.processes[at];
+                if p.keys.merge(now, &records) {
+                    p.table.given(now, IDS[from.0], from.1);
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, at: usize, from: (usize, u64), ask: home::Ask) {
+        let now = secs(self.now);
+        let p = &mut self.processes[at];
+        let id = IDS[from.0];
+        let reply = p.table.answer(now, id, from.1);
+        let table = &p.table;
+        let records = p.keys.records(now, |c, k| table.outranked(id, c, k));
+        let slot = p.slot;
+        if self.blocked[slot][from.0] {
+            return;
+        }
+        let due = self.now + self.delay[slot];
+        let asker = |p: &&mut Process| (p.slot, p.incarnation) == from;
+        if let Some(p) = self.processes.iter_mut().find(asker) {
+            p.inbox.push(Letter::Reply {
+                at: due,
+                ask,
+                reply,
+                records,
+            });
+        }
+    }
+
+    fn check(&self) -> Result<(), TestCaseError> {
+        for (at, (key, start)) in self.starts.iter().enumerate() {
+            let before = self.starts[..at].iter().rfind(|(k, _)| k == key);
+            if let Some((_, earlier)) = before {
+                prop_assert!(
+                    start - earlier >= TERMS.retention.as_secs(),
+                    "key {key} started at {earlier} and again at {start}"
+                );
+            }
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: prop::test_runner::RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_key_starts_at_most_once_in_its_retention(
+        incarnations in any::<bool>(),
+        fresh in any::<bool>(),
+        ops in prop::collection::vec(op(), 1..160),
+    ) {
+        let history = if fresh { home::History::Fresh } else { home::History::Unknown };
+        let mut world = World::new(incarnations, history);
+        for op in &ops {
+            world.apply(op);
+        }
+        world.check()?;
+    }
+}
+
+/// The verdicts of all live processes for a key, by slot.
+fn verdicts(world: &World, key: &str) -> Vec<(usize, home::Verdict)> {
+    let now = secs(world.now);
+    let all = world.processes.iter();
+    all.map(|p| (p.slot, p.table.verdict(now, "customer", key)))
+        .collect()
+}
+
+/// Number of keys of a sample that some process decides about.
+fn decided(world: &World) -> usize {
+    let mine = |(_, v): &(usize, home::Verdict)| *v == home::Verdict::Mine;
+    let keys = (0..100).map(|n| format!("k{n}"));
+    keys.filter(|k| verdicts(world, k).iter().any(mine)).count()
+}
+
+#[test]
+fn a_healthy_service_decides_every_key_in_one_place() {
+    let world = World::new(true, home::History::Fresh);
+    for n in 0..200 {
+        let key = format!("k{n}");
+        let mine: Vec<_> = verdicts(&world, &key)
+            .into_iter()
+            .filter(|(_, v)| *v == home::Verdict::Mine)
+            .collect();
+        let ranked = home::rank(IDS[..SLOTS - 1].iter().copied(), "customer", &key);
+        assert_eq!(mine.len(), 1);
+        assert_eq!(IDS[mine[0].0], ranked[0]);
+    }
+}
+
+#[derive(Clone)]
+struct Case {
+    name: &'static str,
+    ops: Vec<Op>,
+    /// Keys of a hundred that are decided about somewhere, least and most.
+    decided: (usize, usize),
+}
+
+#[test]
+fn availability_after_changes() {
+    for case in [changes(), outages()].concat() {
+        let mut world = World::new(true, home::History::Fresh);
+        for op in &case.ops {
+            world.apply(op);
+        }
+        let decided = decided(&world);
+        let (least, most) = case.decided;
+        assert!(
+            (least..=most).contains(&decided),
+            "{}: {decided}",
+            case.name
+        );
+    }
+}
+
+fn changes() -> Vec<Case> {
+    let crash = || {
+        vec![
+            Op::Crash { process: 0 },
+            Op::Unlist {
+                slot: 0,
+                seconds: 9_999,
+            },
+        ]
+    };
+    let with = |mut ops: Vec<Op>, more: Vec<Op>| {
+        ops.extend(more);
+        ops
+    };
+    let hold = TERMS.hold().as_secs();
+    vec![
+        Case {
+            name: "nothing",
+            ops: vec![],
+            decided: (100, 100),
+        },
+        Case {
+            name: "a sidecar joins",
+            ops: vec![Op::Start { slot: 3 }, Op::Advance(6)],
+            decided: (100, 100),
+        },
+        Case {
+            name: "a sidecar leaves",
+            ops: vec![
+                Op::Leave {
+                    process: 0,
+                    lost: 0,
+                },
+                Op::Advance(4),
+            ],
+            decided: (100, 100),
+        },
+        Case {
+            name: "a sidecar leaves and comes back",
+            ops: vec![
+                Op::Leave {
+                    process: 0,
+                    lost: 0,
+                },
+                Op::Advance(4),
+                Op::Start { slot: 0 },
+                Op::Advance(6),
+            ],
+            decided: (100, 100),
+        },
+        Case {
+            name: "its gift to one member is lost",
+            ops: vec![
+                Op::Leave {
+                    process: 0,
+                    lost: 2,
+                },
+                Op::Advance(4),
+            ],
+            decided: (60, 99),
+        },
+        Case {
+            name: "a sidecar crashes",
+            ops: with(crash(), vec![Op::Advance(5)]),
+            decided: (50, 80),
+        },
+        Case {
+            name: "a sidecar crashes and another joins",
+            ops: with(
+                crash(),
+                vec![Op::Advance(5), Op::Start { slot: 3 }, Op::Advance(6)],
+            ),
+            decided: (50, 90),
+        },
+        Case {
+            name: "the hold passes after a crash",
+            ops: with(crash(), vec![Op::Advance(hold + 5)]),
+            decided: (100, 100),
+        },
+        Case {
+            name: "a sidecar restarts empty",
+            ops: vec![
+                Op::Crash { process: 0 },
+                Op::Start { slot: 0 },
+                Op::Advance(6),
+            ],
+            decided: (50, 80),
+        },
+    ]
+}
+
+fn outages() -> Vec<Case> {
+    let outage = |after: u64| {
+        let blind = |process| Op::Blind {
+            process,
+            seconds: 10,
+        };
+        vec![blind(0), blind(1), blind(2), Op::Advance(after)]
+    };
+    vec![
+        Case {
+            name: "the list is out for longer than the lease",
+            ops: outage(9),
+            decided: (0, 0),
+        },
+        Case {
+            name: "the list comes back",
+            ops: outage(12),
+            decided: (100, 100),
+        },
+    ]
+}
+
+#[test]
+fn keys_are_bounded_and_never_forgotten_early() {
+    let limits = keys::Limits {
+        keys: 40,
+        bytes: 1 << 20,
+        retention: secs(20),
+    };
+    let mut table = keys::Table::new(limits);
+    let mut refused = 0;
+    for n in 0..100 {
+        let verdict = table.begin(secs(0), "flooder", &format!("k{n}"), 1);
+        refused += usize::from(verdict != keys::Verdict::Start);
+    }
+    assert_eq!((table.len(), refused), (5, 95));
+    assert_eq!(table.begin(secs(0), "other", "k", 1), keys::Verdict::Start);
+    assert_eq!(
+        table.begin(secs(19), "flooder", "k0", 1),
+        keys::Verdict::Refuse(chivebend::code::Code::KeyInProgress)
+    );
+    assert_eq!(
+        table.begin(secs(19), "flooder", "k0", 2),
+        keys::Verdict::Refuse(chivebend::code::Code::KeyReused)
+    );
+    table.end(secs(25), "flooder", "k0", true);
+    assert_eq!(
+        table.begin(secs(44), "flooder", "k0", 1),
+        keys::Verdict::Replay
+    );
+    assert_eq!(
+        table.begin(secs(45), "flooder", "k0", 1),
+        keys::Verdict::Start
+    );
+    let all = table.records(secs(45), |_, _| true);
+    let mut other = keys::Table::new(limits);
+    assert!(other.merge(secs(45), &all));
+    let customer: sync::Arc<str> = "flooder".into();
+    assert!(all.iter().any(|r| r.customer == customer));
+    assert_eq!(other.len(), all.len());
+}
