Exchange service totals between entries

Cause: each entry knew only the service it had charged itself, so a customer's tag depended on the entries it used. Change: entries report accounts of the customers they hold requests of to home entries over a Ledger service, as decide::ledger says, and pass the answered totals to sidecars with tickets. A claim is answered with the customer's oldest request that fits. The protocol gains what handing over keys needs.

--- a/src/control/backend/claim.rs
+++ b/src/control/backend/claim.rs
@@ -126,6 +126,7 @@
             attempt: 0,
             code: u32::from(code.number()),
             not_started: true,
+            retry_after_ms: 0,
         };
         if let Some(link) = self.links.get(link) {
             link.send(frame::Sidecar::Voided(voided));
--- a/src/control/backend/start.rs
+++ b/src/control/backend/start.rs
@@ -11,7 +11,7 @@
 impl Backend {
     /// A request arrives for a claim.
     pub(super) fn handed_over(&mut self, now: time::Duration, link: key::Link, run: wire::Run) {
-        let claim = self.claims.remove(&(link, run.request));
+        let claim = self.claims.remove(&(link, run.claimed));
         let origin = self.links[link].origin.clone();
         let memory = self.origins.entry(origin.clone()).or_default();
         let voided = memory
@@ -77,6 +77,7 @@
             attempt: run.attempt,
             code: u32::from(code.number()),
             not_started: true,
+            retry_after_ms: 0,
         };
         self.links[link].send(frame::Sidecar::Voided(voided));
     }
@@ -102,6 +103,7 @@
             attempt: resume.attempt,
             code: u32::from(code::Code::BackendRefused.number()),
             not_started: true,
+            retry_after_ms: 0,
         };
         self.links[link].send(frame::Sidecar::Voided(voided));
     }
--- a/src/control/dispatch/frames.rs
+++ b/src/control/dispatch/frames.rs
@@ -12,6 +12,9 @@
 /// ahead, so that acknowledgements are few and the sidecar never waits for one.
 const ACK_EVERY: u64 = 32 << 10;
 
+/// Waiting requests of a customer that are looked at for the oldest that fits a claim.
+const LOOKED_AT: usize = 64;
+
 impl Dispatch {
     /// Takes a frame; one of an older link is dropped.
     pub(super) fn frame(&mut self, now: time::Duration, id: &str, link: u64, kind: frame::Sidecar) {
@@ -35,24 +38,79 @@
         }
     }
 
-    /// The first claim wins; any later one is void.
-    fn claim(&mut self, now: time::Duration, sidecar: key::Sidecar, request: key::Request) {
-        let waits = self.requests.get(request).is_some_and(|held| {
-            matches!(&held.stage, Stage::Waiting { tickets, .. } if tickets.contains(&sidecar))
-        });
-        if waits {
-            self.hand_over(now, sidecar, request);
-        } else {
+    /// The first claim wins; any later one is void. The customer's oldest request that fits is
+    /// handed over, so that its requests run in order of arrival whichever ticket was claimed.
+    fn claim(&mut self, now: time::Duration, sidecar: key::Sidecar, claimed: key::Request) {
+        if !self.take_ticket(sidecar, claimed) {
             let void = wire::Void {
-                request: number(request),
+                request: number(claimed),
                 attempt: 0,
                 acknowledge: false,
             };
             self.sidecars[sidecar].send(frame::Entry::Void(void));
+            return;
+        }
+        let oldest = self.oldest_like(now, sidecar, claimed);
+        self.hand_over(now, sidecar, claimed, oldest);
+        if oldest != claimed {
+            self.place(now, claimed);
+        }
+    }
+
+    /// True if the request waits and had a ticket there, which is now used.
+    fn take_ticket(&mut self, sidecar: key::Sidecar, request: key::Request) -> bool {
+        let Some(held) = self.requests.get_mut(request) else {
+            return false;
+        };
+        let Stage::Waiting { tickets, .. } = &mut held.stage else {
+            return false;
+        };
+        let before = tickets.len();
+        tickets.retain(|at| *at != sidecar);
+        if tickets.len() == before {
+            return false;
         }
+        let known = &mut self.sidecars[sidecar];
+        known.tickets = known.tickets.saturating_sub(1);
+        true
     }
 
-    fn hand_over(&mut self, now: time::Duration, sidecar: key::Sidecar, request: key::Request) {
+    fn oldest_like(
+        &self,
+        now: time::Duration,
+        sidecar: key::Sidecar,
+        claimed: key::Request,
+    ) -> key::Request {
+        let ask = &self.requests[claimed].ask;
+        if !ask.key.is_empty() {
+            return claimed;
+        }
+        let fits = |request: &key::Request| {
+            let held = &self.requests[*request];
+            let Stage::Waiting { not_before, .. } = &held.stage else {
+                return false;
+            };
+            held.ask.service == ask.service
+                && held.ask.model == ask.model
+                && held.ask.key.is_empty()
+                && *not_before <= now
+                && !held.tried.contains(&sidecar)
+        };
+        let mut candidates = self.waiting.customer(self.requests[claimed].customer);
+        candidates
+            .by_ref()
+            .take(LOOKED_AT)
+            .find(fits)
+            .unwrap_or(claimed)
+    }
+
+    fn hand_over(
+        &mut self,
+        now: time::Duration,
+        sidecar: key::Sidecar,
+        claimed: key::Request,
+        request: key::Request,
+    ) {
         let held = &mut self.requests[request];
         held.attempt += 1;
         let attempt = Attempt {
@@ -78,13 +136,13 @@
             deadline_ms: 0,
             customer: held.ask.customer.clone(),
             request_id: held.ask.id.clone(),
+            claimed: number(claimed),
         };
         let known = &mut self.sidecars[sidecar];
         known.outstanding += 1;
-        known.tickets = known.tickets.saturating_sub(1);
         known.send(frame::Entry::Run(run));
         if let Stage::Waiting { tickets, .. } = stage {
-            self.void(request, &tickets, Some(sidecar));
+            self.void(request, &tickets);
         }
     }
 
@@ -200,7 +258,8 @@
         known.reported = now;
         let began_leaving = beat.leaving && !known.leaving;
         known.leaving = beat.leaving;
-        self.shares.advance(beat.virtual_time);
+        self.clock.hear(sidecar, beat.virtual_time, beat.waiting);
+        self.shares.advance(self.clock.time());
         if began_leaving {
             self.drop_tickets(now, sidecar);
         }
--- a/src/control/dispatch/links.rs
+++ b/src/control/dispatch/links.rs
@@ -60,6 +60,7 @@
 
     fn lose(&mut self, now: time::Duration, key: key::Sidecar) {
         self.sidecars[key].link = None;
+        self.clock.remove(key);
         self.sidecars[key].tickets = 0;
         log::info!(event = "link_down", sidecar = self.sidecars[key].id.as_str(); "");
         self.drop_tickets(now, key);
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! after a lost link, and ended so that the caller can tell a whole answer from a broken one.
 
 mod frames;
+mod ledger;
 mod links;
 mod place;
 mod request;
@@ -17,8 +18,9 @@
 use std::{collections, sync, time};
 
 use crossbeam_channel as channel;
-use slotmap::{Key as _, KeyData, SlotMap};
+use slotmap::{Key as _, KeyData, SecondaryMap, SlotMap};
 use stakker::CX;
+use tokio::sync::oneshot;
 
 use crate::control::{customers, tally};
 use crate::decide::share;
@@ -26,6 +28,7 @@
 use crate::wire::frame;
 use crate::{code, filter, key, wire};
 
+pub use ledger::{Outbox, Peer};
 pub use request::{Reply, Request, Stage, Submission};
 pub use sidecar::Sender;
 
@@ -89,6 +92,12 @@
     },
     /// The sidecars there are, and whether each is leaving.
     Members(Vec<(Found, bool)>),
+    /// The other entries there are.
+    Peers(Vec<Peer>),
+    /// Another entry reports service to this one as a home.
+    Report(wire::Report, oneshot::Sender<wire::Report>),
+    /// A home's answer to a report.
+    Told(wire::Report),
     /// Weights or limits of customers may have changed.
     Catalogue(sync::Arc<crate::catalogue::Accepted>),
     /// Answer with the state for operators.
@@ -99,6 +108,17 @@
     Stop,
 }
 
+/// What the controller is created with.
+#[derive(Debug)]
+pub struct Setup {
+    /// This process.
+    pub process: wire::Process,
+    /// Reports for other entries.
+    pub outbox: Outbox,
+    /// Requests in progress, read by a shutdown.
+    pub in_progress: sync::Arc<sync::atomic::AtomicU64>,
+}
+
 /// The controller.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -109,6 +129,9 @@
     waiting: waiting::Index,
     customers: customers::Arena,
     shares: share::Table,
+    clock: share::Clock,
+    weights: SecondaryMap<key::Customer, f64>,
+    ledger: ledger::Ledger,
     tally: tally::Tally,
     last_beat: time::Duration,
     beats: u64,
@@ -135,7 +158,7 @@
 
 impl Dispatch {
     /// Creates the controller; it runs its own timers.
-    pub fn init(cx: CX![], in_progress: sync::Arc<sync::atomic::AtomicU64>) -> Option<Self> {
+    pub fn init(cx: CX![], setup: Setup) -> Option<Self> {
         stakker::after!(TICK, [cx], tick());
         Some(Self {
             start: cx.now(),
@@ -144,7 +167,10 @@
             by_id: collections::HashMap::new(),
             waiting: waiting::Index::default(),
             customers: customers::Arena::default(),
-            shares: share::Table::new(SHARE_LAG),
+            shares: share::Table::new(time::Duration::ZERO),
+            clock: share::Clock::default(),
+            weights: SecondaryMap::new(),
+            ledger: ledger::Ledger::new(setup.process, setup.outbox),
             tally: tally::Tally::default(),
             last_beat: time::Duration::ZERO,
             beats: 0,
@@ -153,7 +179,7 @@
             turn: 0,
             unplaced: collections::VecDeque::new(),
             lost: Vec::new(),
-            in_progress,
+            in_progress: setup.in_progress,
         })
     }
 
@@ -174,6 +200,9 @@
             Message::Down { id, link } => self.down(now, &id, link),
             Message::Gone { id } => self.gone(now, &id),
             Message::Members(members) => self.members(now, members),
+            Message::Peers(peers) => self.ledger.set_peers(now, peers),
+            Message::Report(report, answer) => self.reported(now, &report, answer),
+            Message::Told(report) => self.told(&report),
             Message::Catalogue(accepted) => self.catalogue(&accepted),
             Message::Status(tx) => drop(tx.send(self.status())),
             Message::Customers(tx) => drop(tx.send(self.report(now))),
@@ -186,6 +215,7 @@
         self.expire(now);
         self.abandon(now);
         self.place_waiting(now);
+        self.report_service(now);
         if now >= self.last_beat + BEAT {
             self.last_beat = now;
             self.beat();
@@ -202,6 +232,8 @@
         let customer = self.customers.intern(&ask.customer);
         self.shares.set_weight(customer, ask.weight);
         self.tally.weight(customer, ask.weight);
+        self.weights.insert(customer, ask.weight);
+        self.ledger.hold(customer, 1);
         if !self.waiting.has(customer) {
             self.shares.activate(customer);
         }
@@ -255,11 +287,12 @@
         self.in_progress
             .fetch_sub(1, sync::atomic::Ordering::Relaxed);
         self.waiting.remove(request, &held);
+        self.ledger.hold(held.customer, -1);
         if let Some(reservation) = held.reservation.take() {
             self.shares.release(reservation);
         }
         match held.stage {
-            Stage::Waiting { tickets, .. } => self.void(request, &tickets, None),
+            Stage::Waiting { tickets, .. } => self.void(request, &tickets),
             Stage::HandedOver(attempt) => {
                 self.tally.running(held.customer, -1);
                 if let Some(sidecar) = self.sidecars.get_mut(attempt.sidecar) {
@@ -315,16 +348,10 @@
     }
 }
 
-/// How long a charge takes until the totals heard here contain it.
-const SHARE_LAG: time::Duration = time::Duration::from_millis(500);
-
 /// Starts the core thread of an entry.
-pub fn spawn(
-    rx: channel::Receiver<Message>,
-    in_progress: sync::Arc<sync::atomic::AtomicU64>,
-) -> std::io::Result<crate::core::Core> {
+pub fn spawn(rx: channel::Receiver<Message>, setup: Setup) -> std::io::Result<crate::core::Core> {
     crate::core::spawn("entry-core", rx, move |stakker| {
-        let actor = stakker::actor!(stakker, Dispatch::init(in_progress), stakker::ret_nop!());
+        let actor = stakker::actor!(stakker, Dispatch::init(setup), stakker::ret_nop!());
         Box::new(move |_stakker, message| stakker::call!([actor], take(message)))
     })
 }
--- a/src/control/dispatch/place.rs
+++ b/src/control/dispatch/place.rs
@@ -87,14 +87,9 @@
         }
     }
 
-    /// Takes tickets back from all sidecars but one.
-    pub(super) fn void(
-        &mut self,
-        request: key::Request,
-        tickets: &[key::Sidecar],
-        except: Option<key::Sidecar>,
-    ) {
-        for key in tickets.iter().filter(|key| Some(**key) != except) {
+    /// Takes tickets back.
+    pub(super) fn void(&mut self, request: key::Request, tickets: &[key::Sidecar]) {
+        for key in tickets {
             if let Some(sidecar) = self.sidecars.get_mut(*key) {
                 sidecar.tickets = sidecar.tickets.saturating_sub(1);
                 let void = wire::Void {
--- a/src/control/dispatch/waiting.rs
+++ b/src/control/dispatch/waiting.rs
@@ -65,6 +65,12 @@
             .map_or(0, |customer| customer.len() as u32)
     }
 
+    /// Requests of a customer that wait, oldest first.
+    pub fn customer(&self, customer: key::Customer) -> impl Iterator<Item = key::Request> {
+        let requests = self.customers.get(&customer).into_iter();
+        requests.flat_map(|requests| requests.values().copied())
+    }
+
     /// The request of a customer that has waited longest.
     pub fn oldest(&self, customer: key::Customer) -> Option<key::Request> {
         self.customers
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,12 +2,15 @@
 
 mod body;
 mod callers;
+mod fleet;
 mod refusal;
 
 use std::sync::atomic;
 use std::{net, sync, thread, time};
 
 use crossbeam_channel as channel;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::TcpListenerStream;
 
 use crate::control::{dispatch, link};
 use crate::ops::report;
@@ -47,10 +50,25 @@
         .handle()
         .block_on(tokio::net::TcpListener::bind(settings.caller_address))?;
     let caller_address = listener.local_addr()?;
-    let process = process::identity(&settings.process, wire::Role::Entry, caller_address);
+    let fleet_listener = runtime.handle().block_on(tokio::net::TcpListener::bind(
+        settings.process.fleet_address,
+    ))?;
+    let fleet_address = fleet_listener.local_addr()?;
+    let process = process::identity(&settings.process, wire::Role::Entry, fleet_address);
     let (tx, rx) = channel::unbounded();
     let in_progress = sync::Arc::new(atomic::AtomicU64::new(0));
-    let core = dispatch::spawn(rx, sync::Arc::clone(&in_progress))?;
+    let (outbox, reports) = mpsc::unbounded_channel();
+    let setup = dispatch::Setup {
+        process: process.clone(),
+        outbox,
+        in_progress: sync::Arc::clone(&in_progress),
+    };
+    let core = dispatch::spawn(rx, setup)?;
+    let secret = settings.process.secret.clone();
+    runtime
+        .handle()
+        .spawn(fleet::send(reports, secret, tx.clone()));
+    serve(&runtime, fleet_listener, settings, &tx);
     let ring = event::Ring::open(event::CAPACITY, &settings.process.identity("entry"));
     let shared = sync::Arc::new(callers::Shared::new(
         settings,
@@ -64,11 +82,11 @@
         .spawn(callers::serve(listener, sync::Arc::clone(&shared)));
     let ops = ops::spawn(
         settings.process.ops_address,
-        source(settings, &process, &tx, &shared),
+        source(settings, &process, caller_address, &tx, &shared),
     )?;
     let own = sync::Arc::new(sync::Mutex::new(instances::Instance {
         id: process.id.clone(),
-        address: caller_address,
+        address: fleet_address,
         ops_address: Some(ops.addr),
         role: instances::Role::Entry,
         zone: process.zone.clone(),
@@ -99,6 +117,40 @@
     })
 }
 
+fn serve(
+    runtime: &process::Runtime,
+    listener: tokio::net::TcpListener,
+    settings: &settings::Entry,
+    tx: &channel::Sender<dispatch::Message>,
+) {
+    let server = fleet::Server {
+        tx: tx.clone(),
+        secret: settings.process.secret.clone(),
+    };
+    let router = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(wire::ledger_server::LedgerServer::new(server));
+    runtime.handle().spawn(async move {
+        let incoming = TcpListenerStream::new(listener);
+        if let Err(err) = router.serve_with_incoming(incoming).await {
+            log::error!(event = "internal_fault", error:% = err; "");
+        }
+    });
+}
+
+/// The other entries on the list.
+fn peers(list: &instances::List, own: &str) -> Vec<dispatch::Peer> {
+    list.instances
+        .iter()
+        .filter(|instance| instance.role == instances::Role::Entry && instance.id != own)
+        .map(|instance| dispatch::Peer {
+            id: instance.id.clone(),
+            address: instance.address,
+            incarnation: instance.incarnation,
+        })
+        .collect()
+}
+
 /// Keeps links to the sidecars on the platform's list.
 fn members(
     settings: &settings::Entry,
@@ -107,11 +159,13 @@
     tx: channel::Sender<dispatch::Message>,
     runtime: tokio::runtime::Handle,
 ) -> error::Result<process::Poller> {
+    let own_id = process.id.clone();
     let mut links = link::Links::new(process, settings.process.secret.clone(), tx.clone());
     process::watch_instances(
         settings.process.instances_address,
         sync::Arc::clone(own),
         move |list| {
+            drop(tx.send(dispatch::Message::Peers(peers(&list, &own_id))));
             let sidecars: Vec<_> = list
                 .instances
                 .into_iter()
@@ -158,6 +212,7 @@
 fn source(
     settings: &settings::Entry,
     process: &wire::Process,
+    caller_address: net::SocketAddr,
     tx: &channel::Sender<dispatch::Message>,
     shared: &sync::Arc<callers::Shared>,
 ) -> ops::Source {
@@ -174,7 +229,7 @@
             let state = report::Status {
                 ready: seen.is_ready(),
                 leaving: seen.is_leaving(),
-                caller_address: process.address.parse().ok(),
+                caller_address: Some(caller_address),
                 ..process::ask(&status, dispatch::Message::Status)
             };
             process::describe(state, &process, "entry")
--- a/src/wire/chivebend.v1.rs
+++ b/src/wire/chivebend.v1.rs
@@ -149,6 +149,8 @@
     /// False if it had already started: the outcome is then not known from this frame.
     #[prost(bool, tag = "4")]
     pub not_started: bool,
+    #[prost(uint64, tag = "5")]
+    pub retry_after_ms: u64,
 }
 /// Hand-over of a claimed request.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -176,6 +178,9 @@
     /// The customer and request as callers see them, for logs.
     #[prost(string, tag = "11")]
     pub request_id: ::prost::alloc::string::String,
+    /// Request of the claim that this answers; another one of the same customer may be handed over.
+    #[prost(uint64, tag = "12")]
+    pub claimed: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Header {
@@ -349,6 +354,30 @@
     pub known_incarnation: u64,
     #[prost(message, optional, tag = "4")]
     pub process: ::core::option::Option<Process>,
+    /// Every sidecar that could decide about a key knows this process as a member.
+    #[prost(bool, tag = "5")]
+    pub settled: bool,
+    #[prost(message, repeated, tag = "6")]
+    pub members: ::prost::alloc::vec::Vec<KnownMember>,
+}
+/// A sidecar of the same service as another knows it.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct KnownMember {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    /// 0 if not known.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    #[prost(bool, tag = "3")]
+    pub gone: bool,
+    #[prost(uint64, tag = "4")]
+    pub gone_age_ms: u64,
+    /// It left and gave all its keys to the sidecar that says this.
+    #[prost(bool, tag = "5")]
+    pub complete: bool,
+    /// It has handed over to the sidecar that says this.
+    #[prost(bool, tag = "6")]
+    pub handed: bool,
 }
 /// What a sidecar remembers about an idempotency key.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -384,8 +413,6 @@
     pub wants_catalogue: bool,
     #[prost(message, repeated, tag = "5")]
     pub members: ::prost::alloc::vec::Vec<Member>,
-    #[prost(message, repeated, tag = "6")]
-    pub accounts: ::prost::alloc::vec::Vec<Account>,
     /// Hybrid logical clock of the sender, for the time line.
     #[prost(uint64, tag = "7")]
     pub stamp: u64,
@@ -403,6 +430,14 @@
     #[prost(string, tag = "5")]
     pub ops_address: ::prost::alloc::string::String,
 }
+/// Accounts that an entry reports to a home entry, and the home's answer.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct Report {
+    #[prost(message, optional, tag = "1")]
+    pub sender: ::core::option::Option<Process>,
+    #[prost(message, repeated, tag = "2")]
+    pub accounts: ::prost::alloc::vec::Vec<Account>,
+}
 /// Service a process has charged to a customer, cumulative for its incarnation.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct Account {
@@ -1154,3 +1189,285 @@
         const NAME: &'static str = SERVICE_NAME;
     }
 }
+/// Generated client implementations.
+pub mod ledger_client {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    use tonic::codegen::http::Uri;
+    /// Served by every entry: service charged to customers, added up by their home entries.
+    #[derive(Debug, Clone)]
+    pub struct LedgerClient<T> {
+        inner: tonic::client::Grpc<T>,
+    }
+    impl<T> LedgerClient<T>
+    where
+        T: tonic::client::GrpcService<tonic::body::Body>,
+        T::Error: Into<StdError>,
+        T::ResponseBody: Body<Data = Bytes> + std::marker::Send + 'static,
+        <T::ResponseBody as Body>::Error: Into<StdError> + std::marker::Send,
+    {
+        pub fn new(inner: T) -> Self {
+            let inner = tonic::client::Grpc::new(inner);
+            Self { inner }
+        }
+        pub fn with_origin(inner: T, origin: Uri) -> Self {
+            let inner = tonic::client::Grpc::with_origin(inner, origin);
+            Self { inner }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> LedgerClient<InterceptedService<T, F>>
+        where
+            F: tonic::service::Interceptor,
+            T::ResponseBody: Default,
+            T: tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+                Response = http::Response<
+                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                >,
+            >,
+            <T as tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
+        {
+            LedgerClient::new(InterceptedService::new(inner, interceptor))
+        }
+        /// Compress requests with the given encoding.
+        ///
+        /// This requires the server to support it otherwise it might respond with an
+        /// error.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.send_compressed(encoding);
+            self
+        }
+        /// Enable decompressing responses.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.accept_compressed(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_decoding_message_size(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_encoding_message_size(limit);
+            self
+        }
+        pub async fn exchange(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Report>,
+        ) -> std::result::Result<tonic::Response<super::Report>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/chivebend.v1.Ledger/Exchange",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("chivebend.v1.Ledger", "Exchange"));
+            self.inner.unary(req, path, codec).await
+        }
+    }
+}
+/// Generated server implementations.
+pub mod ledger_server {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    /// Generated trait containing gRPC methods that should be implemented for use with LedgerServer.
+    #[async_trait]
+    pub trait Ledger: std::marker::Send + std::marker::Sync + 'static {
+        async fn exchange(
+            &self,
+            request: tonic::Request<super::Report>,
+        ) -> std::result::Result<tonic::Response<super::Report>, tonic::Status>;
+    }
+    /// Served by every entry: service charged to customers, added up by their home entries.
+    #[derive(Debug)]
+    pub struct LedgerServer<T> {
+        inner: Arc<T>,
+        accept_compression_encodings: EnabledCompressionEncodings,
+        send_compression_encodings: EnabledCompressionEncodings,
+        max_decoding_message_size: Option<usize>,
+        max_encoding_message_size: Option<usize>,
+    }
+    impl<T> LedgerServer<T> {
+        pub fn new(inner: T) -> Self {
+            Self::from_arc(Arc::new(inner))
+        }
+        pub fn from_arc(inner: Arc<T>) -> Self {
+            Self {
+                inner,
+                accept_compression_encodings: Default::default(),
+                send_compression_encodings: Default::default(),
+                max_decoding_message_size: None,
+                max_encoding_message_size: None,
+            }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> InterceptedService<Self, F>
+        where
+            F: tonic::service::Interceptor,
+        {
+            InterceptedService::new(Self::new(inner), interceptor)
+        }
+        /// Enable decompressing requests with the given encoding.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.accept_compression_encodings.enable(encoding);
+            self
+        }
+        /// Compress responses with the given encoding, if the client supports it.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.send_compression_encodings.enable(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.max_decoding_message_size = Some(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.max_encoding_message_size = Some(limit);
+            self
+        }
+    }
+    impl<T, B> tonic::codegen::Service<http::Request<B>> for LedgerServer<T>
+    where
+        T: Ledger,
+        B: Body + std::marker::Send + 'static,
+        B::Error: Into<StdError> + std::marker::Send + 'static,
+    {
+        type Response = http::Response<tonic::body::Body>;
+        type Error = std::convert::Infallible;
+        type Future = BoxFuture<Self::Response, Self::Error>;
+        fn poll_ready(
+            &mut self,
+            _cx: &mut Context<'_>,
+        ) -> Poll<std::result::Result<(), Self::Error>> {
+            Poll::Ready(Ok(()))
+        }
+        fn call(&mut self, req: http::Request<B>) -> Self::Future {
+            match req.uri().path() {
+                "/chivebend.v1.Ledger/Exchange" => {
+                    #[allow(non_camel_case_types)]
+                    struct ExchangeSvc<T: Ledger>(pub Arc<T>);
+                    impl<T: Ledger> tonic::server::UnaryService<super::Report>
+                    for ExchangeSvc<T> {
+                        type Response = super::Report;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Report>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Ledger>::exchange(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ExchangeSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                _ => {
+                    Box::pin(async move {
+                        let mut response = http::Response::new(
+                            tonic::body::Body::default(),
+                        );
+                        let headers = response.headers_mut();
+                        headers
+                            .insert(
+                                tonic::Status::GRPC_STATUS,
+                                (tonic::Code::Unimplemented as i32).into(),
+                            );
+                        headers
+                            .insert(
+                                http::header::CONTENT_TYPE,
+                                tonic::metadata::GRPC_CONTENT_TYPE,
+                            );
+                        Ok(response)
+                    })
+                }
+            }
+        }
+    }
+    impl<T> Clone for LedgerServer<T> {
+        fn clone(&self) -> Self {
+            let inner = self.inner.clone();
+            Self {
+                inner,
+                accept_compression_encodings: self.accept_compression_encodings,
+                send_compression_encodings: self.send_compression_encodings,
+                max_decoding_message_size: self.max_decoding_message_size,
+                max_encoding_message_size: self.max_encoding_message_size,
+            }
+        }
+    }
+    /// Generated gRPC service name
+    pub const SERVICE_NAME: &str = "chivebend.v1.Ledger";
+    impl<T> tonic::server::NamedService for LedgerServer<T> {
+        const NAME: &'static str = SERVICE_NAME;
+    }
+}
