--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod completions;
 pub mod customers;
+pub mod demo;
 pub mod explain;
 pub mod fleet;
 pub mod status;
@@ -34,6 +35,8 @@
 /// The table of commands.
 #[derive(Debug, clap::Subcommand)]
 pub enum Command {
+    /// Runs a whole fleet with its platform in this process.
+    Demo(demo::Args),
     /// Shows the processes: revisions, queues, windows, slow or ejected backend servers.
     Status(status::Args),
     /// Shows the customers: service, share, waiting, refusals by code.
@@ -49,6 +52,7 @@
 /// Runs a command.
 pub fn run(command: Command) -> error::Result<()> {
     match command {
+        Command::Demo(args) => demo::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Customers(args) => customers::run(&args),
         Command::Timeline(args) => timeline::run(&args),
