Add chivebend drain, and show the operators' ports in status

Cause: to drain a process an operator had to know its port and spell a header. Change: chivebend drain NAME finds the process and sends the secret; status lists the operators' ports. Conclusion: one command drains a sidecar or an entry.

--- a/src/cmd/fleet.rs
+++ b/src/cmd/fleet.rs
@@ -82,14 +82,19 @@
     }
 }
 
-/// Asks every address for a path.
-pub fn ask<T: de::DeserializeOwned + Send>(addrs: &[net::SocketAddr], path: &str) -> Answers<T> {
-    let agent = ureq::Agent::new_with_config(
+/// An HTTP client for operators' ports, which are named by IP number and never lie behind a proxy.
+pub fn agent() -> ureq::Agent {
+    ureq::Agent::new_with_config(
         ureq::Agent::config_builder()
             .timeout_global(Some(TIMEOUT))
             .proxy(None)
             .build(),
-    );
+    )
+}
+
+/// Asks every address for a path.
+pub fn ask<T: de::DeserializeOwned + Send>(addrs: &[net::SocketAddr], path: &str) -> Answers<T> {
+    let agent = agent();
     let next = atomic::AtomicUsize::new(0);
     let results = sync::Mutex::new(Vec::new());
     thread::scope(|scope| {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,6 +13,7 @@
 pub mod completions;
 pub mod customers;
 pub mod demo;
+pub mod drain;
 pub mod explain;
 pub mod fleet;
 pub mod status;
@@ -43,6 +44,8 @@
     Customers(customers::Args),
     /// Shows the events of all processes in causal order.
     Timeline(timeline::Args),
+    /// Asks a process to leave.
+    Drain(drain::Args),
     /// Explains a result code.
     Explain(explain::Args),
     /// Prints the completions of a shell.
@@ -56,6 +59,7 @@
         Command::Status(args) => status::run(&args),
         Command::Customers(args) => customers::run(&args),
         Command::Timeline(args) => timeline::run(&args),
+        Command::Drain(args) => drain::run(&args),
         Command::Explain(args) => explain::run(&args),
         Command::Completions(args) => completions::run(&args),
     }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -36,7 +36,17 @@
     rows.sort_by(|a, b| (&a.role, &a.instance).cmp(&(&b.role, &b.instance)));
     let rows: Vec<_> = rows.into_iter().map(process).collect();
     let heads = [
-        "INSTANCE", "ROLE", "ZONE", "STATE", "REVISION", "WAITING", "RUNNING", "WINDOW", "SERVES",
+        "INSTANCE",
+        "ROLE",
+        "ZONE",
+        "STATE",
+        "REVISION",
+        "WAITING",
+        "RUNNING",
+        "WINDOW",
+        "SERVES",
+        "OPERATORS' PORT",
+        "OPERATORS' PORT",
     ];
     let mut text = table::render(&heads, &rows);
     let backends = backends(all);
@@ -79,6 +89,9 @@
         status.running.to_string(),
         dash(status.window),
         serves,
+        status
+            .ops_address
+            .map_or_else(|| "-".into(), |addr| addr.to_string()),
     ]
 }
 
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -100,23 +100,29 @@
     let server = sync::Arc::new(Server(mem::ManuallyDrop::new(server)));
     let source = sync::Arc::new(source);
     let guard = guard::spawn(addr, name)?;
+    let addr = guard.addr;
     for _ in 0..WORKERS {
         let (server, source) = (sync::Arc::clone(&server), sync::Arc::clone(&source));
         let recorder = recorder.clone();
         thread::Builder::new()
             .name("ops".into())
-            .spawn(move || work(&server.0, &source, &recorder))?;
+            .spawn(move || work(&server.0, &source, &recorder, addr))?;
     }
     Ok(Handle {
-        addr: guard.addr,
+        addr,
         guard,
         server,
     })
 }
 
-fn work(server: &tiny_http::Server, source: &Source, recorder: &metric::Recorder) {
+fn work(
+    server: &tiny_http::Server,
+    source: &Source,
+    recorder: &metric::Recorder,
+    addr: net::SocketAddr,
+) {
     while let Ok(req) = server.recv() {
-        let reply = answer(&req, source, recorder);
+        let reply = answer(&req, source, recorder, addr);
         let header = tiny_http::Header::from_bytes("content-type", reply.mime)
             .expect("the types are constants without control characters");
         let res = tiny_http::Response::from_string(reply.body)
@@ -156,7 +162,12 @@
     }
 }
 
-fn answer(req: &tiny_http::Request, source: &Source, recorder: &metric::Recorder) -> Reply {
+fn answer(
+    req: &tiny_http::Request,
+    source: &Source,
+    recorder: &metric::Recorder,
+    addr: net::SocketAddr,
+) -> Reply {
     let (path, query) = req.url().split_once('?').unwrap_or((req.url(), ""));
     match (req.method(), path) {
         (tiny_http::Method::Get, "/health") => {
@@ -168,7 +179,7 @@
             mime: "text/plain; version=0.0.4",
             body: recorder.render(),
         },
-        (tiny_http::Method::Get, "/status") => Reply::of(&(source.status)()),
+        (tiny_http::Method::Get, "/status") => status(source, addr),
         (tiny_http::Method::Get, "/customers") => customers(source),
         (tiny_http::Method::Get, "/events") => events(source, query),
         (tiny_http::Method::Get, "/revision") => {
@@ -190,6 +201,13 @@
     Reply::json(status, &serde_json::json!({"ready": ready}))
 }
 
+fn status(source: &Source, addr: net::SocketAddr) -> Reply {
+    Reply::of(&Status {
+        ops_address: Some(addr),
+        ..(source.status)()
+    })
+}
+
 fn customers(source: &Source) -> Reply {
     let identity = source.ring.identity();
     Reply::of(&Customers {
--- a/src/ops/report.rs
+++ b/src/ops/report.rs
@@ -23,6 +23,8 @@
     pub leaving: bool,
     /// Catalogue revision in force.
     pub revision: Option<u64>,
+    /// Address of the operators' port, filled in by it.
+    pub ops_address: Option<net::SocketAddr>,
     /// Address for callers, of an entry.
     pub caller_address: Option<net::SocketAddr>,
     /// Service, of a sidecar.
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -12,6 +12,9 @@
 
 const HOSTILE: &str = "<script>alert(1)</script>\n\u{1b}[2J";
 
+/// The secret of the bench's processes.
+const SECRET: &str = "0123456789abcdef";
+
 struct Bench {
     handles: Vec<ops::Handle>,
     rings: Vec<event::Ring>,
@@ -73,7 +76,7 @@
             revision: Box::new(|| Some(17)),
             drain: Box::new(|| ()),
             ring: ring.clone(),
-            secret: settings::Secret::default(),
+            secret: settings::Secret::from_text(SECRET),
         };
         let addr = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
         bench
@@ -109,9 +112,14 @@
 }
 
 fn run(args: &[&str]) -> Output {
+    run_as("", args)
+}
+
+fn run_as(secret: &str, args: &[&str]) -> Output {
     let mut cmd = process::Command::new(env!("CARGO_BIN_EXE_chivebend"));
     let out = cmd
         .env_clear()
+        .env("CHIVEBEND_SECRET", secret)
         .args(args)
         .output()
         .expect("the binary runs");
@@ -343,6 +351,58 @@
     );
 }
 
+#[test]
+fn drain_asks_the_named_process_with_the_secret() {
+    struct Case {
+        instance: &'static str,
+        secret: &'static str,
+        code: i32,
+        holds: &'static str,
+    }
+    let bench = fleet();
+    let cases = [
+        Case {
+            instance: "s9",
+            secret: SECRET,
+            code: 2,
+            holds: "no process is named \"s9\"",
+        },
+        Case {
+            instance: "s1",
+            secret: "",
+            code: 1,
+            holds: "602 bad_secret",
+        },
+        Case {
+            instance: "s1",
+            secret: "fedcba9876543210",
+            code: 1,
+            holds: "602 bad_secret",
+        },
+        Case {
+            instance: "s1",
+            secret: SECRET,
+            code: 0,
+            holds: "s1 is leaving",
+        },
+    ];
+    let flags = bench.flags();
+    for case in cases {
+        let mut args = vec!["drain", case.instance];
+        args.extend(flags.iter().map(String::as_str));
+        let output = run_as(case.secret, &args);
+        assert_eq!(output.code, case.code, "{} {}", case.instance, output.err);
+        let text = [output.out, output.err].concat();
+        assert!(text.contains(case.holds), "{} {text}", case.instance);
+    }
+    let drained = bench.rings[2].read(&event::Filter::default()).events;
+    let names: Vec<_> = drained.iter().map(|event| event.name.as_ref()).collect();
+    assert_eq!(
+        names,
+        ["operator_refused", "operator_refused", "drain_requested"]
+    );
+}
+
 #[test]
 fn processes_are_found_through_the_instance_list() {
     use chivebend::platform::instances;
