--- /dev/null
+++ b/tests/faults_pause.rs
@@ -0,0 +1,138 @@
+//! Processes that stop for longer than a link may be silent, and go on.
+
+mod support;
+
+use std::{thread, time};
+
+use chivebend::control::link;
+use support::{Fleet, Live, call, completion, expected, streamed, until};
+
+const TOKENS: u64 = 100;
+const TOKEN_MS: u64 = 20;
+
+/// Longer than a link may be silent: by then the other side has dropped it.
+const PAUSE: time::Duration = link::SILENCE.saturating_add(time::Duration::from_secs(1));
+
+#[test]
+fn a_paused_sidecar_resumes_its_streams() {
+    let mut fleet = Fleet::open();
+    let sidecar = fleet.model("m1", TOKEN_MS);
+    let entry = fleet.entry("e1");
+    until("ready", || entry.is_ready());
+    let lives: Vec<_> = ["one", "two", "three"]
+        .into_iter()
+        .map(|prompt| (prompt, Live::open(&entry, prompt, TOKENS)))
+        .collect();
+    sidecar.signal("STOP");
+    until("the entry has noticed", || is_lost(&entry));
+    sidecar.signal("CONT");
+    for (prompt, live) in lives {
+        assert_eq!(live.rest(), (expected(prompt, TOKENS), true), "{prompt}");
+    }
+}
+
+#[test]
+fn work_of_a_paused_sidecar_goes_elsewhere_if_it_stays_away() {
+    let mut fleet = Fleet::open();
+    let paused = fleet.model("m1", 0);
+    let _other = fleet.model("m2", 0);
+    let entry = fleet.entry("e1");
+    until("ready", || entry.is_ready());
+    until("both are linked", || links(&entry) == 2);
+    paused.signal("STOP");
+    thread::scope(|scope| {
+        let calls: Vec<_> = (0..8)
+            .map(|at| {
+                let entry = &entry;
+                scope.spawn(move || {
+                    let prompt = format!("prompt {at}");
+                    let body = completion(&prompt, 10, true);
+                    (prompt, call(entry, "/v1/completions", &[], &body))
+                })
+            })
+            .collect();
+        for call in calls {
+            let (prompt, answer) = call.join().expect("called");
+            assert_eq!(answer.status, 200, "{answer:?}");
+            let body = answer.body.expect("whole");
+            assert_eq!(streamed(&body), expected(&prompt, 10));
+        }
+    });
+    paused.signal("CONT");
+    until("it is linked again", || links(&entry) == 2);
+}
+
+#[test]
+fn a_paused_entry_resumes_its_streams() {
+    let mut fleet = Fleet::open();
+    let _sidecar = fleet.model("m1", TOKEN_MS);
+    let entry = fleet.entry("e1");
+    until("ready", || entry.is_ready());
+    let lives: Vec<_> = ["one", "two", "three"]
+        .into_iter()
+        .map(|prompt| (prompt, Live::open(&entry, prompt, TOKENS)))
+        .collect();
+    entry.signal("STOP");
+    thread::sleep(PAUSE);
+    entry.signal("CONT");
+    for (prompt, live) in lives {
+        assert_eq!(live.rest(), (expected(prompt, TOKENS), true), "{prompt}");
+    }
+}
+
+#[test]
+fn a_plain_call_over_a_pause_runs_once() {
+    struct Case {
+        name: &'static str,
+        sidecar: bool,
+    }
+    let cases = [
+        Case {
+            name: "sidecar",
+            sidecar: true,
+        },
+        Case {
+            name: "entry",
+            sidecar: false,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::open();
+        let sidecar = fleet.plain("p1", 500);
+        let entry = fleet.entry("e1");
+        until("ready", || entry.is_ready());
+        thread::scope(|scope| {
+            let caller = scope.spawn(|| call(&entry, "/records", &[], "add 1"));
+            until("it runs", || !fleet.record.executions().is_empty());
+            let paused = if case.sidecar { &sidecar } else { &entry };
+            paused.signal("STOP");
+            thread::sleep(PAUSE);
+            paused.signal("CONT");
+            let answer = caller.join().expect("called");
+            assert_eq!(answer.status, 200, "{}: {answer:?}", case.name);
+        });
+        let runs: u64 = fleet.record.executions().values().sum();
+        assert_eq!(runs, 1, "{}", case.name);
+    }
+}
+
+fn states(entry: &support::Process) -> Vec<String> {
+    let status = entry.ops("/status").unwrap_or_default();
+    let status: serde_json::Value = serde_json::from_str(&status).unwrap_or_default();
+    let sidecars = status["sidecars"].as_array().cloned().unwrap_or_default();
+    sidecars
+        .iter()
+        .filter_map(|sidecar| sidecar["state"].as_str().map(str::to_owned))
+        .collect()
+}
+
+fn is_lost(entry: &support::Process) -> bool {
+    states(entry).iter().any(|state| state == "lost")
+}
+
+fn links(entry: &support::Process) -> usize {
+    states(entry)
+        .iter()
+        .filter(|state| *state == "live")
+        .count()
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod relay;
+
 use std::io::{BufRead, BufReader, Read};
 use std::{net, process, sync, thread, time};
 
@@ -110,7 +112,24 @@
         }
     }
 
-    /// Sends a signal by number.
+    /// Bytes of memory it holds (`VmRSS`).
+    pub fn memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process runs");
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let kib = line.and_then(|line| line.split_whitespace().nth(1));
+        kib.and_then(|kib| kib.parse::<u64>().ok()).expect("VmRSS") << 10
+    }
+
+    /// True while it has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child
+            .try_wait()
+            .expect("the child can be waited for")
+            .is_none()
+    }
+
+    /// Sends a signal by name.
     pub fn signal(&self, name: &str) {
         let status = process::Command::new("kill")
             .args([&format!("-{name}"), &self.child.id().to_string()])
@@ -252,12 +271,22 @@
         Process::start(env!("CARGO_BIN_EXE_chivebend-entry"), &self.args(id))
     }
 
+    /// Starts an entry that sees only the instances on a list of its own.
+    pub fn entry_on(&self, id: &str, list: &standin::instances::Handle) -> Process {
+        let args = self.args_on(id, list.addr);
+        Process::start(env!("CARGO_BIN_EXE_chivebend-entry"), &args)
+    }
+
     fn args(&self, id: &str) -> Vec<String> {
+        self.args_on(id, self.instances.addr)
+    }
+
+    fn args_on(&self, id: &str, instances: net::SocketAddr) -> Vec<String> {
         let args = [
             ("--id", id.to_owned()),
             ("--zone", "sala-a".to_owned()),
             ("--log-address", self.log.addr.to_string()),
-            ("--instances-address", self.instances.addr.to_string()),
+            ("--instances-address", instances.to_string()),
         ];
         args.into_iter()
             .flat_map(|(name, value)| [name.to_owned(), value])
@@ -265,6 +294,27 @@
     }
 }
 
+/// A list that shows sidecars at addresses of the test's choice, such as a relay's.
+pub fn list() -> standin::instances::Handle {
+    let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
+    standin::instances::spawn(any, standin::instances::Switches::default()).expect("list")
+}
+
+/// Shows a sidecar on a list.
+pub fn show(list: &standin::instances::Handle, id: &str, service: &str, address: net::SocketAddr) {
+    list.put(platform::instances::Instance {
+        id: id.to_owned(),
+        address,
+        ops_address: None,
+        role: platform::instances::Role::Sidecar,
+        zone: "sala-a".to_owned(),
+        region: "default".to_owned(),
+        service: service.to_owned(),
+        state: platform::instances::State::Live,
+        incarnation: 0,
+    });
+}
+
 /// Publishes a catalogue.
 pub fn publish(log: &standin::log::Handle, toml: &str) {
     let client = platform::log::open(log.addr);
@@ -324,6 +374,51 @@
     }
 }
 
+/// An answer that is being read.
+pub struct Live {
+    reader: Box<dyn Read + Send>,
+    text: Vec<u8>,
+}
+
+impl Live {
+    /// Opens a streamed completion and reads its first bytes.
+    pub fn open(to: &Process, prompt: &str, tokens: u64) -> Self {
+        let url = format!("http://{}/v1/completions", to.callers.expect("an entry"));
+        let answer = agent()
+            .post(url)
+            .header("authorization", format!("Bearer {KEY}"))
+            .send(completion(prompt, tokens, true))
+            .expect("an answer begins");
+        assert_eq!(answer.status(), 200, "{prompt}");
+        let mut live = Self {
+            reader: Box::new(answer.into_body().into_reader()),
+            text: Vec::new(),
+        };
+        assert!(live.more().expect("first bytes") > 0, "{prompt}");
+        live
+    }
+
+    /// Reads some bytes; 0 is a clean end.
+    pub fn more(&mut self) -> std::io::Result<usize> {
+        let mut buf = [0; 4096];
+        let len = self.reader.read(&mut buf)?;
+        self.text.extend_from_slice(&buf[..len]);
+        Ok(len)
+    }
+
+    /// Reads to the end: the text so far, and whether the end was clean.
+    pub fn rest(mut self) -> (String, bool) {
+        let read = self.reader.read_to_end(&mut self.text);
+        (streamed(&String::from_utf8_lossy(&self.text)), read.is_ok())
+    }
+}
+
+impl std::fmt::Debug for Live {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Live({} bytes)", self.text.len())
+    }
+}
+
 /// The body of a completion request.
 pub fn completion(prompt: &str, tokens: u64, stream: bool) -> String {
     serde_json::json!({
