Decide membership from the list, heartbeats and what processes say

Cause: the platform's list lags; work must not go to what left or died, and a node that was cut off must neither raise the dead nor lose the living.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,6 +8,7 @@
 pub mod home;
 pub mod keys;
 pub mod ledger;
+pub mod member;
 pub mod outcome;
 pub mod queue;
 pub mod random;
