--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -164,11 +164,15 @@
     fn wait_ready(&self) -> error::Result<()> {
         let entries = self.entries.iter().map(|handle| handle.ops_address);
         let sidecars = self.sidecars.iter().map(|handle| handle.ops_address);
-        let addrs: Vec<_> = entries.chain(sidecars).collect();
+        let target = |addr| fleet::Target {
+            addr,
+            leaving: false,
+        };
+        let targets: Vec<_> = entries.chain(sidecars).map(target).collect();
         let began = time::Instant::now();
         while began.elapsed() < READY_LIMIT {
-            let all = fleet::ask::<ops::Status>(&addrs, "/status").answers;
-            if all.iter().filter(|status| self.serves(status)).count() == addrs.len() {
+            let all = fleet::ask::<ops::Status>(&targets, "/status").answers;
+            if all.iter().filter(|status| self.serves(status)).count() == targets.len() {
                 return Ok(());
             }
             thread::sleep(POLL);
--- a/src/cmd/fleet.rs
+++ b/src/cmd/fleet.rs
@@ -34,12 +34,21 @@
     pub ops: Vec<net::SocketAddr>,
 }
 
+/// A process to ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Target {
+    /// Its operators' port.
+    pub addr: net::SocketAddr,
+    /// Whether the platform says that it leaves: it may have gone already.
+    pub leaving: bool,
+}
+
 /// What the processes answered.
 #[derive(Debug)]
 pub struct Answers<T> {
     /// The answers, in order of the processes.
     pub answers: Vec<T>,
-    /// Addresses of the processes that gave none, and why.
+    /// Addresses of the processes that gave none though they should run, and why.
     pub silent: Vec<(net::SocketAddr, error::Error)>,
 }
 
@@ -52,36 +61,47 @@
         match self.silent.len() {
             0 => Ok(()),
             count => Err(error::Error::coded(
-                code::Code::Internal,
-                format!("{count} processes gave no answer"),
+                code::Code::Unreachable,
+                format!("{count} of the processes"),
             )),
         }
     }
 }
 
 impl Args {
-    /// Operators' ports of the processes.
-    pub fn addrs(&self) -> error::Result<Vec<net::SocketAddr>> {
-        let mut addrs = self.ops.clone();
+    /// The processes to ask.
+    pub fn targets(&self) -> error::Result<Vec<Target>> {
+        let named = self.ops.iter().map(|&addr| Target {
+            addr,
+            leaving: false,
+        });
+        let mut targets: Vec<_> = named.collect();
         if let Some(list) = self.instances {
             let list = instances::open(list).list(None)?.unwrap_or_default();
-            addrs.extend(list.instances.iter().filter_map(|row| row.ops_address));
+            targets.extend(list.instances.iter().filter_map(target));
         }
-        addrs.sort_unstable();
-        addrs.dedup();
-        if addrs.is_empty() {
+        targets.sort_unstable();
+        targets.dedup_by_key(|target| target.addr);
+        if targets.is_empty() {
             let text = "no processes: give --instances or --ops, or look whether any runs";
             return Err(error::Error::coded(code::Code::BadSettings, text));
         }
-        Ok(addrs)
+        Ok(targets)
     }
 
     /// Asks every process for a path.
     pub fn ask<T: de::DeserializeOwned + Send>(&self, path: &str) -> error::Result<Answers<T>> {
-        Ok(ask(&self.addrs()?, path))
+        Ok(ask(&self.targets()?, path))
     }
 }
 
+fn target(row: &instances::Instance) -> Option<Target> {
+    row.ops_address.map(|addr| Target {
+        addr,
+        leaving: row.state == instances::State::Leaving,
+    })
+}
+
 /// An HTTP client for operators' ports, which are named by IP number and never lie behind a proxy.
 pub fn agent() -> ureq::Agent {
     ureq::Agent::new_with_config(
@@ -92,18 +112,19 @@
     )
 }
 
-/// Asks every address for a path.
-pub fn ask<T: de::DeserializeOwned + Send>(addrs: &[net::SocketAddr], path: &str) -> Answers<T> {
+/// Asks every target for a path.
+pub fn ask<T: de::DeserializeOwned + Send>(targets: &[Target], path: &str) -> Answers<T> {
     let agent = agent();
     let next = atomic::AtomicUsize::new(0);
     let results = sync::Mutex::new(Vec::new());
     thread::scope(|scope| {
-        for _ in 0..AT_ONCE.min(addrs.len()) {
+        for _ in 0..AT_ONCE.min(targets.len()) {
             scope.spawn(|| {
-                while let Some(&addr) = addrs.get(next.fetch_add(1, atomic::Ordering::Relaxed)) {
-                    let result = get(&agent, addr, path);
+                while let Some(&target) = targets.get(next.fetch_add(1, atomic::Ordering::Relaxed))
+                {
+                    let result = get(&agent, target.addr, path);
                     let mut results = results.lock().unwrap_or_else(sync::PoisonError::into_inner);
-                    results.push((addr, result));
+                    results.push((target, result));
                 }
             });
         }
@@ -111,15 +132,16 @@
     let mut results = results
         .into_inner()
         .unwrap_or_else(sync::PoisonError::into_inner);
-    results.sort_by_key(|(addr, _)| *addr);
+    results.sort_by_key(|(target, _)| *target);
     let mut all = Answers {
         answers: Vec::new(),
         silent: Vec::new(),
     };
-    for (addr, result) in results {
+    for (target, result) in results {
         match result {
             Ok(answer) => all.answers.push(answer),
-            Err(err) => all.silent.push((addr, err)),
+            Err(_) if target.leaving => {}
+            Err(err) => all.silent.push((target.addr, err)),
         }
     }
     all
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -46,7 +46,6 @@
         "WINDOW",
         "SERVES",
         "OPERATORS' PORT",
-        "OPERATORS' PORT",
     ];
     let mut text = table::render(&heads, &rows);
     let backends = backends(all);
--- a/src/code.rs
+++ b/src/code.rs
@@ -102,6 +102,7 @@
     BadSecret 602 "bad_secret" 403 No false "The other process did not prove that it belongs to the fleet." "Check the fleet secret on both sides.";
     BadFrame 603 "bad_frame" 400 No false "A frame from another process is malformed or out of bounds." "Check that both processes run compatible versions.";
     Internal 604 "internal" 500 Unknown false "The process met a fault of its own." "Report it with the time line around it.";
+    Unreachable 605 "unreachable" 503 No true "A process does not answer on its operators' port." "Check the process, its machine and the network to it.";
 }
 
 impl Code {
