Follow the catalogue and the membership by log, list and exchange

Cause: hundreds of processes must learn of a change or a leaving process within seconds without each reading the log, and a process that starts while the log is down needs the state from others.

--- /dev/null
+++ b/src/control/catalogue.rs
@@ -0,0 +1,401 @@
+//! The controller of the catalogue: what is in force in this process.
+//!
+//! A thread of its own reads the log and applies the accept rule; the exchange with other processes
+//! feeds the same reader. A zone's watchers hold a long poll at the log; the others hear of changes
+//! from peers and look at the log now and then, so that hundreds of processes cost the log about as
+//! much as a few dozen.
+
+use std::sync::atomic;
+use std::{net, sync, thread, time};
+
+use crate::decide::{accept, random};
+use crate::platform::log;
+use crate::{catalogue, code, error, event};
+
+/// How often, and how patiently.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// How long a watcher's read waits at the log for a record.
+    pub wait: time::Duration,
+    /// Mean time between two reads of a process that is no watcher. With 1,270 processes and 120 s
+    /// the log answers about ten such reads a second.
+    pub poll: time::Duration,
+    /// Most time that a process without a catalogue waits for its peers before it reads the log.
+    pub start: time::Duration,
+    /// Shortest and longest wait after a read that failed.
+    pub backoff: [time::Duration; 2],
+    /// When snapshots are put on the log.
+    pub pace: accept::Pace,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            wait: time::Duration::from_secs(20),
+            poll: time::Duration::from_secs(120),
+            start: time::Duration::from_secs(5),
+            backoff: [
+                time::Duration::from_millis(500),
+                time::Duration::from_secs(15),
+            ],
+            pace: accept::Pace::default(),
+        }
+    }
+}
+
+/// Records of one read.
+const BATCH: u32 = 256;
+
+/// Records from the log's end that are searched for a snapshot first; then eight times as many.
+const TAIL: u64 = 64;
+
+/// Longest sleep before the thread looks again whether it is to stop or to watch.
+const SLICE: time::Duration = time::Duration::from_millis(100);
+
+type Listener = Box<dyn Fn(&sync::Arc<catalogue::Accepted>) + Send + Sync>;
+
+struct Shared {
+    reader: sync::Mutex<accept::Reader>,
+    current: sync::RwLock<Option<sync::Arc<catalogue::Accepted>>>,
+    listeners: sync::Mutex<Vec<Listener>>,
+    stop: atomic::AtomicBool,
+    ring: event::Ring,
+}
+
+/// The running controller; clones share it.
+#[derive(Clone)]
+pub struct Handle(sync::Arc<Shared>);
+
+impl std::fmt::Debug for Handle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Handle")
+            .field("revision", &self.revision())
+            .finish_non_exhaustive()
+    }
+}
+
+/// Follows the catalogue on the log at this address. `watches` says whether this process is one of
+/// its zone's watchers.
+pub fn spawn(
+    addr: net::SocketAddr,
+    timing: Timing,
+    ring: event::Ring,
+    watches: impl Fn() -> bool + Send + 'static,
+) -> error::Result<Handle> {
+    let handle = Handle(sync::Arc::new(Shared {
+        reader: sync::Mutex::default(),
+        current: sync::RwLock::default(),
+        listeners: sync::Mutex::default(),
+        stop: atomic::AtomicBool::new(false),
+        ring,
+    }));
+    let seed = time::SystemTime::now()
+        .duration_since(time::UNIX_EPOCH)
+        .unwrap_or_default();
+    let poller = Poller {
+        handle: handle.clone(),
+        client: log::open(addr),
+        timing,
+        watches: Box::new(watches),
+        random: random::Random::new(seed.as_nanos() as u64),
+        plan: accept::Plan::default(),
+        began: time::Instant::now(),
+        failures: 0,
+    };
+    thread::Builder::new()
+        .name("catalogue".into())
+        .spawn(move || poller.run())?;
+    Ok(handle)
+}
+
+impl Handle {
+    /// The catalogue in force.
+    pub fn current(&self) -> Option<sync::Arc<catalogue::Accepted>> {
+        self.0
+            .current
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Its revision, 0 for none.
+    pub fn revision(&self) -> u64 {
+        self.current().map_or(0, |accepted| accepted.revision)
+    }
+
+    /// Calls `listener` with the catalogue in force, if any, and with each later one in order.
+    pub fn subscribe(
+        &self,
+        listener: impl Fn(&sync::Arc<catalogue::Accepted>) + Send + Sync + 'static,
+    ) {
+        let mut listeners = self.listeners();
+        if let Some(accepted) = self.current() {
+            listener(&accepted);
+        }
+        listeners.push(Box::new(listener));
+    }
+
+    /// Whether this process wants a whole state: it has none, or records are missing.
+    pub fn wants(&self) -> bool {
+        let reader = self.reader();
+        reader.gap() || reader.state().revision == 0
+    }
+
+    /// What to send to a process at this revision, if it is behind.
+    pub fn update(&self, revision: u64, whole: bool) -> Option<accept::Update> {
+        self.reader().update(revision, whole)
+    }
+
+    /// Takes over what another process sent. False if it was not newer.
+    pub fn take(&self, update: accept::Update) -> bool {
+        let mut reader = self.reader();
+        let taken = reader.take(update);
+        self.publish(&reader);
+        taken
+    }
+
+    /// Stops reading the log; the catalogue stays in force.
+    pub fn stop(&self) {
+        self.0.stop.store(true, atomic::Ordering::Relaxed);
+    }
+
+    fn reader(&self) -> sync::MutexGuard<'_, accept::Reader> {
+        self.0
+            .reader
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn listeners(&self) -> sync::MutexGuard<'_, Vec<Listener>> {
+        self.0
+            .listeners
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Puts the reader's catalogue in force. The caller holds the reader's lock, so that two
+    /// threads can't do this in the wrong order.
+    fn publish(&self, reader: &accept::Reader) {
+        let Some(accepted) = reader.current() else {
+            return;
+        };
+        let listeners = self.listeners();
+        if accepted.revision <= self.revision() {
+            return;
+        }
+        *self
+            .0
+            .current
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner) = Some(sync::Arc::clone(&accepted));
+        self.0
+            .ring
+            .note(event::Kind::CatalogueAccepted)
+            .revision(accepted.revision)
+            .send();
+        for listener in listeners.iter() {
+            listener(&accepted);
+        }
+    }
+}
+
+struct Poller {
+    handle: Handle,
+    client: log::Log,
+    timing: Timing,
+    watches: Box<dyn Fn() -> bool + Send>,
+    random: random::Random,
+    plan: accept::Plan,
+    began: time::Instant,
+    failures: u32,
+}
+
+impl Poller {
+    fn run(mut self) {
+        if !(self.watches)() {
+            let wait = self.timing.start.mul_f64(self.random.unit());
+            self.sleep(wait, |handle| !handle.wants());
+        }
+        while !self.stopped() {
+            let watches = (self.watches)();
+            match self.step(watches) {
+                Ok(()) => {
+                    self.recovered();
+                    if !watches && !self.handle.reader().gap() {
+                        // Half to one and a half of the mean, so that reads do not bunch.
+                        let wait = self.timing.poll.mul_f64(0.5 + self.random.unit());
+                        self.sleep(wait, |_| false);
+                    }
+                }
+                Err(err) => self.failed(&err),
+            }
+        }
+    }
+
+    fn stopped(&self) -> bool {
+        self.handle.0.stop.load(atomic::Ordering::Relaxed)
+    }
+
+    fn step(&mut self, watches: bool) -> error::Result<()> {
+        if self.handle.reader().from() == 1 {
+            self.find_snapshot()?;
+        }
+        let (from, position) = {
+            let reader = self.handle.reader();
+            (reader.from(), reader.state().next)
+        };
+        let wait = if watches {
+            self.wait()
+        } else {
+            time::Duration::ZERO
+        };
+        let batch = self.client.read(log::CATALOGUE_STREAM, from, BATCH, wait)?;
+        check_end(&batch, position)?;
+        self.apply(from, &batch);
+        if watches && batch.records.len() < BATCH as usize {
+            self.put_snapshot(batch.first)?;
+        }
+        Ok(())
+    }
+
+    /// A watcher comes back from the log in time for a snapshot that may be due.
+    fn wait(&self) -> time::Duration {
+        self.timing.wait.min(self.timing.pace.urgent)
+    }
+
+    /// Reads the end of the log for a snapshot, rather than all of it from the start.
+    fn find_snapshot(&mut self) -> error::Result<()> {
+        let none = time::Duration::ZERO;
+        let ends = self.client.read(log::CATALOGUE_STREAM, u64::MAX, 1, none)?;
+        let mut count = TAIL;
+        while count < ends.next {
+            let from = ends.next.saturating_sub(count).max(ends.first);
+            let batch = self
+                .client
+                .read(log::CATALOGUE_STREAM, from, count as u32, none)?;
+            if let Some(state) = accept::newest(batch.first, &entries(&batch)) {
+                let mut reader = self.handle.reader();
+                reader.offer(state);
+                self.handle.publish(&reader);
+                return Ok(());
+            }
+            if from == ends.first {
+                break;
+            }
+            count = count.saturating_mul(8);
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, from: u64, batch: &log::Batch) {
+        let ring = self.handle.0.ring.clone();
+        let now = self.began.elapsed();
+        let mut reader = self.handle.reader();
+        let gap = reader.gap();
+        let first = batch.first;
+        let judged = reader.apply(accept::Batch {
+            from,
+            first,
+            entries: &entries(batch),
+        });
+        if reader.gap() && !gap {
+            ring.note(event::Kind::LogGap).field("first", first).send();
+        }
+        for judged in &judged {
+            if judged.verdict == accept::Verdict::Snapshot {
+                self.plan
+                    .observe(now, judged.offset, reader.state().revision);
+            }
+            refused(&ring, judged);
+        }
+        self.handle.publish(&reader);
+    }
+
+    fn put_snapshot(&mut self, first: u64) -> error::Result<()> {
+        let (state, gap) = {
+            let reader = self.handle.reader();
+            (reader.state().clone(), reader.gap())
+        };
+        let now = self.began.elapsed();
+        let part = self.random.unit();
+        if gap || !self.plan.is_due(self.timing.pace, now, first, &state, part) {
+            return Ok(());
+        }
+        let revision = state.revision;
+        let body = accept::Record::Snapshot(state).encode();
+        let offset = self.client.append(log::CATALOGUE_STREAM, &body)?;
+        let ring = &self.handle.0.ring;
+        let note = ring.note(event::Kind::CatalogueSnapshot).revision(revision);
+        note.field("offset", offset).send();
+        Ok(())
+    }
+
+    fn recovered(&mut self) {
+        if self.failures > 0 {
+            self.handle.0.ring.note(event::Kind::LogRecovered).send();
+        }
+        self.failures = 0;
+    }
+
+    fn failed(&mut self, err: &error::Error) {
+        if self.failures == 0 {
+            let note = self.handle.0.ring.note(event::Kind::LogUnavailable);
+            note.code(err.code()).field("error", err).send();
+        }
+        let [least, most] = self.timing.backoff;
+        let wait = least.saturating_mul(1 << self.failures.min(10)).min(most);
+        self.failures += 1;
+        // Full jitter: after an outage everybody is here.
+        let wait = least.max(wait.mul_f64(self.random.unit()));
+        self.sleep(wait, |_| false);
+    }
+
+    /// Sleeps, unless the process stops, becomes a watcher or `enough` is reached.
+    fn sleep(&self, wait: time::Duration, enough: impl Fn(&Handle) -> bool) {
+        let end = time::Instant::now() + wait;
+        let watched = (self.watches)();
+        while !self.stopped() && !enough(&self.handle) && (self.watches)() == watched {
+            let left = end.saturating_duration_since(time::Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            thread::sleep(left.min(SLICE));
+        }
+    }
+}
+
+/// A log that ends before this process's position is not the one that was read: its offsets
+/// would be taken for others.
+fn check_end(batch: &log::Batch, position: u64) -> error::Result<()> {
+    if batch.next >= position {
+        return Ok(());
+    }
+    let text = format!("the log ends at {}, before position {position}", batch.next);
+    Err(error::Error::coded(code::Code::LogUnavailable, text))
+}
+
+fn entries(batch: &log::Batch) -> Vec<accept::Entry<'_>> {
+    batch
+        .records
+        .iter()
+        .map(|record| accept::Entry {
+            offset: record.offset,
+            body: &record.body,
+        })
+        .collect()
+}
+
+fn refused(ring: &event::Ring, judged: &accept::Judged) {
+    let reason = match &judged.verdict {
+        accept::Verdict::LostRace(to) => format!("lost the race to revision {to}"),
+        accept::Verdict::Invalid(fault) => fault.clone(),
+        accept::Verdict::Foreign => "not a record".into(),
+        _ => return,
+    };
+    let note = ring
+        .note(event::Kind::CatalogueRefused)
+        .revision(judged.offset);
+    note.field("change", &judged.change_id)
+        .field("reason", reason)
+        .send();
+}
--- /dev/null
+++ b/src/control/exchange.rs
@@ -0,0 +1,307 @@
+//! The exchange of digests between processes: catalogue and membership.
+//!
+//! Each process exchanges with one other, chosen at random, every period, and at once with a few
+//! when it has learned something urgent: a new catalogue revision or that a process is leaving.
+//! Both sides tell what they have and take what is newer, so news passes either way.
+
+use std::sync::atomic;
+use std::{net, sync, time};
+
+use prost::Message as _;
+use tonic::{Request, Response, Status};
+
+use crate::control::{catalogue, member};
+use crate::decide::{accept, member as table};
+use crate::wire::{self, peer_client, peer_server, secret};
+use crate::{error, event, settings};
+
+/// Time between two exchanges that a process begins. With as many that others begin, a node sends
+/// and receives two digests every period each way.
+pub const PERIOD: time::Duration = time::Duration::from_secs(2);
+
+/// Processes told at once of urgent news. Three, each telling three more, are 1,270 in seven steps.
+const FANOUT: usize = 3;
+
+/// How long one exchange may take; a whole catalogue passes in it.
+const TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// Largest digest, in bytes: a whole catalogue of 7,400 customers is about 2 MB.
+const DIGEST_LIMIT: usize = 16 << 20;
+
+/// Time between two requests for a whole catalogue of a process whose log reading has a gap: it
+/// has one in force already, and the answer may not help.
+const WHOLE_PERIOD: time::Duration = time::Duration::from_secs(30);
+
+/// What an exchange is started with.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// What this process says of itself; its address is where [`Handle::service`] is served.
+    pub own: table::Member,
+    /// Address of the platform's log.
+    pub log_address: net::SocketAddr,
+    /// Secret of the fleet.
+    pub secret: settings::Secret,
+    /// Events of this process.
+    pub ring: event::Ring,
+    /// How the log is read.
+    pub timing: catalogue::Timing,
+    /// Time between two exchanges.
+    pub period: time::Duration,
+}
+
+#[derive(Debug)]
+struct Shared {
+    secret: settings::Secret,
+    ring: event::Ring,
+    period: time::Duration,
+    catalogue: catalogue::Handle,
+    members: member::Handle,
+    news: tokio::sync::Notify,
+    sent: atomic::AtomicU64,
+    received: atomic::AtomicU64,
+    last_whole: sync::Mutex<Option<time::Instant>>,
+}
+
+/// A running exchange with the controllers it feeds; it ends when this is dropped.
+#[derive(Debug)]
+pub struct Handle {
+    /// The catalogue in force.
+    pub catalogue: catalogue::Handle,
+    /// Who lives.
+    pub members: member::Handle,
+    shared: sync::Arc<Shared>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+/// Starts to follow the catalogue and to exchange digests. The caller serves [`Handle::service`].
+pub fn spawn(setup: Setup, runtime: &tokio::runtime::Handle) -> error::Result<Handle> {
+    let members = member::open(setup.own, setup.ring.clone());
+    let watches = members.clone();
+    let catalogue = catalogue::spawn(
+        setup.log_address,
+        setup.timing,
+        setup.ring.clone(),
+        move || watches.is_watcher(),
+    )?;
+    let shared = sync::Arc::new(Shared {
+        secret: setup.secret,
+        ring: setup.ring,
+        period: setup.period,
+        catalogue: catalogue.clone(),
+        members: members.clone(),
+        news: tokio::sync::Notify::new(),
+        sent: atomic::AtomicU64::new(0),
+        received: atomic::AtomicU64::new(0),
+        last_whole: sync::Mutex::new(None),
+    });
+    let weak = sync::Arc::downgrade(&shared);
+    catalogue.subscribe(move |_| {
+        if let Some(shared) = weak.upgrade() {
+            shared.news.notify_one();
+        }
+    });
+    let weak = sync::Arc::downgrade(&shared);
+    members.subscribe(move || {
+        if let Some(shared) = weak.upgrade().filter(|shared| shared.members.take_urgent()) {
+            shared.news.notify_one();
+        }
+    });
+    let task = runtime.spawn(run(sync::Arc::clone(&shared)));
+    Ok(Handle {
+        catalogue,
+        members,
+        shared,
+        task,
+    })
+}
+
+impl Handle {
+    /// The service to be served at this process's address.
+    pub fn service(&self) -> peer_server::PeerServer<Service> {
+        peer_server::PeerServer::new(Service(sync::Arc::clone(&self.shared)))
+            .max_decoding_message_size(DIGEST_LIMIT)
+    }
+
+    /// Bytes of digests sent and received so far, without the transport's own.
+    pub fn bytes(&self) -> (u64, u64) {
+        let get = |counter: &atomic::AtomicU64| counter.load(atomic::Ordering::Relaxed);
+        (get(&self.shared.sent), get(&self.shared.received))
+    }
+
+    /// This process begins to leave, and tells others at once.
+    pub fn leave(&self) {
+        self.members.leave();
+        self.shared.news.notify_one();
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.catalogue.stop();
+    }
+}
+
+async fn run(shared: sync::Arc<Shared>) {
+    let began = time::Instant::now();
+    let mut beats = 0;
+    loop {
+        // The jitter keeps processes that started together from staying in step.
+        let part = 0.75 + 0.5 * f64::from(rand_byte(&shared)) / 255.0;
+        let urgent = tokio::select! {
+            () = tokio::time::sleep(shared.period.mul_f64(part)) => false,
+            () = shared.news.notified() => true,
+        };
+        let due = began.elapsed().as_secs() / table::BEAT_PERIOD.as_secs();
+        shared.members.tick(due > beats);
+        beats = due;
+        let count = if urgent { FANOUT } else { 1 };
+        let mut calls = tokio::task::JoinSet::new();
+        for target in shared.members.targets(count) {
+            calls.spawn(tell(sync::Arc::clone(&shared), target));
+        }
+        while calls.join_next().await.is_some() {}
+    }
+}
+
+fn rand_byte(shared: &Shared) -> u8 {
+    // The clock's low bits differ enough between processes; nothing depends on more.
+    (shared.ring.stamp().0 >> 8) as u8
+}
+
+/// Exchanges with one process, and again if it turned out to be behind.
+async fn tell(shared: sync::Arc<Shared>, target: table::Member) {
+    let told = tokio::time::timeout(TIMEOUT, shared.call(&target)).await;
+    match told {
+        Ok(Ok(())) => {}
+        Ok(Err(error::Error::Status(status))) if status.code() == tonic::Code::PermissionDenied => {
+            let note = shared.ring.note(event::Kind::PeerRefused);
+            note.code(crate::code::Code::BadSecret)
+                .field("member", target.id)
+                .send();
+        }
+        Ok(Err(_)) | Err(_) => shared.members.observe_failure(&target.id),
+    }
+}
+
+impl Shared {
+    async fn call(&self, target: &table::Member) -> error::Result<()> {
+        let endpoint =
+            tonic::transport::Endpoint::from_shared(format!("http://{}", target.address))?;
+        let channel = endpoint
+            .connect_timeout(TIMEOUT)
+            .tcp_nodelay(true)
+            .connect()
+            .await?;
+        let mut client =
+            peer_client::PeerClient::new(channel).max_decoding_message_size(DIGEST_LIMIT);
+        let reply = self
+            .send(&mut client, self.digest(table::ROWS, None))
+            .await?;
+        if reply
+            .sender
+            .as_ref()
+            .is_none_or(|sender| sender.id != target.id)
+        {
+            // Another process has taken over the address.
+            self.members.observe_failure(&target.id);
+        }
+        if let Some(update) = self
+            .catalogue
+            .update(reply.catalogue_revision, reply.wants_catalogue)
+        {
+            self.send(&mut client, self.digest(0, Some(update))).await?;
+        }
+        Ok(())
+    }
+
+    async fn send(
+        &self,
+        client: &mut peer_client::PeerClient<tonic::transport::Channel>,
+        digest: wire::Digest,
+    ) -> error::Result<wire::Digest> {
+        count(&self.sent, &digest);
+        let mut request = Request::new(digest);
+        secret::sign(&self.secret, &mut request);
+        let reply = client.exchange(request).await?.into_inner();
+        self.observe(&reply);
+        Ok(reply)
+    }
+
+    fn observe(&self, digest: &wire::Digest) {
+        count(&self.received, digest);
+        self.ring.observe(event::Stamp(digest.stamp));
+        self.members.observe_digest(digest);
+        if let Ok(update) = serde_json::from_slice(&digest.catalogue) {
+            self.catalogue.take(update);
+        }
+    }
+
+    fn digest(&self, rows: usize, update: Option<accept::Update>) -> wire::Digest {
+        let own = member::sent(&self.members.own());
+        let catalogue = update.and_then(|update| serde_json::to_vec(&update).ok());
+        wire::Digest {
+            sender: own.process,
+            catalogue_revision: self.catalogue.revision(),
+            catalogue: catalogue.unwrap_or_default().into(),
+            wants_catalogue: self.wants(),
+            members: self.members.digest(rows),
+            stamp: self.ring.stamp().0,
+        }
+    }
+
+    /// Without a catalogue it asks everybody; with a gap behind one it asks now and then.
+    fn wants(&self) -> bool {
+        if !self.catalogue.wants() {
+            return false;
+        }
+        if self.catalogue.revision() == 0 {
+            return true;
+        }
+        let mut last = self
+            .last_whole
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let due = last.is_none_or(|at| at.elapsed() >= WHOLE_PERIOD);
+        if due {
+            *last = Some(time::Instant::now());
+        }
+        due
+    }
+}
+
+fn count(counter: &atomic::AtomicU64, digest: &wire::Digest) {
+    counter.fetch_add(digest.encoded_len() as u64, atomic::Ordering::Relaxed);
+}
+
+/// The side that answers.
+#[derive(Clone, Debug)]
+pub struct Service(sync::Arc<Shared>);
+
+#[tonic::async_trait]
+impl peer_server::Peer for Service {
+    async fn exchange(
+        &self,
+        request: Request<wire::Digest>,
+    ) -> Result<Response<wire::Digest>, Status> {
+        let shared = &self.0;
+        if let Err(status) = secret::check(&shared.secret, &request) {
+            let note = shared.ring.note(event::Kind::PeerRefused);
+            note.code(crate::code::Code::BadSecret).send();
+            return Err(status);
+        }
+        let digest = request.into_inner();
+        let joins = digest
+            .sender
+            .as_ref()
+            .is_some_and(|p| !shared.members.knows(&p.id));
+        shared.observe(&digest);
+        let update = shared
+            .catalogue
+            .update(digest.catalogue_revision, digest.wants_catalogue);
+        let rows = if joins { table::JOIN_ROWS } else { table::ROWS };
+        let reply = shared.digest(rows, update);
+        count(&shared.sent, &reply);
+        Ok(Response::new(reply))
+    }
+}
--- /dev/null
+++ b/tests/exchange.rs
@@ -0,0 +1,131 @@
+//! Processes that exchange their catalogue and membership.
+
+mod support;
+
+use chivebend::decide::member;
+use chivebend::{process, standin};
+use support::node;
+use support::until;
+
+fn open() -> (process::Runtime, standin::log::Handle) {
+    (
+        process::Runtime::open("test").expect("runtime"),
+        node::open_log(),
+    )
+}
+
+fn all_at(nodes: &[node::Node], revision: u64) -> bool {
+    nodes.iter().all(|node| node.revision() == revision)
+}
+
+#[test]
+fn a_change_reaches_processes_that_cannot_read_the_log() {
+    let (runtime, log) = open();
+    let mut nodes = node::fleet(&runtime, log.addr, 4);
+    // These know another log, which has nothing.
+    let empty = node::open_log();
+    for at in 0..6 {
+        let id = format!("far{at}");
+        nodes.push(node::Node::spawn(&runtime, empty.addr, &id, 1, "secret"));
+    }
+    let list = node::list(&nodes);
+    for node in &nodes {
+        node.exchange.members.observe_list(&list);
+    }
+    assert!(
+        nodes
+            .iter()
+            .all(|n| n.exchange.catalogue.current().is_none()),
+        "nothing is guessed"
+    );
+    node::append(&log, &node::change("a", 0, &node::text(1), ""));
+    until("the first change", || all_at(&nodes, 1));
+    node::append(&log, &node::change("b", 1, &node::text(2), &node::text(1)));
+    until("the second change", || all_at(&nodes, 2));
+}
+
+#[test]
+fn a_process_that_starts_while_the_log_is_down_gets_the_newest_state() {
+    let (runtime, log) = open();
+    let mut nodes = node::fleet(&runtime, log.addr, 4);
+    node::append(&log, &node::change("a", 0, &node::text(1), ""));
+    until("the change", || all_at(&nodes, 1));
+    log.switch(standin::log::Switches {
+        outage: Some(true),
+        ..Default::default()
+    });
+    until("the outage is noticed", || {
+        nodes.iter().any(|n| n.count("log_unavailable") > 0)
+    });
+    nodes[0] = node::Node::spawn(&runtime, log.addr, "n0", 2, "secret");
+    let list = node::list(&nodes);
+    for node in &nodes {
+        node.exchange.members.observe_list(&list);
+    }
+    until("the state from its peers", || all_at(&nodes, 1));
+}
+
+#[test]
+fn a_process_without_the_secret_is_told_nothing() {
+    let (runtime, log) = open();
+    let mut nodes = node::fleet(&runtime, log.addr, 2);
+    node::append(&log, &node::change("a", 0, &node::text(1), ""));
+    until("the change", || all_at(&nodes, 1));
+    let empty = node::open_log();
+    nodes.push(node::Node::spawn(
+        &runtime, empty.addr, "stranger", 1, "wrong",
+    ));
+    let list = node::list(&nodes);
+    for node in &nodes {
+        node.exchange.members.observe_list(&list);
+    }
+    until("both sides refuse", || nodes[0].count("peer_refused") > 1);
+    assert_eq!(nodes[2].revision(), 0);
+}
+
+#[test]
+fn leaving_and_restarts_spread_without_the_list() {
+    let (runtime, log) = open();
+    let mut nodes = node::fleet(&runtime, log.addr, 12);
+    let live = |node: &node::Node| {
+        let live = node
+            .exchange
+            .members
+            .live(member::Role::Sidecar, Some("llm"));
+        live.into_iter().map(|m| m.id).collect::<Vec<_>>()
+    };
+    nodes[3].exchange.leave();
+    until("nobody uses it", || {
+        nodes
+            .iter()
+            .filter(|n| n.instance.id != "n3")
+            .all(|n| !live(n).contains(&"n3".into()))
+    });
+    // It starts again elsewhere and only one process has heard of that.
+    nodes[3] = node::Node::spawn(&runtime, log.addr, "n3", 2, "secret");
+    nodes[3]
+        .exchange
+        .members
+        .observe_list(&node::list(&nodes[..1]));
+    until("everybody uses it", || {
+        nodes
+            .iter()
+            .filter(|n| n.instance.id != "n3")
+            .all(|n| live(n).contains(&"n3".into()))
+    });
+}
+
+#[test]
+fn a_process_that_does_not_answer_is_suspected() {
+    let (runtime, log) = open();
+    let mut nodes = node::fleet(&runtime, log.addr, 3);
+    let gone = nodes.remove(1);
+    drop(gone);
+    until("it is suspected", || {
+        nodes.iter().all(|n| n.count("member_suspected") > 0)
+    });
+    for node in &nodes {
+        let live = node.exchange.members.live(member::Role::Sidecar, None);
+        assert!(live.iter().all(|m| m.id != "n1"));
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod node;
 pub mod relay;
 
 use std::io::{BufRead, BufReader, Read};
