Make every log record one key=value line

Cause: lines logged with pairs and no message came out empty, and libraries' warnings were not written at all. Change: logging wraps log4rs: events pass as they are, all other records become escaped pairs; libraries' lines from warning up are written as event=library. Conclusion: tests/events.rs holds the forms.

--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -17,12 +17,16 @@
 mod text;
 
 pub use kind::{KINDS, Kind, Row};
+pub(crate) use text::pair;
 pub use text::{details, line};
 
 /// Events a process keeps by default. At 512 bytes each, 4 MB of the node's 256 MB; at 40 requests
 /// a second with four events each, the last 50 seconds.
 pub const CAPACITY: usize = 8192;
 
+/// Target of events' log lines, which are whole already.
+pub const TARGET: &str = "chivebend::event";
+
 /// How far ahead of this machine's clock another's stamp may be. Clocks kept by NTP differ by far
 /// less; a stamp beyond it would drag every process's clock along, so it is ignored.
 const CLOCK_LEAD: time::Duration = time::Duration::from_secs(60);
@@ -254,7 +258,7 @@
             fields: note.fields,
             repeats,
         };
-        let line = log::log_enabled!(row.level).then(|| line(&event));
+        let line = log::log_enabled!(target: TARGET, row.level).then(|| line(&event));
         if state.events.len() == self.0.capacity {
             state.events.pop_front();
             state.overwritten += 1;
@@ -262,7 +266,7 @@
         state.events.push_back(event);
         drop(state);
         if let Some(line) = line {
-            log::log!(row.level, "{line}");
+            log::log!(target: TARGET, row.level, "{line}");
         }
     }
 }
--- a/src/event/text.rs
+++ b/src/event/text.rs
@@ -19,7 +19,7 @@
 }
 
 /// Appends ` key=value`; a value with anything but plain characters is quoted and escaped.
-fn pair(line: &mut String, key: &str, value: &str) {
+pub(crate) fn pair(line: &mut String, key: &str, value: &str) {
     line.push(' ');
     line.push_str(key);
     line.push('=');
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,17 +1,75 @@
 //! Logs: key=value lines on standard error.
+//!
+//! Events come as whole lines ([`event::line`]). Anything else, a library's message among it, is
+//! made one key=value line here, escaped, before `log4rs` writes it.
 
+use log::kv;
 use log4rs::append::console;
 use log4rs::config;
 use log4rs::encode::pattern;
 
 use crate::code;
 use crate::error;
+use crate::event;
 
-/// Time, level, then the event's own pairs.
+/// Time, level, then the pairs.
 const PATTERN: &str = "ts={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} {m}{n}";
 
-/// Only this crate's lines are written: a library's free text could forge pairs.
-const TARGET: &str = "chivebend";
+/// Target of this crate's lines.
+const OWN: &str = "chivebend";
+
+/// Least level of libraries' lines; below it they would drown the events.
+const LIBRARIES: log::LevelFilter = log::LevelFilter::Warn;
+
+/// Makes every record a key=value line and hands it to `log4rs`.
+struct Lines(log4rs::Logger);
+
+impl log::Log for Lines {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        self.0.enabled(metadata)
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if !self.0.enabled(record.metadata()) {
+            return;
+        }
+        let text = line(record);
+        self.0
+            .log(&record.to_builder().args(format_args!("{text}")).build());
+    }
+
+    fn flush(&self) {
+        self.0.flush();
+    }
+}
+
+/// The pairs of a record, without time and level.
+pub fn line(record: &log::Record<'_>) -> String {
+    let message = record.args().to_string();
+    if record.target() == event::TARGET {
+        return message;
+    }
+    let mut line = String::new();
+    if !record.target().starts_with(OWN) {
+        event::pair(&mut line, "event", "library");
+        event::pair(&mut line, "target", record.target());
+    }
+    // It fails only if the visitor does, which it never does.
+    drop(record.key_values().visit(&mut Pairs(&mut line)));
+    if !message.is_empty() {
+        event::pair(&mut line, "message", &message);
+    }
+    line.trim_start().to_owned()
+}
+
+struct Pairs<'a>(&'a mut String);
+
+impl<'kvs> kv::VisitSource<'kvs> for Pairs<'_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        event::pair(self.0, key.as_str(), &value.to_string());
+        Ok(())
+    }
+}
 
 /// Starts logging. A second call in one process keeps the first's level.
 pub fn init(level: log::LevelFilter) -> error::Result<()> {
@@ -21,14 +79,17 @@
         .build();
     let config = config::Config::builder()
         .appender(config::Appender::builder().build("stderr", Box::new(appender)))
-        .logger(
-            config::Logger::builder()
+        .logger(config::Logger::builder().build(OWN, level))
+        .build(
+            config::Root::builder()
                 .appender("stderr")
-                .additive(false)
-                .build(TARGET, level),
+                .build(level.min(LIBRARIES)),
         )
-        .build(config::Root::builder().build(log::LevelFilter::Off))
         .map_err(|err| error::Error::coded(code::Code::Internal, err.to_string()))?;
+    let lines = Box::new(Lines(log4rs::Logger::new(config)));
     // Several roles may share a process, as in `chivebend demo`; the first one's call stands.
-    log4rs::init_config(config).map_or(Ok(()), |_| Ok(()))
+    if log::set_boxed_logger(lines).is_ok() {
+        log::set_max_level(level);
+    }
+    Ok(())
 }
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -4,6 +4,7 @@
 
 use chivebend::code;
 use chivebend::event;
+use chivebend::logging;
 use proptest::prelude::*;
 
 fn ring(name: &str, capacity: usize) -> event::Ring {
@@ -213,3 +214,39 @@
         assert_eq!(kind.row().name, row.name);
     }
 }
+
+#[test]
+fn every_record_becomes_one_line_of_pairs() {
+    struct Case {
+        target: &'static str,
+        pairs: &'static [(&'static str, &'static str)],
+        message: &'static str,
+        want: &'static str,
+    }
+    let cases = [
+        Case {
+            target: event::TARGET,
+            pairs: &[],
+            message: "event=run_started instance=s1",
+            want: "event=run_started instance=s1",
+        },
+        Case {
+            target: "chivebend::core",
+            pairs: &[("event", "internal_fault"), ("error", "a b")],
+            message: "",
+            want: "event=internal_fault error=\"a b\"",
+        },
+        Case {
+            target: "hyper::proto",
+            pairs: &[],
+            message: "bad\nlevel=ERROR event=forged",
+            want: "event=library target=hyper::proto message=\"bad\\nlevel=ERROR event=forged\"",
+        },
+    ];
+    for case in cases {
+        let mut builder = log::Record::builder();
+        builder.target(case.target).key_values(&case.pairs);
+        let line = logging::line(&builder.args(format_args!("{}", case.message)).build());
+        assert_eq!(line, case.want);
+    }
+}
