--- a/examples/measure/entry.rs
+++ b/examples/measure/entry.rs
@@ -37,6 +37,8 @@
     pub wants: collections::VecDeque<(usize, time::Duration)>,
     /// Fair queue of this entry alone, for the baseline without exchange.
     pub local: queue::Queue,
+    /// When each sidecar was last told totals.
+    pub told: collections::BTreeMap<usize, time::Duration>,
     /// Cut off from the other entries.
     pub partitioned: bool,
 }
@@ -67,6 +69,7 @@
                 total: u32::MAX,
                 floor: 0,
             }),
+            told: collections::BTreeMap::new(),
             partitioned: false,
         }
     }
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use chivebend::decide::ledger;
 use clap::Parser as _;
 
 #[allow(
@@ -11,7 +12,11 @@
 #[path = "world.rs"]
 mod world;
 
-use world::plan::{Customer, Hint, Load, Plan, Policy};
+use world::plan::{Customer, Fault, Hint, Load, Plan, Policy};
+
+/// When the flooder starts, after the fleet is full: what has started can't be called back, so on an
+/// empty fleet the first to come would hold every slot whatever the order.
+const FLOOD_AT: time::Duration = time::Duration::from_secs(1);
 
 /// Drives the decision modules through a delay queue in virtual time and prints figures; the last
 /// line is key=value.
@@ -86,7 +91,11 @@
         slots: args.slots,
         delay: time::Duration::from_millis(args.delay_ms),
         links: if args.runners > 64 { 64 } else { usize::MAX },
-        budget: args.budget.unwrap_or(default.budget),
+        budget: args.budget.unwrap_or(if args.entries > ledger::DIRECT {
+            ledger::BUDGET_HOMES
+        } else {
+            ledger::BUDGET_DIRECT
+        }),
         seed: args.seed,
         policy: args.policy,
         ..default
@@ -144,7 +153,9 @@
             }
         })
         .collect();
+    let flood = std::mem::replace(&mut plan.customers[0], backlogged(args, 0, false)).load;
     let mut world = world::World::new(plan);
+    world.at(FLOOD_AT, Fault::Load(0, flood));
     world.run(time::Duration::from_secs(args.seconds));
     let gap = world.gap_ratio();
     println!("{:?}", world.bytes);
--- a/examples/measure/plan.rs
+++ b/examples/measure/plan.rs
@@ -2,7 +2,10 @@
 
 use std::time;
 
-use chivebend::{code, decide::queue};
+use chivebend::{
+    code,
+    decide::{ledger, queue},
+};
 
 /// Rule that orders waiting requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
@@ -147,7 +150,7 @@
             links: usize::MAX,
             placements: 3,
             placed: 1_000,
-            budget: 4_000,
+            budget: ledger::BUDGET_DIRECT,
             seed: 1,
             policy: Policy::Fleet,
             limit: queue::Limit::default(),
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -45,6 +45,17 @@
 /// Longest time between two reports of a customer that waits.
 pub const INTERVAL_MAX: time::Duration = time::Duration::from_secs(2);
 
+/// Bytes a second, in and out together, that an entry spends on reports where every entry is a home.
+/// A report then leaves about every three quarters of a second with 16 customers.
+pub const BUDGET_DIRECT: usize = 6_000;
+
+/// The same where customers have homes: with heartbeats, totals to sidecars and membership it must
+/// stay below 6,000 bytes a second.
+pub const BUDGET_HOMES: usize = 2_500;
+
+/// Shortest time between two frames of totals from an entry to a sidecar.
+pub const TOTALS_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
 /// A process that reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Source {
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -5,11 +5,12 @@
 //! bounds per customer a flooder fills the queue and others are turned away.
 //!
 //! Customers are ordered by their tag in [`share::Table`], ties by who has waited longest; tickets
-//! of one customer are in order of arrival. The heap holds one item per waiting customer. Tags only
-//! rise between calls of [`Queue::reorder`], so an item that has become stale is corrected when it
-//! comes to the top: each pick costs the logarithm of the waiting customers, plus one correction
-//! for each total heard since. Lists and heap keep their memory, so nothing is allocated in steady
-//! state. Time is the duration since the process started.
+//! of one customer are in order of arrival. The heap holds one valid item per waiting customer. An
+//! item whose tag has risen since is corrected when it comes to the top; a customer whose tag fell
+//! because a request ended gets a new item, and the old one is dropped when it comes to the top.
+//! Each pick costs the logarithm of the waiting customers, plus one correction for each total heard
+//! and each request ended since. Lists and heap keep their memory, so nothing is allocated in
+//! steady state. Time is the duration since the process started.
 
 use std::{cmp, collections, time};
 
@@ -28,6 +29,10 @@
 /// keep it out.
 pub const FLOOR_TICKETS: u32 = 4;
 
+/// Heap items, besides two for each waiting customer, at which invalid ones are swept out: sweeping
+/// then costs less than the pushes that made it necessary.
+const SWEEP_SLACK: usize = 64;
+
 /// Bounds of the queue.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
@@ -72,7 +77,9 @@
     first: Option<key::Ticket>,
     last: Option<key::Ticket>,
     len: u32,
-    in_heap: bool,
+    // Turn and tag of the customer's valid item in the heap; turn 0 is none.
+    turn: u64,
+    tag: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -90,6 +97,8 @@
     nodes: SlotMap<key::Ticket, Node>,
     lists: SecondaryMap<key::Customer, List>,
     heap: collections::BinaryHeap<Item>,
+    // Customers with a valid item.
+    listed: usize,
     turn: u64,
     expired: u64,
 }
@@ -136,6 +145,7 @@
             nodes: SlotMap::with_key(),
             lists: SecondaryMap::new(),
             heap: collections::BinaryHeap::new(),
+            listed: 0,
             turn: 0,
             expired: 0,
         }
@@ -197,18 +207,41 @@
         }
         list.last = Some(key);
         list.len += 1;
-        if !list.in_heap {
-            list.in_heap = true;
-            self.turn += 1;
-            self.heap.push(Item {
-                tag: shares.tag(ticket.customer),
-                turn: self.turn,
-                customer: ticket.customer,
-            });
+        if list.turn == 0 {
+            self.listed += 1;
+            self.push(ticket.customer, shares.tag(ticket.customer));
         }
         Ok(key)
     }
 
+    fn push(&mut self, customer: key::Customer, tag: f64) {
+        self.turn += 1;
+        let turn = self.turn;
+        let list = &mut self.lists[customer];
+        (list.turn, list.tag) = (turn, tag);
+        self.heap.push(Item {
+            tag,
+            turn,
+            customer,
+        });
+    }
+
+    // Puts customers whose tag fell where they belong.
+    fn lower(&mut self, shares: &mut share::Table) {
+        while let Some(customer) = shares.next_lowered() {
+            let tag = shares.tag(customer);
+            let listed = |list: &List| list.turn != 0 && tag < list.tag;
+            if self.lists.get(customer).is_some_and(listed) {
+                self.push(customer, tag);
+            }
+        }
+        if self.heap.len() > 2 * self.listed + SWEEP_SLACK {
+            let lists = &self.lists;
+            self.heap
+                .retain(|item| lists[item.customer].turn == item.turn);
+        }
+    }
+
     /// Takes a ticket out. Its customer's item leaves the heap when it comes to the top.
     pub fn void(&mut self, key: key::Ticket) -> Option<Ticket> {
         let node = self.nodes.remove(key)?;
@@ -232,8 +265,9 @@
         now: time::Duration,
         shares: &mut share::Table,
     ) -> Option<(key::Ticket, Ticket)> {
+        shares.tick(now);
         loop {
-            let (customer, tag) = self.top(now, shares)?;
+            let (customer, _) = self.top(now, shares)?;
             let Some(first) = self.lists[customer].first else {
                 continue;
             };
@@ -242,10 +276,12 @@
             };
             // To the end of the round: equal tags take turns.
             self.turn += 1;
+            let turn = self.turn;
+            self.lists[customer].turn = turn;
             if let Some(mut item) = self.heap.peek_mut() {
-                item.turn = self.turn;
+                item.turn = turn;
             }
-            shares.advance(tag);
+            shares.advance(shares.virtual_tag(customer));
             return Some((first, ticket));
         }
     }
@@ -254,14 +290,20 @@
     pub fn top(
         &mut self,
         now: time::Duration,
-        shares: &share::Table,
+        shares: &mut share::Table,
     ) -> Option<(key::Customer, f64)> {
+        self.lower(shares);
         loop {
             let item = *self.heap.peek()?;
+            if self.lists[item.customer].turn != item.turn {
+                self.heap.pop();
+                continue;
+            }
             self.drop_expired(now, item.customer);
             let list = &mut self.lists[item.customer];
             if list.first.is_none() {
-                list.in_heap = false;
+                list.turn = 0;
+                self.listed -= 1;
                 self.heap.pop();
                 continue;
             }
@@ -269,6 +311,7 @@
             if tag <= item.tag {
                 return Some((item.customer, tag));
             }
+            list.tag = tag;
             if let Some(mut top) = self.heap.peek_mut() {
                 top.tag = tag;
             }
@@ -286,11 +329,13 @@
         }
     }
 
-    /// Sorts anew after a weight has changed, the one change that lets a tag fall.
+    /// Sorts anew after a weight has changed.
     pub fn reorder(&mut self, shares: &share::Table) {
         let mut items = std::mem::take(&mut self.heap).into_vec();
+        items.retain(|item| self.lists[item.customer].turn == item.turn);
         for item in &mut items {
             item.tag = shares.tag(item.customer);
+            self.lists[item.customer].tag = item.tag;
         }
         self.heap = items.into();
     }
