Publish by the accept rule, and have entries and sidecars follow it

Cause: processes read raw texts from the log in the order they came, so the last of two racing operators won silently, and a log that had dropped its records left a starting process with nothing. Change: entries and sidecars follow the catalogue and the membership through the exchange; the commands check, diff, publish and catalogue; publish resolves a lost answer by reading before it appends again; docs/CATALOGUE.md with both first users' catalogues, notes on the ways weighed. tests/support publishes by the same rule now instead of appending a text.

--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -7,6 +7,7 @@
 
 use crate::cmd;
 use crate::cmd::fleet;
+use crate::cmd::publish;
 use crate::code;
 use crate::entry;
 use crate::error;
@@ -30,6 +31,9 @@
 /// Longest wait for requests in progress once it is told to end.
 const SHUTDOWN_LIMIT_MS: u64 = 10_000;
 
+/// How long the log may take to accept the catalogue.
+const PUBLISH_LIMIT: time::Duration = time::Duration::from_secs(10);
+
 /// Runs two entries, two model engines and a plain service with their sidecars, the platform's log
 /// and its instance list, all in this process, on free ports of loopback. Prints how to call it.
 /// Ctrl-C ends it when every request in progress has its answer.
@@ -92,7 +96,18 @@
         log: standin::log::spawn(loopback(), standin::log::Switches::default())?,
         instances: standin::instances::spawn(loopback(), standin::instances::Switches::default())?,
     };
-    platform_log::open(platform.log.addr).append(platform_log::CATALOGUE_STREAM, CATALOGUE)?;
+    let request = publish::Request {
+        change_id: "demo".into(),
+        base: None,
+        over_gap: false,
+        author: "demo".into(),
+        toml: CATALOGUE.into(),
+    };
+    publish::publish(
+        &platform_log::open(platform.log.addr),
+        &request,
+        PUBLISH_LIMIT,
+    )?;
     let backends = backends(args)?;
     // Other processes of the machine cannot guess it, so nobody else joins the demo.
     let secret = settings::Secret::from_text(&uhlc::ID::rand().to_string());
--- a/src/cmd/fleet.rs
+++ b/src/cmd/fleet.rs
@@ -95,7 +95,8 @@
     }
 }
 
-fn target(row: &instances::Instance) -> Option<Target> {
+/// The process of a row, if it has an operators' port.
+pub fn target(row: &instances::Instance) -> Option<Target> {
     row.ops_address.map(|addr| Target {
         addr,
         leaving: row.state == instances::State::Leaving,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,12 +10,16 @@
 use crate::code;
 use crate::error;
 
+pub mod catalogue;
+pub mod check;
 pub mod completions;
 pub mod customers;
 pub mod demo;
+pub mod diff;
 pub mod drain;
 pub mod explain;
 pub mod fleet;
+pub mod publish;
 pub mod status;
 pub mod table;
 pub mod timeline;
@@ -38,6 +42,14 @@
 pub enum Command {
     /// Runs a whole fleet with its platform in this process.
     Demo(demo::Args),
+    /// Checks a catalogue file.
+    Check(check::Args),
+    /// Shows what publishing a catalogue file would change.
+    Diff(diff::Args),
+    /// Publishes a catalogue file.
+    Publish(publish::Args),
+    /// Shows the catalogue in force.
+    Catalogue(catalogue::Args),
     /// Shows the processes: revisions, queues, windows, slow or ejected backend servers.
     Status(status::Args),
     /// Shows the customers: service, share, waiting, refusals by code.
@@ -56,6 +68,10 @@
 pub fn run(command: Command) -> error::Result<()> {
     match command {
         Command::Demo(args) => demo::run(&args),
+        Command::Check(args) => check::run(&args),
+        Command::Diff(args) => diff::run(&args),
+        Command::Publish(args) => publish::run(&args),
+        Command::Catalogue(args) => catalogue::run(&args),
         Command::Status(args) => status::run(&args),
         Command::Customers(args) => customers::run(&args),
         Command::Timeline(args) => timeline::run(&args),
--- /dev/null
+++ b/src/control/catalogue/history.rs
@@ -0,0 +1,69 @@
+//! Reads the log to its end, for commands and for processes that start.
+
+use std::time;
+
+use crate::decide::accept;
+use crate::error;
+use crate::platform::log;
+
+/// Records of one read.
+pub const BATCH: u32 = 256;
+
+/// Records from the log's end that are searched for a snapshot first; then eight times as many.
+const TAIL: u64 = 64;
+
+/// The newest snapshot on the log, found from its end rather than by reading all of it.
+pub fn newest(client: &log::Log) -> error::Result<Option<accept::State>> {
+    let none = time::Duration::ZERO;
+    let ends = client.read(log::CATALOGUE_STREAM, u64::MAX, 1, none)?;
+    let mut count = TAIL;
+    while count < ends.next {
+        let from = ends.next.saturating_sub(count).max(ends.first);
+        let batch = client.read(log::CATALOGUE_STREAM, from, count as u32, none)?;
+        let found = accept::newest(batch.first, &entries(&batch));
+        if found.is_some() || from == ends.first {
+            return Ok(found);
+        }
+        count = count.saturating_mul(8);
+    }
+    Ok(None)
+}
+
+/// What is accepted according to the log alone.
+pub fn open(client: &log::Log) -> error::Result<accept::Reader> {
+    let mut reader = accept::Reader::default();
+    if let Some(state) = newest(client)? {
+        reader.offer(state);
+    }
+    follow(client, &mut reader)?;
+    Ok(reader)
+}
+
+/// Reads on to the log's end.
+pub fn follow(
+    client: &log::Log,
+    reader: &mut accept::Reader,
+) -> error::Result<Vec<accept::Judged>> {
+    let mut judged = Vec::new();
+    loop {
+        let from = reader.from();
+        let batch = client.read(log::CATALOGUE_STREAM, from, BATCH, time::Duration::ZERO)?;
+        judged.extend(reader.apply(accept::Batch {
+            from,
+            first: batch.first,
+            entries: &entries(&batch),
+        }));
+        if reader.from() >= batch.next {
+            return Ok(judged);
+        }
+    }
+}
+
+/// The records of a read, as the accept rule takes them.
+pub fn entries<'a>(batch: &'a log::Batch) -> Vec<accept::Entry<'a>> {
+    let entry = |record: &'a log::Record| accept::Entry {
+        offset: record.offset,
+        body: &record.body,
+    };
+    batch.records.iter().map(entry).collect()
+}
--- a/src/control/catalogue.rs
+++ b/src/control/catalogue/mod.rs
@@ -5,6 +5,8 @@
 //! from peers and look at the log now and then, so that hundreds of processes cost the log about as
 //! much as a few dozen.
 
+pub mod history;
+
 use std::sync::atomic;
 use std::{net, sync, thread, time};
 
@@ -43,12 +45,6 @@
     }
 }
 
-/// Records of one read.
-const BATCH: u32 = 256;
-
-/// Records from the log's end that are searched for a snapshot first; then eight times as many.
-const TAIL: u64 = 64;
-
 /// Longest sleep before the thread looks again whether it is to stop or to watch.
 const SLICE: time::Duration = time::Duration::from_millis(100);
 
@@ -249,10 +245,12 @@
         } else {
             time::Duration::ZERO
         };
-        let batch = self.client.read(log::CATALOGUE_STREAM, from, BATCH, wait)?;
+        let batch = self
+            .client
+            .read(log::CATALOGUE_STREAM, from, history::BATCH, wait)?;
         check_end(&batch, position)?;
         self.apply(from, &batch);
-        if watches && batch.records.len() < BATCH as usize {
+        if watches && batch.records.len() < history::BATCH as usize {
             self.put_snapshot(batch.first)?;
         }
         Ok(())
@@ -263,26 +261,12 @@
         self.timing.wait.min(self.timing.pace.urgent)
     }
 
-    /// Reads the end of the log for a snapshot, rather than all of it from the start.
+    /// Starts from the newest snapshot, rather than from all of the log.
     fn find_snapshot(&mut self) -> error::Result<()> {
-        let none = time::Duration::ZERO;
-        let ends = self.client.read(log::CATALOGUE_STREAM, u64::MAX, 1, none)?;
-        let mut count = TAIL;
-        while count < ends.next {
-            let from = ends.next.saturating_sub(count).max(ends.first);
-            let batch = self
-                .client
-                .read(log::CATALOGUE_STREAM, from, count as u32, none)?;
-            if let Some(state) = accept::newest(batch.first, &entries(&batch)) {
-                let mut reader = self.handle.reader();
-                reader.offer(state);
-                self.handle.publish(&reader);
-                return Ok(());
-            }
-            if from == ends.first {
-                break;
-            }
-            count = count.saturating_mul(8);
+        if let Some(state) = history::newest(&self.client)? {
+            let mut reader = self.handle.reader();
+            reader.offer(state);
+            self.handle.publish(&reader);
         }
         Ok(())
     }
@@ -296,7 +280,7 @@
         let judged = reader.apply(accept::Batch {
             from,
             first,
-            entries: &entries(batch),
+            entries: &history::entries(batch),
         });
         if reader.gap() && !gap {
             ring.note(event::Kind::LogGap).field("first", first).send();
@@ -374,17 +358,6 @@
     Err(error::Error::coded(code::Code::LogUnavailable, text))
 }
 
-fn entries(batch: &log::Batch) -> Vec<accept::Entry<'_>> {
-    batch
-        .records
-        .iter()
-        .map(|record| accept::Entry {
-            offset: record.offset,
-            body: &record.body,
-        })
-        .collect()
-}
-
 fn refused(ring: &event::Ring, judged: &accept::Judged) {
     let reason = match &judged.verdict {
         accept::Verdict::LostRace(to) => format!("lost the race to revision {to}"),
--- a/src/control/exchange.rs
+++ b/src/control/exchange.rs
@@ -12,6 +12,7 @@
 
 use crate::control::{catalogue, member};
 use crate::decide::{accept, member as table};
+use crate::platform::instances;
 use crate::wire::{self, peer_client, peer_server, secret};
 use crate::{error, event, settings};
 
@@ -49,6 +50,20 @@
     pub period: time::Duration,
 }
 
+impl Setup {
+    /// What an instance starts with.
+    pub fn of(settings: &settings::Process, own: &instances::Instance, ring: event::Ring) -> Self {
+        Self {
+            own: member::listed(own).member,
+            log_address: settings.log_address,
+            secret: settings.secret.clone(),
+            ring,
+            timing: catalogue::Timing::default(),
+            period: PERIOD,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Shared {
     secret: settings::Secret,
@@ -102,7 +117,9 @@
     });
     let weak = sync::Arc::downgrade(&shared);
     members.subscribe(move || {
-        if let Some(shared) = weak.upgrade().filter(|shared| shared.members.take_urgent()) {
+        let Some(shared) = weak.upgrade() else { return };
+        // A process without a catalogue asks those it has just heard of.
+        if shared.members.take_urgent() || shared.catalogue.revision() == 0 {
             shared.news.notify_one();
         }
     });
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -58,12 +58,12 @@
         self.table().live(now, role, service).cloned().collect()
     }
 
-    /// All processes known, and whether each takes new work.
-    pub fn all(&self) -> Vec<(member::Member, bool)> {
+    /// All processes known, and how they stand.
+    pub fn all(&self) -> Vec<(member::Member, member::Standing)> {
         let now = self.now();
         self.table()
             .all(now)
-            .map(|(member, live)| (member.clone(), live))
+            .map(|(member, standing)| (member.clone(), standing))
             .collect()
     }
 
@@ -193,7 +193,8 @@
     ring.note(kind).field("member", id).send();
 }
 
-fn listed(instance: &instances::Instance) -> member::Listed {
+/// A row of the platform's list as the table takes it.
+pub fn listed(instance: &instances::Instance) -> member::Listed {
     let role = match instance.role {
         instances::Role::Entry => member::Role::Entry,
         instances::Role::Sidecar => member::Role::Sidecar,
--- a/src/decide/member/mod.rs
+++ b/src/decide/member/mod.rs
@@ -93,6 +93,17 @@
     pub leaving: bool,
 }
 
+/// How a process stands with this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It takes new work.
+    Live,
+    /// It did not answer, or only now does again.
+    Held,
+    /// It is leaving.
+    Leaving,
+}
+
 /// Something that a process may want to log or act on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
@@ -237,11 +248,11 @@
             .filter(move |member| service.is_none_or(|name| name == member.service))
     }
 
-    /// All processes known and whether each takes new work.
-    pub fn all(&self, now: time::Duration) -> impl Iterator<Item = (&Member, bool)> {
+    /// All processes known and how they stand.
+    pub fn all(&self, now: time::Duration) -> impl Iterator<Item = (&Member, Standing)> {
         self.rows
             .values()
-            .map(move |row| (&row.member, row.takes_work(now)))
+            .map(move |row| (&row.member, row.standing(now)))
     }
 
     /// Takes in what a process says of itself, heard from it or passed on.
@@ -396,7 +407,17 @@
     }
 
     fn takes_work(&self, now: time::Duration) -> bool {
-        self.answers() && now >= self.hold
+        self.standing(now) == Standing::Live
+    }
+
+    fn standing(&self, now: time::Duration) -> Standing {
+        if self.member.leaving || self.listed_leaving {
+            Standing::Leaving
+        } else if self.answers() && now >= self.hold {
+            Standing::Live
+        } else {
+            Standing::Held
+        }
     }
 
     /// It answers. Each time it does so after it was suspected, it is held back twice as long.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod fleet;
 mod refusal;
+mod roster;
 
 use std::sync::atomic;
 use std::{net, sync, thread, time};
@@ -12,9 +13,10 @@
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::TcpListenerStream;
 
-use crate::control::{dispatch, link};
+use crate::control::{dispatch, exchange};
 use crate::ops::report;
 use crate::platform::instances;
+use crate::wire::peer_server;
 use crate::{core, error, event, ops, process, settings, wire};
 
 /// Time between two looks at whether a shutdown is done.
@@ -38,7 +40,8 @@
     own: sync::Arc<sync::Mutex<instances::Instance>>,
     core: Option<core::Core>,
     shutdown_limit: time::Duration,
-    _pollers: [process::Poller; 2],
+    exchange: exchange::Handle,
+    _poller: process::Poller,
     _ops: ops::Handle,
     _runtime: process::Runtime,
 }
@@ -68,7 +71,6 @@
     runtime
         .handle()
         .spawn(fleet::send(reports, secret, tx.clone()));
-    serve(&runtime, fleet_listener, settings, &tx);
     let ring = event::Ring::open(event::CAPACITY, &settings.process.identity("entry"));
     let shared = sync::Arc::new(callers::Shared::new(
         settings,
@@ -84,7 +86,7 @@
         settings.process.ops_address,
         source(settings, &process, caller_address, &tx, &shared),
     )?;
-    let own = sync::Arc::new(sync::Mutex::new(instances::Instance {
+    let own = instances::Instance {
         id: process.id.clone(),
         address: fleet_address,
         ops_address: Some(ops.addr),
@@ -94,11 +96,24 @@
         service: String::new(),
         state: instances::State::Live,
         incarnation: process.incarnation,
-    }));
-    let pollers = [
-        members(settings, &own, process, tx.clone(), runtime.handle())?,
-        follow(settings, &shared, tx.clone())?,
-    ];
+    };
+    let setup = exchange::Setup::of(&settings.process, &own, ring.clone());
+    let exchange = exchange::spawn(setup, &runtime.handle())?;
+    serve(&runtime, fleet_listener, settings, &tx, exchange.service());
+    follow(&exchange, &shared, tx.clone());
+    let own = sync::Arc::new(sync::Mutex::new(own));
+    let roster = roster::Roster::new(
+        process,
+        settings.process.secret.clone(),
+        exchange.members.clone(),
+        tx.clone(),
+        runtime.handle(),
+    );
+    let poller = process::watch_instances(
+        settings.process.instances_address,
+        sync::Arc::clone(&own),
+        roster::keep(roster),
+    )?;
     ring.note(event::Kind::ProcessStarted)
         .field("address", caller_address)
         .send();
@@ -111,7 +126,8 @@
         own,
         core: Some(core),
         shutdown_limit: time::Duration::from_millis(settings.shutdown_limit_ms),
-        _pollers: pollers,
+        exchange,
+        _poller: poller,
         _ops: ops,
         _runtime: runtime,
     })
@@ -122,6 +138,7 @@
     listener: tokio::net::TcpListener,
     settings: &settings::Entry,
     tx: &channel::Sender<dispatch::Message>,
+    peers: peer_server::PeerServer<exchange::Service>,
 ) {
     let server = fleet::Server {
         tx: tx.clone(),
@@ -129,6 +146,7 @@
     };
     let router = tonic::transport::Server::builder()
         .tcp_nodelay(true)
+        .add_service(peers)
         .add_service(wire::ledger_server::LedgerServer::new(server));
     runtime.handle().spawn(async move {
         let incoming = TcpListenerStream::new(listener);
@@ -138,75 +156,17 @@
     });
 }
 
-/// The other entries on the list.
-fn peers(list: &instances::List, own: &str) -> Vec<dispatch::Peer> {
-    list.instances
-        .iter()
-        .filter(|instance| instance.role == instances::Role::Entry && instance.id != own)
-        .map(|instance| dispatch::Peer {
-            id: instance.id.clone(),
-            address: instance.address,
-            incarnation: instance.incarnation,
-        })
-        .collect()
-}
-
-/// Keeps links to the sidecars on the platform's list.
-fn members(
-    settings: &settings::Entry,
-    own: &sync::Arc<sync::Mutex<instances::Instance>>,
-    process: wire::Process,
-    tx: channel::Sender<dispatch::Message>,
-    runtime: tokio::runtime::Handle,
-) -> error::Result<process::Poller> {
-    let own_id = process.id.clone();
-    let mut links = link::Links::new(process, settings.process.secret.clone(), tx.clone());
-    process::watch_instances(
-        settings.process.instances_address,
-        sync::Arc::clone(own),
-        move |list| {
-            drop(tx.send(dispatch::Message::Peers(peers(&list, &own_id))));
-            let sidecars: Vec<_> = list
-                .instances
-                .into_iter()
-                .filter(|instance| instance.role == instances::Role::Sidecar)
-                .collect();
-            let targets: Vec<_> = sidecars
-                .iter()
-                .map(|sidecar| link::Target {
-                    id: sidecar.id.clone(),
-                    address: sidecar.address,
-                })
-                .collect();
-            let _entered = runtime.enter();
-            links.set(&targets);
-            drop(tx.send(dispatch::Message::Members(
-                sidecars.into_iter().map(found).collect(),
-            )));
-        },
-    )
-}
-
-fn found(sidecar: instances::Instance) -> (dispatch::Found, bool) {
-    let leaving = sidecar.state == instances::State::Leaving;
-    let found = dispatch::Found {
-        id: sidecar.id,
-        zone: sidecar.zone,
-        service: sidecar.service,
-    };
-    (found, leaving)
-}
-
+/// Puts each catalogue that is accepted in force.
 fn follow(
-    settings: &settings::Entry,
+    exchange: &exchange::Handle,
     shared: &sync::Arc<callers::Shared>,
     tx: channel::Sender<dispatch::Message>,
-) -> error::Result<process::Poller> {
+) {
     let shared = sync::Arc::clone(shared);
-    process::watch_catalogue(settings.process.log_address, move |accepted| {
-        shared.set_catalogue(sync::Arc::clone(&accepted));
-        drop(tx.send(dispatch::Message::Catalogue(accepted)));
-    })
+    exchange.catalogue.subscribe(move |accepted| {
+        shared.set_catalogue(sync::Arc::clone(accepted));
+        drop(tx.send(dispatch::Message::Catalogue(sync::Arc::clone(accepted))));
+    });
 }
 
 fn source(
@@ -249,6 +209,7 @@
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
             .state = instances::State::Leaving;
+        self.exchange.leave();
         self.shared.drain();
         self.ring.note(event::Kind::ProcessLeaving).send();
     }
--- a/src/process.rs
+++ b/src/process.rs
@@ -7,7 +7,7 @@
 
 use crate::ops::report;
 use crate::platform::instances;
-use crate::{catalogue, code, error, platform, settings, wire};
+use crate::{code, error, platform, settings, wire};
 
 /// Threads of the tokio runtime. A node of the fleet is small; the core is a thread of its own.
 const WORKERS: usize = 2;
@@ -18,12 +18,6 @@
 /// Time between two registrations with the instance list.
 const REGISTER_PERIOD: time::Duration = time::Duration::from_secs(5);
 
-/// Time a read of the log waits there for a record.
-const LOG_WAIT: time::Duration = time::Duration::from_secs(2);
-
-/// Wait after a read of the log that failed.
-const LOG_BACKOFF: time::Duration = time::Duration::from_millis(500);
-
 /// A tokio runtime that ends without waiting for its tasks.
 #[derive(Debug)]
 pub struct Runtime(Option<tokio::runtime::Runtime>);
@@ -127,31 +121,6 @@
     })
 }
 
-/// Follows the catalogue on the log.
-pub fn watch_catalogue(
-    address: net::SocketAddr,
-    mut report: impl FnMut(sync::Arc<catalogue::Accepted>) + Send + 'static,
-) -> error::Result<Poller> {
-    let client = platform::log::open(address);
-    let mut next = 1;
-    poll("catalogue", move || {
-        let Ok(batch) = client.read(platform::log::CATALOGUE_STREAM, next, 100, LOG_WAIT) else {
-            thread::sleep(LOG_BACKOFF);
-            return;
-        };
-        for record in batch.records {
-            next = record.offset + 1;
-            if let Ok(catalogue) = catalogue::parse(&record.body) {
-                report(sync::Arc::new(catalogue::Accepted {
-                    revision: record.offset,
-                    catalogue,
-                    toml: record.body.into(),
-                }));
-            }
-        }
-    })
-}
-
 /// Fills in what a process knows of itself.
 pub fn describe(status: report::Status, process: &wire::Process, role: &str) -> report::Status {
     report::Status {
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -8,10 +8,10 @@
 use crossbeam_channel as channel;
 use tokio_stream::wrappers::TcpListenerStream;
 
-use crate::control::{backend, link};
+use crate::control::{backend, exchange, link};
 use crate::ops::report;
 use crate::platform::instances;
-use crate::wire::{self, sidecar_server};
+use crate::wire::{self, peer_server, sidecar_server};
 use crate::{catalogue, core, error, event, ops, process, settings};
 
 /// Time between two looks at whether a shutdown is done.
@@ -34,7 +34,8 @@
     own: sync::Arc<sync::Mutex<instances::Instance>>,
     core: Option<core::Core>,
     shutdown_limit: time::Duration,
-    _pollers: [process::Poller; 2],
+    exchange: exchange::Handle,
+    _poller: process::Poller,
     _ops: ops::Handle,
     _runtime: process::Runtime,
 }
@@ -59,13 +60,12 @@
             gauges: sync::Arc::clone(&gauges),
         },
     )?;
-    serve(&runtime, listener, settings, &tx);
     let ring = event::Ring::open(event::CAPACITY, &settings.process.identity("sidecar"));
     let ops = ops::spawn(
         settings.process.ops_address,
         source(settings, &process, &tx, &gauges, &ring),
     )?;
-    let own = sync::Arc::new(sync::Mutex::new(instances::Instance {
+    let own = instances::Instance {
         id: process.id.clone(),
         address: fleet_address,
         ops_address: Some(ops.addr),
@@ -75,15 +75,18 @@
         service: settings.service.clone(),
         state: instances::State::Live,
         incarnation: process.incarnation,
-    }));
-    let pollers = [
-        process::watch_instances(
-            settings.process.instances_address,
-            sync::Arc::clone(&own),
-            |_| (),
-        )?,
-        follow(settings, tx.clone())?,
-    ];
+    };
+    let setup = exchange::Setup::of(&settings.process, &own, ring.clone());
+    let exchange = exchange::spawn(setup, &runtime.handle())?;
+    serve(&runtime, listener, settings, &tx, exchange.service());
+    follow(settings, &exchange, tx.clone());
+    let own = sync::Arc::new(sync::Mutex::new(own));
+    let members = exchange.members.clone();
+    let poller = process::watch_instances(
+        settings.process.instances_address,
+        sync::Arc::clone(&own),
+        move |list| members.observe_list(&list),
+    )?;
     ring.note(event::Kind::ProcessStarted)
         .field("address", fleet_address)
         .send();
@@ -96,7 +99,8 @@
         own,
         core: Some(core),
         shutdown_limit: time::Duration::from_millis(settings.shutdown_limit_ms),
-        _pollers: pollers,
+        exchange,
+        _poller: poller,
         _ops: ops,
         _runtime: runtime,
     })
@@ -107,6 +111,7 @@
     listener: tokio::net::TcpListener,
     settings: &settings::Sidecar,
     tx: &channel::Sender<backend::Message>,
+    peers: peer_server::PeerServer<exchange::Service>,
 ) {
     let server = server::Server {
         tx: tx.clone(),
@@ -117,6 +122,7 @@
         .tcp_nodelay(true)
         .initial_stream_window_size(link::STREAM_WINDOW)
         .initial_connection_window_size(link::STREAM_WINDOW)
+        .add_service(peers)
         .add_service(sidecar_server::SidecarServer::new(server));
     runtime.handle().spawn(async move {
         let incoming = TcpListenerStream::new(listener);
@@ -128,14 +134,15 @@
 
 fn follow(
     settings: &settings::Sidecar,
+    exchange: &exchange::Handle,
     tx: channel::Sender<backend::Message>,
-) -> error::Result<process::Poller> {
+) {
     let name = settings.service.clone();
-    process::watch_catalogue(settings.process.log_address, move |accepted| {
+    exchange.catalogue.subscribe(move |accepted| {
         if let Some(service) = accepted.catalogue.service(&name) {
             drop(tx.send(figures(accepted.revision, service)));
         }
-    })
+    });
 }
 
 fn figures(revision: u64, service: &catalogue::Service) -> backend::Message {
@@ -182,6 +189,7 @@
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
             .state = instances::State::Leaving;
+        self.exchange.leave();
         drop(self.tx.send(backend::Message::Drain));
         self.ring.note(event::Kind::ProcessLeaving).send();
     }
--- a/tests/catalogue.rs
+++ b/tests/catalogue.rs
@@ -279,6 +279,45 @@
     }
 }
 
+#[test]
+fn the_examples_on_the_page_are_whole() {
+    struct Case {
+        customers: usize,
+        model: &'static str,
+        plain: &'static str,
+        once: &'static str,
+    }
+    let cases = [
+        Case {
+            customers: 16,
+            model: "modello-sala",
+            plain: "archivio-interviste",
+            once: "/interviste",
+        },
+        Case {
+            customers: 16,
+            model: "chive-llm",
+            plain: "feedlog-app",
+            once: "/loads",
+        },
+    ];
+    let page = include_str!("../docs/CATALOGUE.md");
+    let blocks = page.split("```toml\n").skip(1);
+    let blocks: Vec<&str> = blocks.filter_map(|rest| rest.split("```").next()).collect();
+    assert_eq!(blocks.len(), cases.len());
+    for (case, text) in cases.iter().zip(blocks) {
+        let parsed = catalogue::parse(text).expect("the example is valid");
+        assert_eq!(parsed.customers.len(), case.customers);
+        let model = parsed.service(case.model).expect("it is there");
+        assert!(!model.models.is_empty());
+        let route = parsed.route("POST", case.once, None).expect("it is there");
+        assert_eq!(
+            (route.service.name.as_str(), route.idempotent),
+            (case.plain, false)
+        );
+    }
+}
+
 #[test]
 fn key_hashes_are_checked() {
     let text = sample().replace(&hash("k2"), &hash("k1"));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -319,9 +319,14 @@
 /// Publishes a catalogue.
 pub fn publish(log: &standin::log::Handle, toml: &str) {
     let client = platform::log::open(log.addr);
-    client
-        .append(platform::log::CATALOGUE_STREAM, toml)
-        .expect("the log appends");
+    let request = chivebend::cmd::publish::Request {
+        change_id: format!("{:x?}", &chivebend::catalogue::digest(toml)[..8]),
+        base: None,
+        over_gap: false,
+        author: "tests".into(),
+        toml: toml.into(),
+    };
+    chivebend::cmd::publish::publish(&client, &request, PATIENCE).expect("it is published");
 }
 
 /// What a caller received.
