Route, eject and retry by the decision modules in the measured fleet

Cause: the measure program placed tickets at random by itself and ended every request of a lost backend server as unknown.

--- a/examples/measure/arrive.rs
+++ b/examples/measure/arrive.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use chivebend::decide::{random, retry};
 use smallvec::SmallVec;
 
 use super::{
@@ -54,6 +55,18 @@
             let gap = self.rng.gap(per_s);
             self.after(gap, Event::Arrive { customer, load });
         }
+        let prefix = self.plan.customers[customer]
+            .prefixes
+            .map_or(0, |prefixes| {
+                let hot = self.rng.unit() < prefixes.hot;
+                let number = if hot {
+                    0
+                } else {
+                    self.rng.below(prefixes.count as usize)
+                };
+                random::Random::new(number as u64).bits()
+            });
+        self.entries[entry].budget.earn();
         self.largest_cost = self.largest_cost.max(cost);
         let request = self.requests.len();
         self.requests.push(Request {
@@ -64,12 +77,16 @@
                 started: None,
                 ended: None,
                 cost,
+                prefix,
+                hit: false,
+                attempts: 0,
                 server: None,
                 code: None,
             },
             hint,
             servers: SmallVec::new(),
             reservation: None,
+            trail: retry::Trail::default(),
             load,
         });
         if let Some(patience) = self.plan.customers[customer].patience {
--- a/examples/measure/event.rs
+++ b/examples/measure/event.rs
@@ -60,9 +60,13 @@
         entry: usize,
         server: usize,
         virtual_time: f64,
+        running: u32,
         waiting: u32,
         leaving: bool,
     },
+    Again {
+        request: usize,
+    },
     Tick {
         entry: usize,
     },
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -12,7 +12,7 @@
 #[path = "world.rs"]
 mod world;
 
-use world::plan::{Customer, Fault, Hint, Load, Plan, Policy};
+use world::plan::{Customer, Fault, Hint, Load, Plan, Policy, Prefixes, Routing};
 
 /// When the flooder starts, after the fleet is full: what has started can't be called back, so on an
 /// empty fleet the first to come would hold every slot whatever the order.
@@ -64,6 +64,7 @@
     Fairness,
     Utilisation,
     Poller,
+    Affinity,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
@@ -80,6 +81,7 @@
         Case::Fairness => fairness(&args),
         Case::Utilisation => utilisation(&args),
         Case::Poller => poller(&args),
+        Case::Affinity => affinity(&args),
     }
 }
 
@@ -129,6 +131,8 @@
         cost: [(50, 4_000), (50, 500), (400, 4_000), (50, 1_500)][at % 4],
         hint: [Hint::Rough, Hint::Always(1), Hint::Always(1_000_000)][at % 3],
         entries: entries_of(args, at),
+        prefixes: None,
+        idempotent: true,
         patience: None,
     }
 }
@@ -226,3 +230,39 @@
         waits.len(),
     );
 }
+
+/// Prompts share 1,000 prefixes, of which a backend server holds a tenth.
+fn affinity(args: &Args) {
+    let (random, _, _) = hits(args, Routing::Random);
+    let (hit, utilisation, gap) = hits(args, Routing::Affinity);
+    println!(
+        "case=affinity policy={:?} seed={} hit_ratio={hit:.3} random_hit_ratio={random:.3} \
+         times_random={:.2} utilisation={utilisation:.4} gap_ratio={gap:.2}",
+        args.policy,
+        args.seed,
+        hit / random,
+    );
+}
+
+/// Hits for each started request, utilisation and the gap.
+fn hits(args: &Args, routing: Routing) -> (f64, f64, f64) {
+    let mut plan = plan(args);
+    plan.routing = routing;
+    plan.customers = (0..args.customers)
+        .map(|at| Customer {
+            prefixes: Some(Prefixes {
+                count: 1_000,
+                hot: 0.0,
+                saved: 0,
+            }),
+            ..backlogged(args, at, at == 0)
+        })
+        .collect();
+    let mut world = world::World::new(plan);
+    world.run(time::Duration::from_secs(args.seconds));
+    let started = world.outcomes().filter(|o| o.started.is_some());
+    let (hits, all) = started.fold((0.0, 0.0), |(hits, all), o| {
+        (hits + f64::from(u8::from(o.hit)), all + 1.0)
+    });
+    (hits / all, world.utilisation(), world.gap_ratio())
+}
--- a/examples/measure/plan.rs
+++ b/examples/measure/plan.rs
@@ -46,6 +46,26 @@
     Always(u64),
 }
 
+/// Where tickets go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Routing {
+    /// To two choices by load, whatever the prefix.
+    Random,
+    /// To where the prefix is cached, within the bound.
+    Affinity,
+}
+
+/// Prompts that share prefixes with those of all other customers that have some.
+#[derive(Clone, Copy, Debug)]
+pub struct Prefixes {
+    /// Different ones, equally frequent.
+    pub count: u64,
+    /// Part of the requests that have the first of them besides.
+    pub hot: f64,
+    /// Cost units saved where it is cached.
+    pub saved: u64,
+}
+
 /// A customer.
 #[derive(Clone, Debug)]
 pub struct Customer {
@@ -59,6 +79,10 @@
     pub hint: Hint,
     /// Entries its callers use, as positions.
     pub entries: Vec<usize>,
+    /// Prefixes of the prompts, if they share any.
+    pub prefixes: Option<Prefixes>,
+    /// Whether the requests may run more than once.
+    pub idempotent: bool,
     /// How long callers wait for their answer.
     pub patience: Option<time::Duration>,
 }
@@ -111,6 +135,10 @@
     pub seed: u64,
     /// Order of waiting requests.
     pub policy: Policy,
+    /// Where tickets go.
+    pub routing: Routing,
+    /// Prefixes that a backend server holds.
+    pub cache: usize,
     /// Bounds of the sidecars' queues.
     pub limit: queue::Limit,
     /// The customers.
@@ -132,6 +160,12 @@
     pub ended: Option<time::Duration>,
     /// Its true cost.
     pub cost: u64,
+    /// Prefix of its prompt, 0 if it has none.
+    pub prefix: u64,
+    /// Whether the prefix was cached where it ran.
+    pub hit: bool,
+    /// Attempts that were handed over.
+    pub attempts: u32,
     /// Backend server that ran it.
     pub server: Option<usize>,
     /// Refusal or failure; `None` with `ended` is a whole answer.
@@ -153,6 +187,8 @@
             budget: ledger::BUDGET_DIRECT,
             seed: 1,
             policy: Policy::Fleet,
+            routing: Routing::Affinity,
+            cache: 100,
             limit: queue::Limit::default(),
             customers: Vec::new(),
         }
--- a/examples/measure/serve.rs
+++ b/examples/measure/serve.rs
@@ -73,7 +73,8 @@
         let Some(reservation) = own.claims.remove(&claimed) else {
             return self.end(request, Some(code::Code::OutcomeUnknown));
         };
-        let left = self.requests[request].outcome.cost;
+        let left = self.cached_cost(server, request);
+        let own = &mut self.servers[server];
         own.runs.push(server::Run {
             request,
             left,
@@ -143,6 +144,7 @@
             return;
         }
         let (virtual_time, waiting) = (own.shares.virtual_time(), own.queue.len() as u32);
+        let running = (own.runs.len() + own.claims.len()) as u32;
         let leaving = own.leaving;
         for entry in 0..self.entries.len() {
             if self.entries[entry].links.contains(&server) {
@@ -151,6 +153,7 @@
                     entry,
                     server,
                     virtual_time,
+                    running,
                     waiting,
                     leaving,
                 });
--- a/examples/measure/server.rs
+++ b/examples/measure/server.rs
@@ -46,6 +46,8 @@
     pub up: bool,
     /// Raised at each loss, so that events of the time before are void.
     pub epoch: u32,
+    /// Prefixes in the cache, the latest used last.
+    pub cache: collections::VecDeque<u64>,
     /// A message that asks for work is under way.
     pub wanting: bool,
 }
@@ -64,6 +66,7 @@
             leaving: false,
             up: true,
             epoch: 0,
+            cache: collections::VecDeque::new(),
             wanting: false,
         }
     }
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -325,7 +325,10 @@
             .as_secs_f64();
         let doubt = (age / STALE.as_secs_f64()).min(1.0);
         let mean = self.load / self.window.max(1.0);
-        let load = place.load() / place.window();
+        // Among full places a short queue is no better: the first to have room claims the request,
+        // and an even spread of tickets keeps the order between customers fair everywhere.
+        let load = (place.load() / place.window()).min(1.0);
+        let mean = mean.min(1.0);
         // The older the report, the more the mean is believed, and the more the choice is chance.
         let believed = load + doubt * (mean - load) + doubt * rng.unit();
         let unfit = if place.candidate.state == health::State::Healthy {
