Decide each idempotency key at one sidecar

Cause: a call with a key sent through two entries ran twice. Change: the sidecar puts decide::home and decide::keys to work: it starts a call with a key only if it is the key's home now, replays the kept answer, and hands keys over when it joins and leaves. Entries place the only ticket of such a request at the home and refuse with 306 if it cannot be reached. decide::outcome says what becomes of an attempt in trouble. New settings: key lease, list lag, first start. Ruled out: retrying 108 (key reused) as 'not run': it went round until the retention had passed and then ran the second request; only a key that changes hands is tried again. Measured: tests/keyed.rs fails before (2 executions of a key), passes after.

--- /dev/null
+++ b/src/control/backend/keyed.rs
@@ -0,0 +1,446 @@
+//! Idempotency keys: which calls with a key may start here, and what answers a repeated one.
+
+use std::{collections, net, sync, time};
+
+use tokio::sync::oneshot;
+use xxhash_rust::xxh3;
+
+use crate::control::backend::{Backend, Message};
+use crate::control::kept;
+use crate::decide::{home, keys};
+use crate::platform::instances;
+use crate::{code, settings, wire};
+
+/// Time between two questions to the same sidecar.
+const ASK_AGAIN: time::Duration = time::Duration::from_millis(500);
+
+/// Largest answer that is handed over with its key; longer ones are rare for calls with a key.
+const HANDED_ANSWER: u64 = 64 << 10;
+
+/// What a sidecar keeps about keys.
+#[derive(Debug)]
+pub struct Keyed {
+    home: home::Table,
+    keys: keys::Table,
+    answers: Answers,
+    retention: time::Duration,
+    addresses: collections::HashMap<String, net::SocketAddr>,
+    asked: collections::HashMap<sync::Arc<str>, time::Duration>,
+    /// Calls with a key that run.
+    running: u32,
+    /// Members that are still to be given the keys, once this sidecar leaves.
+    giving: Option<u32>,
+}
+
+/// What becomes of a handed-over call with a key.
+#[derive(Debug)]
+pub enum Verdict {
+    /// Start it; its end is remembered.
+    Start,
+    /// Start it as if it had no key: it is idempotent, and this is not the place to decide.
+    Plain,
+    /// Send the answer that was kept.
+    Replay(kept::Answer),
+    /// Refuse it.
+    Refuse {
+        /// Why.
+        code: code::Code,
+        /// When the caller may come back.
+        retry_after: time::Duration,
+    },
+}
+
+type Name = (String, String);
+
+/// Answers of calls with a key, oldest first, within bounds.
+#[derive(Debug, Default)]
+struct Answers {
+    limit: u64,
+    bytes: u64,
+    kept: collections::HashMap<Name, kept::Answer>,
+    order: collections::VecDeque<(time::Duration, Name)>,
+}
+
+impl Answers {
+    fn insert(&mut self, now: time::Duration, name: Name, answer: kept::Answer) {
+        if answer.length() > self.limit || self.kept.contains_key(&name) {
+            return;
+        }
+        self.bytes += answer.length();
+        self.order.push_back((now, name.clone()));
+        self.kept.insert(name, answer);
+        while self.bytes > self.limit {
+            self.drop_oldest();
+        }
+    }
+
+    fn expire(&mut self, before: time::Duration) {
+        while self.order.front().is_some_and(|(at, _)| *at < before) {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((_, name)) = self.order.pop_front() else {
+            return;
+        };
+        if let Some(answer) = self.kept.remove(&name) {
+            self.bytes -= answer.length();
+        }
+    }
+}
+
+impl Keyed {
+    /// The tables of a sidecar that has just started.
+    pub fn new(process: &wire::Process, settings: &settings::Sidecar) -> Self {
+        let ms = time::Duration::from_millis;
+        let retention = ms(settings.key_retention_ms);
+        let terms = home::Terms {
+            retention,
+            lease: ms(settings.key_lease_ms),
+            list_lag: ms(settings.list_lag_ms),
+            ..home::Terms::default()
+        };
+        let history = if settings.first_start {
+            home::History::Fresh
+        } else {
+            home::History::Unknown
+        };
+        let limits = keys::Limits {
+            keys: keys::KEYS,
+            bytes: keys::BYTES,
+            retention,
+        };
+        Self {
+            home: home::Table::open(
+                time::Duration::ZERO,
+                &process.id,
+                process.incarnation,
+                terms,
+                history,
+            ),
+            keys: keys::Table::new(limits),
+            answers: Answers {
+                limit: settings.answer_memory / 2,
+                ..Answers::default()
+            },
+            retention,
+            addresses: collections::HashMap::new(),
+            asked: collections::HashMap::new(),
+            running: 0,
+            giving: None,
+        }
+    }
+
+    /// Decides about a call with a key at the moment of its start.
+    pub fn begin(&mut self, now: time::Duration, run: &wire::Run) -> Verdict {
+        let (customer, key) = (&run.customer, &run.idempotency_key);
+        let home = self.home.verdict(now, customer, key);
+        if let Some(code) = home.code() {
+            if run.idempotent {
+                return Verdict::Plain;
+            }
+            let retry_after = match home {
+                home::Verdict::Lost { until } => until.saturating_sub(now),
+                _ => time::Duration::ZERO,
+            };
+            return Verdict::Refuse { code, retry_after };
+        }
+        match self.keys.begin(now, customer, key, digest(run)) {
+            keys::Verdict::Start => {
+                self.running += 1;
+                Verdict::Start
+            }
+            keys::Verdict::Replay => {
+                let kept = self.answers.kept.get(&(customer.clone(), key.clone()));
+                match kept {
+                    Some(answer) => Verdict::Replay(answer.clone()),
+                    None if run.idempotent => Verdict::Plain,
+                    None => refuse(code::Code::AnswerNotKept),
+                }
+            }
+            keys::Verdict::Refuse(code::Code::OutcomeUnknown) if run.idempotent => Verdict::Plain,
+            keys::Verdict::Refuse(code) => refuse(code),
+        }
+    }
+
+    /// A call that was begun has ended.
+    pub fn end(
+        &mut self,
+        now: time::Duration,
+        name: Name,
+        failed: Option<code::Code>,
+        answer: &kept::Answer,
+    ) {
+        self.running -= 1;
+        let (customer, key) = &name;
+        match failed.map(|code| code.row().ran) {
+            Some(code::Ran::No) => self.keys.cancel(customer, key),
+            Some(code::Ran::Unknown) => self.keys.end(now, customer, key, false),
+            Some(code::Ran::Yes) => self.keys.end(now, customer, key, true),
+            None => {
+                self.keys.end(now, customer, key, true);
+                self.answers.insert(now, name, answer.clone());
+            }
+        }
+    }
+
+    /// Members that are still to be given this sidecar's keys.
+    pub fn giving(&self) -> u32 {
+        self.giving.unwrap_or_default()
+    }
+
+    fn record(&self, record: &keys::Record) -> wire::KeyRecord {
+        let name = (record.customer.to_string(), record.key.to_string());
+        let kept = self.answers.kept.get(&name);
+        let kept = kept.filter(|answer| answer.length() <= HANDED_ANSWER);
+        wire::KeyRecord {
+            customer: name.0,
+            key: name.1,
+            state: match record.state {
+                keys::State::Started => wire::KeyState::Started,
+                keys::State::Finished => wire::KeyState::Finished,
+                keys::State::Unknown => wire::KeyState::Unknown,
+            }
+            .into(),
+            age_ms: record.age.as_millis() as u64,
+            request_digest: record.digest,
+            status: kept.map_or(0, |answer| answer.status),
+            headers: kept.map_or_else(Vec::new, |answer| answer.headers.clone()),
+            body: kept.map_or_else(bytes::Bytes::new, kept::Answer::body),
+        }
+    }
+
+    /// Stores what another sidecar remembers; false if it does not fit.
+    fn adopt(&mut self, now: time::Duration, records: &[wire::KeyRecord]) -> bool {
+        let known: Vec<_> = records.iter().map(known).collect();
+        if !self.keys.merge(now, &known) {
+            return false;
+        }
+        for record in records.iter().filter(|record| record.status > 0) {
+            let mut answer = kept::Answer::default();
+            answer.status = record.status;
+            answer.headers.clone_from(&record.headers);
+            answer.push(record.body.clone());
+            answer.end();
+            let name = (record.customer.clone(), record.key.clone());
+            self.answers.insert(now, name, answer);
+        }
+        true
+    }
+}
+
+fn refuse(code: code::Code) -> Verdict {
+    Verdict::Refuse {
+        code,
+        retry_after: time::Duration::ZERO,
+    }
+}
+
+/// Digest of what makes two requests the same: method, path and body.
+fn digest(run: &wire::Run) -> u64 {
+    let mut hasher = xxh3::Xxh3::new();
+    hasher.update(run.method.as_bytes());
+    hasher.update(b" ");
+    hasher.update(run.path.as_bytes());
+    hasher.update(b"\n");
+    hasher.update(&run.body);
+    hasher.digest()
+}
+
+fn known(record: &wire::KeyRecord) -> keys::Record {
+    keys::Record {
+        customer: record.customer.as_str().into(),
+        key: record.key.as_str().into(),
+        state: match record.state() {
+            wire::KeyState::Finished => keys::State::Finished,
+            wire::KeyState::Started => keys::State::Started,
+            wire::KeyState::Unknown | wire::KeyState::Unspecified => keys::State::Unknown,
+        },
+        digest: record.request_digest,
+        age: time::Duration::from_millis(record.age_ms),
+    }
+}
+
+fn described(member: &wire::KnownMember) -> home::Known {
+    home::Known {
+        id: member.id.as_str().into(),
+        incarnation: member.incarnation,
+        gone_age: member
+            .gone
+            .then(|| time::Duration::from_millis(member.gone_age_ms)),
+        complete: member.complete,
+        handed: member.handed,
+    }
+}
+
+fn description(known: &home::Known) -> wire::KnownMember {
+    wire::KnownMember {
+        id: known.id.to_string(),
+        incarnation: known.incarnation,
+        gone: known.gone_age.is_some(),
+        gone_age_ms: known.gone_age.unwrap_or_default().as_millis() as u64,
+        complete: known.complete,
+        handed: known.handed,
+    }
+}
+
+impl Backend {
+    /// A read of the platform's list, asked for at `asked_at`.
+    pub(super) fn listed(
+        &mut self,
+        now: time::Duration,
+        asked_at: time::Duration,
+        list: &instances::List,
+    ) {
+        let own = &self.setup.settings.service;
+        let same = |instance: &&instances::Instance| {
+            instance.role == instances::Role::Sidecar && instance.service == *own
+        };
+        let peers: Vec<_> = list.instances.iter().filter(same).collect();
+        let addresses = peers.iter().map(|peer| (peer.id.clone(), peer.address));
+        self.keyed.addresses = addresses.collect();
+        let listed: Vec<_> = peers
+            .iter()
+            .map(|peer| home::Listed {
+                id: peer.id.as_str().into(),
+                incarnation: (peer.incarnation > 0).then_some(peer.incarnation),
+            })
+            .collect();
+        self.keyed.home.listed(asked_at, now, &listed);
+    }
+
+    /// Asks the members that have to hand over, forgets what is too old, and gives the keys away
+    /// once the last call of a leaving sidecar has ended.
+    pub(super) fn tick_keys(&mut self, now: time::Duration) {
+        let keyed = &mut self.keyed;
+        keyed.answers.expire(now.saturating_sub(keyed.retention));
+        for ask in keyed.home.asks() {
+            let asked = keyed.asked.get(&ask.id);
+            let due = asked.is_none_or(|at| now >= *at + ASK_AGAIN);
+            let Some(address) = keyed.addresses.get(&*ask.id).filter(|_| due) else {
+                continue;
+            };
+            keyed.asked.insert(sync::Arc::clone(&ask.id), now);
+            let request = wire::HandoverRequest {
+                process: Some(self.setup.process.clone()),
+                join: true,
+                ..wire::HandoverRequest::default()
+            };
+            let tx = self.setup.tx.clone();
+            (self.setup.hand_over)(
+                *address,
+                request,
+                Box::new(move |reply| {
+                    if let Some(reply) = reply {
+                        drop(tx.send(Message::Handed(ask, reply)));
+                    }
+                }),
+            );
+        }
+        if self.leaving && self.keyed.running == 0 && self.keyed.giving.is_none() {
+            self.give_keys(now);
+        }
+    }
+
+    /// Another sidecar joins, or leaves and gives its keys.
+    pub(super) fn handover(
+        &mut self,
+        now: time::Duration,
+        request: &wire::HandoverRequest,
+        answer: oneshot::Sender<wire::HandoverReply>,
+    ) {
+        let Some(process) = &request.process else {
+            return;
+        };
+        let mut reply = wire::HandoverReply {
+            process: Some(self.setup.process.clone()),
+            ..wire::HandoverReply::default()
+        };
+        let keyed = &mut self.keyed;
+        if request.join {
+            let told = keyed.home.answer(now, &process.id, process.incarnation);
+            let home = &keyed.home;
+            let wanted = |customer: &str, key: &str| home.outranked(&process.id, customer, key);
+            let records = keyed.keys.records(now, wanted);
+            reply.accepted = told.accepted;
+            reply.settled = told.settled;
+            reply.known_incarnation = told.known_incarnation;
+            reply.members = told.members.iter().map(description).collect();
+            reply.keys = records
+                .iter()
+                .map(|record| self.keyed.record(record))
+                .collect();
+        } else {
+            reply.accepted = keyed.adopt(now, &request.given);
+            if reply.accepted && request.complete {
+                keyed.home.given(now, &process.id, process.incarnation);
+            }
+        }
+        // The other side may have given up meanwhile; it asks again.
+        drop(answer.send(reply));
+    }
+
+    /// Another sidecar has answered this one's question.
+    pub(super) fn handed(
+        &mut self,
+        now: time::Duration,
+        ask: &home::Ask,
+        reply: &wire::HandoverReply,
+    ) {
+        let Some(process) = &reply.process else {
+            return;
+        };
+        if !self.keyed.adopt(now, &reply.keys) {
+            return;
+        }
+        let told = home::Reply {
+            accepted: reply.accepted,
+            incarnation: process.incarnation,
+            settled: reply.settled,
+            members: reply.members.iter().map(described).collect(),
+            known_incarnation: reply.known_incarnation,
+        };
+        self.keyed.home.handed(now, ask, &told);
+    }
+
+    /// Stops deciding about keys.
+    pub(super) fn leave_keys(&mut self) {
+        self.keyed.home.leave();
+    }
+
+    /// A member has been given the keys, or cannot be.
+    pub(super) fn gave(&mut self) {
+        self.keyed.giving = self.keyed.giving.map(|left| left.saturating_sub(1));
+    }
+
+    fn give_keys(&mut self, now: time::Duration) {
+        let records = self.keyed.keys.records(now, |_, _| true);
+        let given: Vec<_> = records
+            .iter()
+            .map(|record| self.keyed.record(record))
+            .collect();
+        let mut giving = 0;
+        for id in self.keyed.home.leave() {
+            let Some(address) = self.keyed.addresses.get(&*id) else {
+                continue;
+            };
+            giving += 1;
+            let request = wire::HandoverRequest {
+                process: Some(self.setup.process.clone()),
+                given: given.clone(),
+                complete: true,
+                join: false,
+            };
+            let tx = self.setup.tx.clone();
+            (self.setup.hand_over)(
+                *address,
+                request,
+                Box::new(move |_reply| {
+                    drop(tx.send(Message::Gave));
+                }),
+            );
+        }
+        self.keyed.giving = Some(giving);
+    }
+}
--- a/src/control/backend/mod.rs
+++ b/src/control/backend/mod.rs
@@ -5,6 +5,7 @@
 //! may still ask.
 
 mod claim;
+mod keyed;
 mod link;
 mod run;
 mod start;
@@ -12,17 +13,18 @@
 
 use std::sync::atomic;
 use std::time::Duration;
-use std::{collections, sync, time};
+use std::{collections, net, sync, time};
 
 use crossbeam_channel as channel;
 use slotmap::SlotMap;
 use stakker::CX;
+use tokio::sync::oneshot;
 
 use crate::control::{customers, tally};
-use crate::decide::{queue, share};
+use crate::decide::{home, queue, share};
 use crate::ops::report;
 use crate::wire::frame;
-use crate::{key, platform, settings, wire};
+use crate::{key, platform, process, settings, wire};
 
 pub use link::Sender;
 
@@ -70,6 +72,17 @@
         /// Requests a backend server runs at once to begin with.
         window: u32,
     },
+    /// A read of the platform's list.
+    Listed(process::Read),
+    /// Another sidecar joins, or gives its keys.
+    Handover(
+        Box<wire::HandoverRequest>,
+        oneshot::Sender<wire::HandoverReply>,
+    ),
+    /// Another sidecar has answered a question.
+    Handed(home::Ask, wire::HandoverReply),
+    /// A member has been given this sidecar's keys, or cannot be.
+    Gave,
     /// Take no new work.
     Drain,
     /// Answer with the state for operators.
@@ -89,8 +102,17 @@
     pub revision: atomic::AtomicU64,
 }
 
+/// Calls another sidecar and hands its reply on, or nothing if there was none.
+pub type HandOver = Box<
+    dyn Fn(
+            net::SocketAddr,
+            wire::HandoverRequest,
+            Box<dyn FnOnce(Option<wire::HandoverReply>) + Send>,
+        ) + Send,
+>;
+
 /// What the controller is created with.
-#[derive(Debug)]
+#[derive(derive_more::Debug)]
 pub struct Setup {
     /// This process.
     pub process: wire::Process,
@@ -102,6 +124,9 @@
     pub tx: channel::Sender<Message>,
     /// Counters for other threads.
     pub gauges: sync::Arc<Gauges>,
+    /// Calls another sidecar to hand keys over.
+    #[debug(skip)]
+    pub hand_over: HandOver,
 }
 
 /// The controller.
@@ -119,6 +144,7 @@
     tickets: collections::HashMap<(key::Link, u64), key::Ticket>,
     claims: collections::HashMap<(key::Link, u64), claim::Claim>,
     runs: SlotMap<key::Run, run::Run>,
+    keyed: keyed::Keyed,
     running: u32,
     window: u32,
     models: Vec<String>,
@@ -133,8 +159,10 @@
     /// Creates the controller; it runs its own timers.
     pub fn init(cx: CX![], setup: Setup) -> Option<Self> {
         stakker::after!(TICK, [cx], tick());
+        let keyed = keyed::Keyed::new(&setup.process, &setup.settings);
         Some(Self {
             setup,
+            keyed,
             start: cx.now(),
             links: SlotMap::with_key(),
             link_numbers: collections::HashMap::new(),
@@ -177,6 +205,13 @@
                 self.models = models;
                 self.window = window;
             }
+            Message::Listed(read) => {
+                let asked_at = read.asked_at.saturating_duration_since(self.start);
+                self.listed(now, asked_at, &read.list);
+            }
+            Message::Handover(request, answer) => self.handover(now, &request, answer),
+            Message::Handed(ask, reply) => self.handed(now, &ask, &reply),
+            Message::Gave => self.gave(),
             Message::Drain => self.drain(),
             Message::Status(tx) => drop(tx.send(self.status())),
             Message::Customers(tx) => drop(tx.send(self.report(now))),
@@ -189,12 +224,14 @@
         let now = cx.now() - self.start;
         self.expire_claims(now);
         self.expire_runs(now);
+        self.tick_keys(now);
         if now >= self.last_beat + BEAT {
             self.last_beat = now;
             self.beat();
         }
         self.fill(now);
-        let in_progress = self.runs.values().filter(|run| !run.settled()).count() as u64;
+        let unsettled = self.runs.values().filter(|run| !run.settled()).count();
+        let in_progress = unsettled as u64 + u64::from(self.keyed.giving());
         self.setup
             .gauges
             .in_progress
@@ -251,6 +288,7 @@
             return;
         }
         self.leaving = true;
+        self.leave_keys();
         self.void_tickets();
         // Entries learn at once, not with the next heartbeat.
         self.beat();
--- a/src/control/backend/run.rs
+++ b/src/control/backend/run.rs
@@ -47,6 +47,8 @@
     pub task: Option<tokio::task::JoinHandle<()>>,
     /// Whose it is.
     pub customer: key::Customer,
+    /// Customer and idempotency key, if this sidecar decided about the key.
+    pub name: Option<(String, String)>,
     idempotent: bool,
     answer: kept::Answer,
     meter: usage::Meter,
@@ -62,6 +64,27 @@
     reservation: Option<share::Reservation>,
 }
 
+/// The frame that tells an entry how an attempt failed.
+pub fn failure(
+    request: u64,
+    attempt: u32,
+    code: code::Code,
+    retry_after: time::Duration,
+) -> wire::Failed {
+    let ran = match code.row().ran {
+        code::Ran::No => wire::Ran::No,
+        code::Ran::Yes => wire::Ran::Yes,
+        code::Ran::Unknown => wire::Ran::Unknown,
+    };
+    wire::Failed {
+        request,
+        attempt,
+        code: u32::from(code.number()),
+        ran: ran.into(),
+        retry_after_ms: retry_after.as_millis() as u64,
+    }
+}
+
 impl Run {
     /// A run that has just started.
     pub fn new(
@@ -79,6 +102,7 @@
             detached: None,
             task: None,
             customer,
+            name: None,
             idempotent: run.idempotent,
             answer: kept::Answer::default(),
             meter: usage::Meter::default(),
@@ -109,21 +133,6 @@
         self.acknowledged = self.acknowledged.max(offset);
     }
 
-    fn failure(&self, code: code::Code) -> wire::Failed {
-        let ran = match code.row().ran {
-            code::Ran::No => wire::Ran::No,
-            code::Ran::Yes => wire::Ran::Yes,
-            code::Ran::Unknown => wire::Ran::Unknown,
-        };
-        wire::Failed {
-            request: self.request,
-            attempt: self.attempt,
-            code: u32::from(code.number()),
-            ran: ran.into(),
-            retry_after_ms: 0,
-        }
-    }
-
     fn next(&mut self) -> Option<frame::Sidecar> {
         let (request, attempt) = (self.request, self.attempt);
         if self.answer.status != 0 && !self.sent.head {
@@ -157,7 +166,12 @@
         }
         if let Some(code) = self.failed {
             self.sent.end = true;
-            return Some(frame::Sidecar::Failed(self.failure(code)));
+            return Some(frame::Sidecar::Failed(failure(
+                request,
+                attempt,
+                code,
+                time::Duration::ZERO,
+            )));
         }
         if self.answer.ended() {
             self.sent.end = true;
@@ -211,12 +225,27 @@
         self.push(now, key);
     }
 
+    /// Answers a run with a kept answer instead of a call.
+    pub(super) fn replay(&mut self, now: time::Duration, key: key::Run, answer: kept::Answer) {
+        let run = &mut self.runs[key];
+        self.kept_bytes += answer.length();
+        run.answer = answer;
+        run.ended = Some(now);
+        if let Some(reservation) = run.reservation.take() {
+            self.shares.release(reservation);
+        }
+        self.push(now, key);
+    }
+
     fn end(&mut self, now: time::Duration, key: key::Run) {
         self.running -= 1;
         let run = &mut self.runs[key];
         run.ended = Some(now);
         run.task = None;
         self.tally.running(run.customer, -1);
+        if let Some(name) = run.name.take() {
+            self.keyed.end(now, name, run.failed, &run.answer);
+        }
         let Some(reservation) = run.reservation.take() else {
             return;
         };
--- a/src/control/backend/start.rs
+++ b/src/control/backend/start.rs
@@ -2,8 +2,9 @@
 
 use std::time;
 
-use crate::control::backend::run::Run;
-use crate::control::backend::{Backend, Message};
+use crate::control::backend::run::{self, Run};
+use crate::control::backend::{Backend, Message, keyed};
+use crate::decide::share;
 use crate::platform::backend;
 use crate::wire::frame;
 use crate::{code, key, wire};
@@ -26,24 +27,66 @@
             self.stale += 1;
             return;
         }
-        let Some(claim) = claim.filter(|_| !voided) else {
+        if voided && let Some(claim) = claim {
+            self.shares.release(claim.reservation);
+            return;
+        }
+        let Some(claim) = claim else {
             // Promise that it never starts here, also if this frame comes twice.
             memory.voided.insert(run.request, (run.attempt, now));
-            self.not_started(link, &run, code::Code::BackendRefused);
+            self.not_started(link, &run, code::Code::BackendRefused, time::Duration::ZERO);
             return;
         };
+        if run.idempotency_key.is_empty() {
+            self.begin(now, link, run, claim.reservation, false);
+            return;
+        }
+        match self.keyed.begin(now, &run) {
+            keyed::Verdict::Start => self.begin(now, link, run, claim.reservation, true),
+            keyed::Verdict::Plain => self.begin(now, link, run, claim.reservation, false),
+            keyed::Verdict::Replay(answer) => {
+                let key = self.insert(now, link, &run, claim.reservation);
+                self.replay(now, key, answer);
+            }
+            keyed::Verdict::Refuse { code, retry_after } => {
+                self.shares.release(claim.reservation);
+                self.refuse_key(now, link, &run, code, retry_after);
+            }
+        }
+    }
+
+    fn begin(
+        &mut self,
+        now: time::Duration,
+        link: key::Link,
+        run: wire::Run,
+        reservation: share::Reservation,
+        keyed: bool,
+    ) {
+        let key = self.insert(now, link, &run, reservation);
+        if keyed {
+            let name = (run.customer.clone(), run.idempotency_key.clone());
+            self.runs[key].name = Some(name);
+        }
+        self.start(key, run);
+    }
+
+    fn insert(
+        &mut self,
+        now: time::Duration,
+        link: key::Link,
+        run: &wire::Run,
+        reservation: share::Reservation,
+    ) -> key::Run {
+        let origin = self.links[link].origin.clone();
         let customer = self.customers.intern(&run.customer);
-        let key = self.runs.insert(Run::new(
-            origin.clone(),
-            customer,
-            &run,
-            claim.reservation,
-            now,
-        ));
+        let key = self
+            .runs
+            .insert(Run::new(origin.clone(), customer, run, reservation, now));
         if let Some(memory) = self.origins.get_mut(&origin) {
             memory.runs.insert(run.request, key);
         }
-        self.start(key, run);
+        key
     }
 
     fn start(&mut self, key: key::Run, run: wire::Run) {
@@ -71,13 +114,40 @@
         self.runs[key].task = Some(task);
     }
 
-    fn not_started(&self, link: key::Link, run: &wire::Run, code: code::Code) {
+    /// Refuses a call because of its key, and promises that this attempt never starts.
+    fn refuse_key(
+        &mut self,
+        now: time::Duration,
+        link: key::Link,
+        run: &wire::Run,
+        code: code::Code,
+        retry_after: time::Duration,
+    ) {
+        let origin = self.links[link].origin.clone();
+        let memory = self.origins.entry(origin).or_default();
+        memory.voided.insert(run.request, (run.attempt, now));
+        let changes_hands = matches!(code, code::Code::KeyHomeUnreachable | code::Code::Leaving);
+        if changes_hands {
+            self.not_started(link, run, code, retry_after);
+            return;
+        }
+        let failed = run::failure(run.request, run.attempt, code, retry_after);
+        self.links[link].send(frame::Sidecar::Failed(failed));
+    }
+
+    fn not_started(
+        &self,
+        link: key::Link,
+        run: &wire::Run,
+        code: code::Code,
+        retry_after: time::Duration,
+    ) {
         let voided = wire::Voided {
             request: run.request,
             attempt: run.attempt,
             code: u32::from(code.number()),
             not_started: true,
-            retry_after_ms: 0,
+            retry_after_ms: retry_after.as_millis() as u64,
         };
         self.links[link].send(frame::Sidecar::Voided(voided));
     }
--- a/src/control/dispatch/frames.rs
+++ b/src/control/dispatch/frames.rs
@@ -12,6 +12,9 @@
 /// ahead, so that acknowledgements are few and the sidecar never waits for one.
 const ACK_EVERY: u64 = 32 << 10;
 
+/// Wait before a request whose ticket was refused is placed again.
+const TICKET_BACKOFF: time::Duration = time::Duration::from_millis(100);
+
 /// Waiting requests of a customer that are looked at for the oldest that fits a claim.
 const LOOKED_AT: usize = 64;
 
@@ -151,25 +154,48 @@
         let Some(held) = self.requests.get_mut(key) else {
             return;
         };
+        let code = code::Code::from_number(voided.code).unwrap_or(code::Code::BackendRefused);
+        if code == code::Code::Leaving {
+            // Before its heartbeat says so: no new ticket goes there.
+            self.sidecars[sidecar].leaving = true;
+        }
         if voided.attempt == 0 {
-            if let Stage::Waiting { tickets, .. } = &mut held.stage {
-                tickets.retain(|at| *at != sidecar);
-                self.place(now, key);
-            }
+            self.ticket_refused(now, sidecar, key);
             return;
         }
         if held.current(sidecar, voided.attempt).is_none() {
             self.stale += 1;
             return;
         }
-        let code = code::Code::from_number(voided.code).unwrap_or(code::Code::BackendRefused);
         if voided.not_started {
             self.not_started(now, key, code);
         } else {
-            self.outcome_unknown(now, key);
+            self.lost(now, key);
         }
     }
 
+    /// A sidecar does not take a ticket: tries elsewhere, and here again only after a while.
+    fn ticket_refused(
+        &mut self,
+        now: time::Duration,
+        sidecar: key::Sidecar,
+        request: key::Request,
+    ) {
+        let Some(held) = self.requests.get_mut(request) else {
+            return;
+        };
+        let Stage::Waiting {
+            tickets,
+            not_before,
+        } = &mut held.stage
+        else {
+            return;
+        };
+        tickets.retain(|at| *at != sidecar);
+        *not_before = now + TICKET_BACKOFF;
+        self.place(now, request);
+    }
+
     fn head(&mut self, sidecar: key::Sidecar, frame: wire::Head) {
         let key = request(frame.request);
         let Some(held) = self.requests.get_mut(key) else {
@@ -233,7 +259,7 @@
                 self.finish(key);
             }
             answer::Ending::Gap(offset) => self.ask_again(sidecar, key, offset),
-            answer::Ending::Corrupt => self.outcome_unknown(now, key),
+            answer::Ending::Corrupt => self.corrupt(now, key),
         }
     }
 
@@ -246,8 +272,7 @@
             self.stale += 1;
             return;
         }
-        let code = code::Code::from_number(failed.code).unwrap_or(code::Code::OutcomeUnknown);
-        self.attempt_failed(now, key, code, failed.ran());
+        self.attempt_failed(now, key, failed);
     }
 
     fn heard(&mut self, now: time::Duration, sidecar: key::Sidecar, beat: &wire::SidecarBeat) {
--- a/src/control/dispatch/links.rs
+++ b/src/control/dispatch/links.rs
@@ -67,18 +67,22 @@
         for request in self.handed_over(key) {
             if let Stage::HandedOver(attempt) = &mut self.requests[request].stage {
                 attempt.lost = Some(now);
-                self.lost.push(request);
+                self.detached.push(request);
             }
         }
     }
 
     /// Takes in which sidecars there are.
     pub(super) fn members(&mut self, now: time::Duration, members: Vec<(Found, bool)>) {
+        for known in self.sidecars.values_mut() {
+            known.listed = false;
+        }
         for (found, leaving) in members {
             let key = self.known(&found.id);
             let known = &mut self.sidecars[key];
             known.zone = found.zone;
             known.service = found.service;
+            known.listed = true;
             if leaving && !known.leaving {
                 known.leaving = true;
                 self.drop_tickets(now, key);
@@ -88,7 +92,7 @@
 
     /// Gives up attempts that could not be resumed in time.
     pub(super) fn abandon(&mut self, now: time::Duration) {
-        let mut lost = std::mem::take(&mut self.lost);
+        let mut lost = std::mem::take(&mut self.detached);
         lost.retain(|request| {
             let Some(held) = self.requests.get(*request) else {
                 return false;
@@ -102,10 +106,10 @@
             if now < since + RESUME_LIMIT {
                 return true;
             }
-            self.outcome_unknown(now, *request);
+            self.lost(now, *request);
             false
         });
-        self.lost.append(&mut lost);
+        self.detached.append(&mut lost);
     }
 
     /// Takes a sidecar's tickets back without telling it, and places them elsewhere.
@@ -158,7 +162,7 @@
             return;
         };
         if attempt.incarnation != incarnation {
-            self.outcome_unknown(now, request);
+            self.lost(now, request);
             return;
         }
         attempt.lost = None;
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -5,6 +5,7 @@
 //! after a lost link, and ended so that the caller can tell a whole answer from a broken one.
 
 mod frames;
+mod keyed;
 mod ledger;
 mod links;
 mod place;
@@ -141,7 +142,7 @@
     /// Requests without a ticket.
     unplaced: collections::VecDeque<key::Request>,
     /// Requests whose attempt waits to be resumed.
-    lost: Vec<key::Request>,
+    detached: Vec<key::Request>,
     /// Requests in progress, read by a shutdown.
     in_progress: sync::Arc<sync::atomic::AtomicU64>,
 }
@@ -178,7 +179,7 @@
             revision: 0,
             turn: 0,
             unplaced: collections::VecDeque::new(),
-            lost: Vec::new(),
+            detached: Vec::new(),
             in_progress: setup.in_progress,
         })
     }
--- a/src/control/dispatch/place.rs
+++ b/src/control/dispatch/place.rs
@@ -36,6 +36,10 @@
             self.unplaced.push_back(request);
             return;
         }
+        if !held.ask.key.is_empty() {
+            self.place_keyed(now, request);
+            return;
+        }
         let chosen = self.choose(request);
         if chosen.is_empty() {
             self.wait_for_server(now, request);
@@ -138,7 +142,12 @@
         self.unplaced.push_back(request);
     }
 
-    fn offer(&mut self, now: time::Duration, request: key::Request, sidecar: key::Sidecar) {
+    pub(super) fn offer(
+        &mut self,
+        now: time::Duration,
+        request: key::Request,
+        sidecar: key::Sidecar,
+    ) {
         let Some(held) = self.requests.get_mut(request) else {
             return;
         };
--- a/src/control/dispatch/retry.rs
+++ b/src/control/dispatch/retry.rs
@@ -1,10 +1,11 @@
-//! What becomes of a request whose attempt failed.
+//! What becomes of a request whose attempt met trouble.
 
 use std::time;
 
 use smallvec::SmallVec;
 
 use crate::control::dispatch::{Dispatch, Stage};
+use crate::decide::outcome;
 use crate::{code, filter, key, wire};
 
 /// Most attempts of one request.
@@ -13,6 +14,9 @@
 /// Wait before the second attempt; doubled for each further one.
 const BACKOFF: time::Duration = time::Duration::from_millis(50);
 
+/// Wait before a key's sidecar is tried again while who decides changes hands.
+const KEY_BACKOFF: time::Duration = time::Duration::from_millis(200);
+
 /// How long after the hand-over a sidecar's word "not started" is believed. Sidecars remember what
 /// they started for at least five minutes; an entry that was paused for longer must not take their
 /// forgetting for a no.
@@ -29,11 +33,12 @@
         let Stage::HandedOver(attempt) = &self.requests[request].stage else {
             return;
         };
-        if now > attempt.since + BELIEVED {
-            self.outcome_unknown(now, request);
+        let trouble = if now > attempt.since + BELIEVED {
+            outcome::Trouble::Lost
         } else {
-            self.again_or(now, request, code);
-        }
+            outcome::Trouble::Voided { not_started: true }
+        };
+        self.trouble(now, request, trouble, code, None);
     }
 
     /// The sidecar reports how the attempt failed.
@@ -41,50 +46,103 @@
         &mut self,
         now: time::Duration,
         request: key::Request,
-        code: code::Code,
-        ran: wire::Ran,
+        failed: &wire::Failed,
     ) {
-        let held = &self.requests[request];
-        if ran == wire::Ran::No || (held.ask.idempotent && !held.passed) {
-            self.again_or(now, request, code);
-        } else {
-            self.refuse(request, filter::Refusal::new(code, code.row().text));
-        }
+        let code = code::Code::from_number(failed.code).unwrap_or(code::Code::OutcomeUnknown);
+        let ran = match failed.ran() {
+            wire::Ran::No => code::Ran::No,
+            wire::Ran::Yes => code::Ran::Yes,
+            wire::Ran::Unknown | wire::Ran::Unspecified => code::Ran::Unknown,
+        };
+        let wait = time::Duration::from_millis(failed.retry_after_ms);
+        let retry_after = (!wait.is_zero()).then_some(wait);
+        let trouble = outcome::Trouble::Failed { code, ran };
+        self.trouble(now, request, trouble, code, retry_after);
     }
 
     /// Nobody can say what became of the attempt.
-    pub(super) fn outcome_unknown(&mut self, now: time::Duration, request: key::Request) {
+    pub(super) fn lost(&mut self, now: time::Duration, request: key::Request) {
+        let code = code::Code::OutcomeUnknown;
+        self.trouble(now, request, outcome::Trouble::Lost, code, None);
+    }
+
+    /// The answer's length or checksum is wrong.
+    pub(super) fn corrupt(&mut self, now: time::Duration, request: key::Request) {
+        let code = code::Code::AnswerBroken;
+        self.trouble(now, request, outcome::Trouble::Corrupt, code, None);
+    }
+
+    fn trouble(
+        &mut self,
+        now: time::Duration,
+        request: key::Request,
+        trouble: outcome::Trouble,
+        cause: code::Code,
+        retry_after: Option<time::Duration>,
+    ) {
         let held = &self.requests[request];
-        let code = if held.passed {
-            code::Code::AnswerBroken
-        } else {
-            code::Code::OutcomeUnknown
+        let Stage::HandedOver(attempt) = &held.stage else {
+            return;
         };
-        if held.ask.idempotent && !held.passed {
-            self.again_or(now, request, code);
+        let stage = if held.head.is_some() || held.passed || attempt.answer.received() > 0 {
+            outcome::Stage::Answering
         } else {
-            self.refuse(request, filter::Refusal::new(code, code.row().text));
+            outcome::Stage::Sent
+        };
+        let known = outcome::Request {
+            idempotent: held.ask.idempotent,
+            passed: held.passed,
+        };
+        match outcome::decide(known, stage, trouble) {
+            outcome::Verdict::Retry => self.again_or(now, request, cause, retry_after),
+            outcome::Verdict::Fail(code) => self.fail(request, code, retry_after),
+            outcome::Verdict::Resume | outcome::Verdict::Done => {}
         }
     }
 
-    fn again_or(&mut self, now: time::Duration, request: key::Request, code: code::Code) {
+    fn fail(
+        &mut self,
+        request: key::Request,
+        code: code::Code,
+        retry_after: Option<time::Duration>,
+    ) {
+        let refusal = filter::Refusal {
+            code,
+            detail: String::new(),
+            retry_after,
+        };
+        self.refuse(request, refusal);
+    }
+
+    fn again_or(
+        &mut self,
+        now: time::Duration,
+        request: key::Request,
+        code: code::Code,
+        retry_after: Option<time::Duration>,
+    ) {
+        let home_may_change = self.home_may_change(now, request, code);
         let held = &mut self.requests[request];
         let Stage::HandedOver(attempt) = &held.stage else {
             return;
         };
         let sidecar = attempt.sidecar;
-        if held.passed || held.attempt >= ATTEMPTS {
-            self.refuse(request, filter::Refusal::new(code, code.row().text));
+        if held.attempt >= ATTEMPTS && !home_may_change {
+            self.fail(request, code, retry_after);
             return;
         }
         if !held.tried.contains(&sidecar) {
             held.tried.push(sidecar);
         }
         held.head = None;
-        let not_before = now + BACKOFF * 2_u32.pow(held.attempt - 1);
+        let wait = if home_may_change {
+            KEY_BACKOFF
+        } else {
+            BACKOFF * 2_u32.pow(held.attempt - 1)
+        };
         held.stage = Stage::Waiting {
             tickets: SmallVec::new(),
-            not_before,
+            not_before: now + wait,
         };
         self.tally.running(held.customer, -1);
         if let Some(reservation) = held.reservation.take() {
--- a/src/control/dispatch/sidecar.rs
+++ b/src/control/dispatch/sidecar.rs
@@ -33,6 +33,8 @@
     pub waiting: u32,
     /// When it last said so.
     pub reported: time::Duration,
+    /// True while the platform's list has it.
+    pub listed: bool,
     /// True once it takes no new work.
     pub leaving: bool,
     /// Requests this entry has handed over and not seen the end of.
@@ -64,6 +66,7 @@
             running: 0,
             waiting: 0,
             reported: time::Duration::ZERO,
+            listed: false,
             leaving: false,
             outstanding: 0,
             tickets: 0,
--- a/src/entry/roster.rs
+++ b/src/entry/roster.rs
@@ -7,7 +7,7 @@
 use crate::control::{dispatch, link, member};
 use crate::decide::member::{Member, Role, Standing};
 use crate::platform::instances;
-use crate::{settings, wire};
+use crate::{process, settings, wire};
 
 /// Keeps links to the sidecars, and tells the core of them and of the other entries.
 #[derive(Debug)]
@@ -85,7 +85,7 @@
 }
 
 /// Follows the membership; what is returned takes each new list.
-pub fn keep(roster: Roster) -> impl FnMut(instances::List) + Send + 'static {
+pub fn keep(roster: Roster) -> impl FnMut(process::Read) + Send + 'static {
     let roster = sync::Arc::new(roster);
     let weak = sync::Arc::downgrade(&roster);
     roster.members.subscribe(move || {
@@ -93,7 +93,11 @@
             roster.refresh();
         }
     });
-    move |list| roster.listed(&list)
+    move |read| {
+        if read.changed {
+            roster.listed(&read.list);
+        }
+    }
 }
 
 /// A sidecar that is only suspected stays: its link tells the entry whether it answers.
--- a/src/process.rs
+++ b/src/process.rs
@@ -94,13 +94,25 @@
     Ok(poller)
 }
 
-/// Keeps this process on the platform's list and reports each new list.
+/// One read of the platform's instance list.
+#[derive(Clone, Debug)]
+pub struct Read {
+    /// When it was asked for.
+    pub asked_at: time::Instant,
+    /// The list.
+    pub list: sync::Arc<instances::List>,
+    /// Whether it differs from the read before.
+    pub changed: bool,
+}
+
+/// Keeps this process on the platform's list and reports each read.
 pub fn watch_instances(
     address: net::SocketAddr,
     own: sync::Arc<sync::Mutex<instances::Instance>>,
-    mut report: impl FnMut(instances::List) + Send + 'static,
+    mut report: impl FnMut(Read) + Send + 'static,
 ) -> error::Result<Poller> {
     let client = platform::instances::open(address);
+    let mut held = sync::Arc::new(instances::List::default());
     let mut known = None;
     let mut registered: Option<(time::Instant, instances::State)> = None;
     poll("instances", move || {
@@ -113,9 +125,18 @@
         if due && client.put(&instance).is_ok() {
             registered = Some((time::Instant::now(), instance.state));
         }
-        if let Ok(Some(list)) = client.list(known) {
-            known = Some(list.version);
-            report(list);
+        let asked_at = time::Instant::now();
+        if let Ok(answer) = client.list(known) {
+            let changed = answer.is_some();
+            if let Some(list) = answer {
+                known = Some(list.version);
+                held = sync::Arc::new(list);
+            }
+            report(Read {
+                asked_at,
+                list: sync::Arc::clone(&held),
+                changed,
+            });
         }
         thread::sleep(LIST_PERIOD);
     })
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -181,6 +181,29 @@
         default_value_t = 300_000
     )]
     pub key_retention_ms: u64,
+    /// How long a confirmation by the instance list lets this sidecar start calls with an
+    /// idempotency key.
+    #[arg(
+        long,
+        env = "CHIVEBEND_KEY_LEASE_MS",
+        value_name = "MILLISECONDS",
+        value_parser = check::timeout(),
+        default_value_t = 10_000
+    )]
+    pub key_lease_ms: u64,
+    /// Longest lag of the instance list.
+    #[arg(
+        long,
+        env = "CHIVEBEND_LIST_LAG_MS",
+        value_name = "MILLISECONDS",
+        value_parser = check::timeout(),
+        default_value_t = 5_000
+    )]
+    pub list_lag_ms: u64,
+    /// States that no sidecar of this service ran within the key retention, so that calls with an
+    /// idempotency key start at once.
+    #[arg(long, env = "CHIVEBEND_FIRST_START")]
+    pub first_start: bool,
     /// Memory for kept answers.
     #[arg(
         long,
@@ -227,6 +250,9 @@
             backend_address: backend,
             service: service.into(),
             key_retention_ms: 300_000,
+            key_lease_ms: 10_000,
+            list_lag_ms: 5_000,
+            first_start: false,
             answer_memory: 64 << 20,
             answer_limit: 16 << 20,
             progress_timeout_ms: 30_000,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,5 +1,6 @@
 //! The sidecar process, from settings to running handle.
 
+mod handover;
 mod server;
 
 use std::sync::atomic;
@@ -58,6 +59,7 @@
             runtime: runtime.handle(),
             tx: tx.clone(),
             gauges: sync::Arc::clone(&gauges),
+            hand_over: hand_over(&runtime, settings),
         },
     )?;
     let ring = event::Ring::open(event::CAPACITY, &settings.process.identity("sidecar"));
@@ -82,10 +84,16 @@
     follow(settings, &exchange, tx.clone());
     let own = sync::Arc::new(sync::Mutex::new(own));
     let members = exchange.members.clone();
+    let core_tx = tx.clone();
     let poller = process::watch_instances(
         settings.process.instances_address,
         sync::Arc::clone(&own),
-        move |list| members.observe_list(&list),
+        move |read| {
+            if read.changed {
+                members.observe_list(&read.list);
+            }
+            drop(core_tx.send(backend::Message::Listed(read)));
+        },
     )?;
     ring.note(event::Kind::ProcessStarted)
         .field("address", fleet_address)
@@ -106,6 +114,14 @@
     })
 }
 
+fn hand_over(runtime: &process::Runtime, settings: &settings::Sidecar) -> backend::HandOver {
+    let runtime = runtime.handle();
+    let secret = settings.process.secret.clone();
+    Box::new(move |address, request, done| {
+        handover::spawn(&runtime, secret.clone(), address, request, done);
+    })
+}
+
 fn serve(
     runtime: &process::Runtime,
     listener: tokio::net::TcpListener,
@@ -123,7 +139,11 @@
         .initial_stream_window_size(link::STREAM_WINDOW)
         .initial_connection_window_size(link::STREAM_WINDOW)
         .add_service(peers)
-        .add_service(sidecar_server::SidecarServer::new(server));
+        .add_service(
+            sidecar_server::SidecarServer::new(server)
+                .max_decoding_message_size(handover::MESSAGE_LIMIT)
+                .max_encoding_message_size(handover::MESSAGE_LIMIT),
+        );
     runtime.handle().spawn(async move {
         let incoming = TcpListenerStream::new(listener);
         if let Err(err) = router.serve_with_incoming(incoming).await {
--- a/src/sidecar/server.rs
+++ b/src/sidecar/server.rs
@@ -4,7 +4,7 @@
 use std::{pin, sync};
 
 use crossbeam_channel as channel;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio_stream::wrappers::UnboundedReceiverStream;
 use tokio_stream::{Stream, StreamExt};
 use tonic::{Request, Response, Status, Streaming};
@@ -60,9 +60,14 @@
 
     async fn handover(
         &self,
-        _request: Request<wire::HandoverRequest>,
+        request: Request<wire::HandoverRequest>,
     ) -> Result<Response<wire::HandoverReply>, Status> {
-        Err(Status::unimplemented("handover"))
+        secret::check(&self.secret, &request)?;
+        let (tx, rx) = oneshot::channel();
+        let message = backend::Message::Handover(Box::new(request.into_inner()), tx);
+        let stopped = || Status::unavailable("stopped");
+        self.tx.send(message).map_err(|_stopped| stopped())?;
+        rx.await.map(Response::new).map_err(|_stopped| stopped())
     }
 }
 
--- /dev/null
+++ b/tests/keyed.rs
@@ -0,0 +1,90 @@
+//! Calls with an idempotency key: once at most, through whichever entry they come.
+
+mod support;
+
+use support::{Fleet, Received, call, until};
+
+const KEY: &str = "idempotency-key";
+
+/// Sends until somebody decides about the key: sidecars that have just started, or take over, refuse.
+fn settled(mut send: impl FnMut() -> Received) -> Received {
+    let mut answer = send();
+    until("somebody decides about the key", || {
+        if matches!(answer.code, Some(306 | 307)) {
+            answer = send();
+        }
+        !matches!(answer.code, Some(306 | 307))
+    });
+    answer
+}
+
+#[test]
+fn the_same_key_runs_once_through_two_entries() {
+    let mut fleet = Fleet::open();
+    let _first = fleet.plain("p1", 5);
+    let _second = fleet.plain("p2", 5);
+    let entries = [fleet.entry("e1"), fleet.entry("e2")];
+    until("ready", || entries.iter().all(support::Process::is_ready));
+    for number in 0..20 {
+        let key = format!("load-{number}");
+        let body = format!("load entry {number}");
+        let headers = [(KEY, key.as_str())];
+        let answers = entries.each_ref().map(|entry| {
+            // Until the sidecars have handed over to each other, the key is refused as not run.
+            settled(|| call(entry, "/records", &headers, &body))
+        });
+        for answer in &answers {
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        assert_eq!(
+            answers[0].body, answers[1].body,
+            "the kept answer is the same"
+        );
+        assert_eq!(fleet.record.executions().get(&key), Some(&1));
+    }
+}
+
+#[test]
+fn a_key_is_not_taken_for_another_request() {
+    let mut fleet = Fleet::open();
+    let _sidecar = fleet.plain("p1", 1);
+    let entry = fleet.entry("e1");
+    until("ready", || entry.is_ready());
+    let headers = [(KEY, "load-1")];
+    until("the first runs", || {
+        call(&entry, "/records", &headers, "whey").status == 200
+    });
+    let other = call(&entry, "/records", &headers, "manure");
+    assert_eq!(
+        (other.code, other.ran.as_deref()),
+        (Some(108), Some("no")),
+        "{other:?}"
+    );
+    assert_eq!(fleet.record.executions().get("load-1"), Some(&1));
+}
+
+#[test]
+fn keys_outlive_a_graceful_shutdown() {
+    let mut fleet = Fleet::open();
+    let mut first = fleet.plain("p1", 1);
+    let _second = fleet.plain("p2", 1);
+    let entry = fleet.entry("e1");
+    until("ready", || entry.is_ready());
+    let send = |number: u32| {
+        let key = format!("load-{number}");
+        call(&entry, "/records", &[(KEY, key.as_str())], "whey")
+    };
+    for number in 0..20 {
+        until("it runs", || send(number).status == 200);
+    }
+    first.signal("TERM");
+    assert!(first.wait().success(), "nothing was cut");
+    for number in 0..20 {
+        let answer = settled(|| send(number));
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert_eq!(
+            fleet.record.executions().get(&format!("load-{number}")),
+            Some(&1)
+        );
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -263,7 +263,15 @@
         let mut args = self.args(id);
         args.extend(["--backend-address".into(), backend.to_string()]);
         args.extend(["--service".into(), service.into()]);
-        args.extend(["--key-retention-ms".into(), "3000".into()]);
+        let terms = [
+            ("--key-retention-ms", "3000"),
+            ("--key-lease-ms", "2000"),
+            ("--list-lag-ms", "500"),
+        ];
+        for (name, value) in terms {
+            args.extend([name.into(), value.into()]);
+        }
+        args.push("--first-start".into());
         Process::start(env!("CARGO_BIN_EXE_chivebend-sidecar"), &args)
     }
 
