Let tests start calls with keys only once a sidecar decides about them

Cause: faults_kill sent a call with a key to a sidecar that had just started, which refused it. Change: the test fleet waits for a plain service's sidecar to decide; only the first sidecar of a service says that the service is new. Measured: tests/faults_kill.rs passes.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,7 +7,7 @@
 pub mod relay;
 
 use std::io::{BufRead, BufReader, Read};
-use std::{net, process, sync, thread, time};
+use std::{collections, net, process, sync, thread, time};
 
 use chivebend::{platform, standin};
 
@@ -166,6 +166,12 @@
         answer.body_mut().read_to_string().ok()
     }
 
+    /// True once a sidecar decides about the idempotency keys it is the home of.
+    pub fn decides_keys(&self) -> bool {
+        self.ops("/status")
+            .is_some_and(|status| status.contains("\"decides_keys\":true"))
+    }
+
     /// True once the operators' port says ready.
     pub fn is_ready(&self) -> bool {
         let answer = agent().get(format!("http://{}/ready", self.ops)).call();
@@ -203,6 +209,8 @@
     pub engines: Vec<standin::engine::Handle>,
     /// Plain services.
     pub services: Vec<standin::service::Handle>,
+    /// Services of which a sidecar was started.
+    started: sync::Mutex<collections::BTreeSet<String>>,
 }
 
 impl Fleet {
@@ -220,6 +228,7 @@
             record: sync::Arc::default(),
             engines: Vec::new(),
             services: Vec::new(),
+            started: sync::Mutex::default(),
         }
     }
 
@@ -241,7 +250,7 @@
         sidecar
     }
 
-    /// Starts a plain service and its sidecar.
+    /// Starts a plain service and its sidecar, and waits until it decides about keys.
     pub fn plain(&mut self, id: &str, work_ms: u64) -> Process {
         let settings = standin::service::Settings {
             address: "127.0.0.1:0".parse().expect("an address"),
@@ -254,6 +263,7 @@
             .block_on(standin::service::spawn(settings, record));
         let service = service.expect("service");
         let sidecar = self.sidecar(id, "records", service.address);
+        until("the sidecar decides about keys", || sidecar.decides_keys());
         self.services.push(service);
         sidecar
     }
@@ -271,7 +281,12 @@
         for (name, value) in terms {
             args.extend([name.into(), value.into()]);
         }
-        args.push("--first-start".into());
+        // Only the first of a service may say so: a restarted one would deny what ran before.
+        let mut started = self.started.lock().expect("no test thread has panicked");
+        if started.insert(service.to_owned()) {
+            args.push("--first-start".into());
+        }
+        drop(started);
         Process::start(env!("CARGO_BIN_EXE_chivebend-sidecar"), &args)
     }
 
