End a sidecar's shutdown only once its keys are given away

Cause: tests/keyed.rs failed under load: the shutdown looked at a counter after 200 ms, before the core had begun to give the keys, and ended; its keys were then refused with 306 until the list dropped it. Change: the core says when nothing is left to finish or give away, and the shutdown waits for that.

--- a/src/control/backend/keyed.rs
+++ b/src/control/backend/keyed.rs
@@ -190,6 +190,11 @@
         self.home.settled()
     }
 
+    /// True once the keys were given away, as far as that could be done.
+    pub fn given(&self) -> bool {
+        self.giving == Some(0)
+    }
+
     /// Members that are still to be given this sidecar's keys.
     pub fn giving(&self) -> u32 {
         self.giving.unwrap_or_default()
--- a/src/control/backend/mod.rs
+++ b/src/control/backend/mod.rs
@@ -98,6 +98,8 @@
 pub struct Gauges {
     /// Requests running or kept for an entry that has not acknowledged them.
     pub in_progress: atomic::AtomicU64,
+    /// True once a leaving sidecar has nothing left to finish or to give away.
+    pub drained: atomic::AtomicBool,
     /// Catalogue revision in force, 0 before the first.
     pub revision: atomic::AtomicU64,
 }
@@ -232,6 +234,11 @@
         self.fill(now);
         let unsettled = self.runs.values().filter(|run| !run.settled()).count();
         let in_progress = unsettled as u64 + u64::from(self.keyed.giving());
+        let drained = in_progress == 0 && self.keyed.given();
+        self.setup
+            .gauges
+            .drained
+            .store(drained, atomic::Ordering::Relaxed);
         self.setup
             .gauges
             .in_progress
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -218,13 +218,11 @@
     pub fn shutdown(mut self) -> bool {
         self.drain();
         let deadline = time::Instant::now() + self.shutdown_limit;
-        // The core counts again after it has taken the drain.
-        thread::sleep(LINGER);
-        let in_progress = || self.gauges.in_progress.load(atomic::Ordering::Relaxed);
-        while in_progress() > 0 && time::Instant::now() < deadline {
+        let drained = || self.gauges.drained.load(atomic::Ordering::Relaxed);
+        while !drained() && time::Instant::now() < deadline {
             thread::sleep(POLL);
         }
-        let cut = in_progress();
+        let cut = self.gauges.in_progress.load(atomic::Ordering::Relaxed);
         thread::sleep(LINGER);
         self.ring
             .note(event::Kind::ProcessStopped)
