--- a/src/control/backend/keyed.rs
+++ b/src/control/backend/keyed.rs
@@ -24,6 +24,8 @@
     keys: keys::Table,
     answers: Answers,
     retention: time::Duration,
+    /// Where sidecars of the service listen, of all that were ever listed or have asked: a few
+    /// hundred bytes for each of the few replaced in a day.
     addresses: collections::HashMap<String, net::SocketAddr>,
     asked: collections::HashMap<sync::Arc<str>, time::Duration>,
     /// Calls with a key that run.
@@ -309,7 +311,8 @@
         };
         let peers: Vec<_> = list.instances.iter().filter(same).collect();
         let addresses = peers.iter().map(|peer| (peer.id.clone(), peer.address));
-        self.keyed.addresses = addresses.collect();
+        // A sidecar that has asked may not be on the list yet, and is to be given the keys too.
+        self.keyed.addresses.extend(addresses);
         let listed: Vec<_> = peers
             .iter()
             .map(|peer| home::Listed {
@@ -368,6 +371,9 @@
             ..wire::HandoverReply::default()
         };
         let keyed = &mut self.keyed;
+        if let Ok(address) = process.address.parse() {
+            keyed.addresses.insert(process.id.clone(), address);
+        }
         if request.join {
             let told = keyed.home.answer(now, &process.id, process.incarnation);
             let home = &keyed.home;
