--- a/src/control/backend/mod.rs
+++ b/src/control/backend/mod.rs
@@ -215,7 +215,7 @@
             Message::Handed(ask, reply) => self.handed(now, &ask, &reply),
             Message::Gave => self.gave(),
             Message::Drain => self.drain(),
-            Message::Status(tx) => drop(tx.send(self.status())),
+            Message::Status(tx) => drop(tx.send(self.status(now))),
             Message::Customers(tx) => drop(tx.send(self.report(now))),
             Message::Stop => cx.shutdown(stakker::StopCause::Stopped),
         }
--- a/src/control/backend/status.rs
+++ b/src/control/backend/status.rs
@@ -8,12 +8,12 @@
 
 impl Backend {
     /// The state; what only the process knows is left to it.
-    pub(super) fn status(&self) -> report::Status {
+    pub(super) fn status(&self, now: time::Duration) -> report::Status {
         let revision = self.setup.gauges.revision.load(atomic::Ordering::Relaxed);
         report::Status {
             revision: (revision > 0).then_some(revision),
             leaving: self.leaving,
-            decides_keys: self.keyed.settled(),
+            decides_keys: self.keyed.settled(now),
             service: Some(self.setup.settings.service.clone()),
             window: Some(u64::from(self.window)),
             running: u64::from(self.running),
