Cancel a request whose caller leaves before its number is known

Cause: the guard that reports a caller's leaving was made only after the core's answer to the submission; a connection dropped between the core's sending of the number and its reading left the request running with nobody to cancel it. Change: the guard owns the receiver from the submission on and, when dropped, closes it and takes a number already sent. Conclusion: every way out of a submission now tells the core.

--- a/src/entry/body.rs
+++ b/src/entry/body.rs
@@ -8,7 +8,7 @@
 use crossbeam_channel as channel;
 use http_body_util::combinators::BoxBody;
 use hyper::body::Frame;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::control::dispatch;
 use crate::key;
@@ -19,6 +19,7 @@
 /// Tells the core that the caller has left, unless the answer has ended.
 #[derive(Debug)]
 pub struct Guard {
+    accepted: Option<oneshot::Receiver<key::Request>>,
     request: Option<key::Request>,
     core: channel::Sender<dispatch::Message>,
 }
@@ -31,14 +32,27 @@
 }
 
 impl Guard {
-    /// Guards a request.
-    pub fn new(request: key::Request, core: channel::Sender<dispatch::Message>) -> Self {
+    /// Guards a request from its submission on: the caller can leave before its number is known.
+    pub fn new(
+        accepted: oneshot::Receiver<key::Request>,
+        core: channel::Sender<dispatch::Message>,
+    ) -> Self {
         Self {
-            request: Some(request),
+            accepted: Some(accepted),
+            request: None,
             core,
         }
     }
 
+    /// Waits until the core has taken the request; false if it has ended.
+    pub async fn accepted(&mut self) -> bool {
+        if let Some(accepted) = &mut self.accepted {
+            self.request = accepted.await.ok();
+            self.accepted = None;
+        }
+        self.request.is_some()
+    }
+
     /// The request has its final answer.
     pub fn disarm(&mut self) {
         self.request = None;
@@ -47,6 +61,11 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
+        if let Some(mut accepted) = self.accepted.take() {
+            // From here on the core sees that nobody waits; a number it has sent already is here.
+            accepted.close();
+            self.request = accepted.try_recv().ok();
+        }
         if let Some(request) = self.request.take() {
             drop(self.core.send(dispatch::Message::Left(request)));
         }
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -283,8 +283,10 @@
         .core
         .send(dispatch::Message::Submit(Box::new(submission)))
         .map_err(|_stopped| stopped())?;
-    let number = number.await.map_err(|_stopped| stopped())?;
     let mut guard = body::Guard::new(number, shared.core.clone());
+    if !guard.accepted().await {
+        return Err(stopped());
+    }
     match rx.recv().await {
         Some(dispatch::Reply::Head(status, headers)) => {
             let stream = body::Stream::new(rx, guard);
