Drop kept answers of callers that left, and cut pieces to what may be sent ahead

Cause: a finished run whose caller left kept its bytes for five minutes, and a sidecar above its answer memory claims nothing; a piece of the backend server larger than the bound on what is sent ahead was sent whole. Change: cancelling an ended run drops its answer, bytes nobody fetched go after 30 s in any case, and a piece is cut to the room left. Conclusion: what still is not bounded by the answer memory is what runs add after they were claimed.

--- a/src/control/backend/run.rs
+++ b/src/control/backend/run.rs
@@ -124,6 +124,11 @@
         self.done && self.ended.is_some()
     }
 
+    /// True while it keeps bytes or its entry may need something of it.
+    fn holds(&self) -> bool {
+        !self.done || self.answer.length() > 0
+    }
+
     /// Sends again from an offset.
     pub fn rewind(&mut self, offset: u64) {
         self.sent = Sent {
@@ -146,9 +151,13 @@
             };
             return Some(frame::Sidecar::Head(head));
         }
-        if self.sent.bytes < self.acknowledged + SEND_AHEAD
-            && let Some(data) = self.answer.from_offset(self.sent.bytes)
+        let ahead = self.acknowledged.saturating_add(SEND_AHEAD);
+        let room = ahead.saturating_sub(self.sent.bytes);
+        if room > 0
+            && let Some(mut data) = self.answer.from_offset(self.sent.bytes)
         {
+            // A backend server's answer can come in pieces larger than what may be sent ahead.
+            data.truncate(room.min(data.len() as u64) as usize);
             let offset = self.sent.bytes;
             self.sent.bytes += data.len() as u64;
             let cost = std::mem::take(&mut self.uncharged);
@@ -309,6 +318,9 @@
         };
         self.runs[key].done = true;
         self.stop(now, key);
+        if self.runs[key].ended.is_some() {
+            self.drop_answer(key);
+        }
     }
 
     /// Ends idempotent runs whose entry is gone, drops answers nobody fetches, and forgets runs
@@ -321,7 +333,7 @@
             match (run.ended, run.detached) {
                 (None, Some(since)) if now > since + ORPHAN_LIMIT => orphans.push(key),
                 (Some(ended), _) if now > ended + MEMORY => old.push(key),
-                (Some(ended), _) if now > ended + KEEP && !run.done => stale.push(key),
+                (Some(ended), _) if now > ended + KEEP && run.holds() => stale.push(key),
                 _ => {}
             }
         }
