--- a/tests/faults_cut.rs
+++ b/tests/faults_cut.rs
@@ -90,10 +90,7 @@
             scope.spawn(move || {
                 let mut fleet = Fleet::open();
                 let cut = open(&mut fleet, true);
-                let lives: Vec<_> = ["one", "two", "three"]
-                    .into_iter()
-                    .map(|prompt| (prompt, Live::open(&cut.entry, prompt, TOKENS)))
-                    .collect();
+                let lives = Live::open_three(&cut.entry, TOKENS);
                 hurt(&cut, &case);
                 for (prompt, live) in lives {
                     let name = case.name;
--- a/tests/faults_pause.rs
+++ b/tests/faults_pause.rs
@@ -19,10 +19,7 @@
     let sidecar = fleet.model("m1", TOKEN_MS);
     let entry = fleet.entry("e1");
     until("ready", || entry.is_ready());
-    let lives: Vec<_> = ["one", "two", "three"]
-        .into_iter()
-        .map(|prompt| (prompt, Live::open(&entry, prompt, TOKENS)))
-        .collect();
+    let lives = Live::open_three(&entry, TOKENS);
     sidecar.signal("STOP");
     until("the entry has noticed", || is_lost(&entry));
     sidecar.signal("CONT");
@@ -68,10 +65,7 @@
     let _sidecar = fleet.model("m1", TOKEN_MS);
     let entry = fleet.entry("e1");
     until("ready", || entry.is_ready());
-    let lives: Vec<_> = ["one", "two", "three"]
-        .into_iter()
-        .map(|prompt| (prompt, Live::open(&entry, prompt, TOKENS)))
-        .collect();
+    let lives = Live::open_three(&entry, TOKENS);
     entry.signal("STOP");
     thread::sleep(PAUSE);
     entry.signal("CONT");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod node;
+pub mod peer;
 pub mod relay;
 
 use std::io::{BufRead, BufReader, Read};
@@ -17,6 +18,9 @@
 /// API key of customer `alpha`; its hash is in [`CATALOGUE`].
 pub const KEY: &str = "alpha-key";
 
+/// The secret that the fleet's processes share.
+pub const SECRET: &str = "test-secret";
+
 /// Waits until something is true.
 pub fn until(what: &str, mut test: impl FnMut() -> bool) {
     let began = time::Instant::now();
@@ -88,7 +92,7 @@
     fn start(program: &str, args: &[String]) -> Self {
         let mut child = process::Command::new(program)
             .args(args)
-            .env("CHIVEBEND_SECRET", "test-secret")
+            .env("CHIVEBEND_SECRET", SECRET)
             .env("CHIVEBEND_LOG_LEVEL", "warn")
             .stdout(process::Stdio::piped())
             .spawn()
@@ -367,7 +371,12 @@
 
 /// Makes a call and reads its answer to the end.
 pub fn call(to: &Process, path: &str, headers: &[(&str, &str)], body: &str) -> Received {
-    let url = format!("http://{}{path}", to.callers.expect("an entry"));
+    call_at(to.callers.expect("an entry"), path, headers, body)
+}
+
+/// Makes a call to an entry's address and reads its answer to the end.
+pub fn call_at(to: net::SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Received {
+    let url = format!("http://{to}{path}");
     let mut request = agent()
         .post(url)
         .header("authorization", format!("Bearer {KEY}"));
@@ -410,6 +419,11 @@
 }
 
 impl Live {
+    /// Opens three streams and reads the first bytes of each.
+    pub fn open_three(to: &Process, tokens: u64) -> [(&'static str, Self); 3] {
+        ["one", "two", "three"].map(|prompt| (prompt, Self::open(to, prompt, tokens)))
+    }
+
     /// Opens a streamed completion and reads its first bytes.
     pub fn open(to: &Process, prompt: &str, tokens: u64) -> Self {
         let url = format!("http://{}/v1/completions", to.callers.expect("an entry"));
