Send frames of links without waiting for acknowledgements

Cause: the servers' tcp_nodelay setting does not reach a listener that the caller opened, so Nagle's algorithm held each small frame of a sidecar until the entry's delayed acknowledgement, 40 ms. Change: the listeners of sidecars and entries set it on each connection.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,7 +11,7 @@
 
 use crossbeam_channel as channel;
 use tokio::sync::mpsc;
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 
 use crate::control::{dispatch, exchange};
 use crate::ops::report;
@@ -149,7 +149,7 @@
         .add_service(peers)
         .add_service(wire::ledger_server::LedgerServer::new(server));
     runtime.handle().spawn(async move {
-        let incoming = TcpListenerStream::new(listener);
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
         if let Err(err) = router.serve_with_incoming(incoming).await {
             log::error!(event = "internal_fault", error:% = err; "");
         }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -7,7 +7,7 @@
 use std::{net, sync, thread, time};
 
 use crossbeam_channel as channel;
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 
 use crate::control::{backend, exchange, link};
 use crate::ops::report;
@@ -135,7 +135,6 @@
         links: sync::Arc::default(),
     };
     let router = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
         .initial_stream_window_size(link::STREAM_WINDOW)
         .initial_connection_window_size(link::STREAM_WINDOW)
         .add_service(peers)
@@ -145,7 +144,9 @@
                 .max_encoding_message_size(handover::MESSAGE_LIMIT),
         );
     runtime.handle().spawn(async move {
-        let incoming = TcpListenerStream::new(listener);
+        // The builder's own setting does not reach a listener that it did not open; with Nagle's
+        // algorithm a small frame waits for the other side's delayed acknowledgement, 40 ms.
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
         if let Err(err) = router.serve_with_incoming(incoming).await {
             log::error!(event = "internal_fault", error:% = err; "");
         }
