Let kept answers hold their bytes alone

Cause: each token's bytes were a slice of the buffer they were read into, so a kept answer of 15 KB held more than 1 MB. Change: pieces below 4 KiB are copied. Conclusion: the answer memory setting now bounds what answers really hold, apart from runs that start below the limit and end above it.

--- a/src/control/kept.rs
+++ b/src/control/kept.rs
@@ -6,6 +6,10 @@
 
 use crate::wire;
 
+/// Pieces shorter than this many bytes are copied: a token's hundred bytes would otherwise hold the
+/// whole buffer that they were read into, 8 KiB or more, for as long as the answer is kept.
+const COPIED: usize = 4 << 10;
+
 /// A kept answer: whole from its first byte, so that an entry can resume from any offset.
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
@@ -26,6 +30,11 @@
             return;
         }
         self.checksum.update(&data);
+        let data = if data.len() < COPIED {
+            Bytes::copy_from_slice(&data)
+        } else {
+            data
+        };
         let offset = self.length;
         self.length += data.len() as u64;
         self.chunks.push_back((offset, data));
