Route, retry and eject by the decision modules

Cause: placement looked at nothing but the entry's own load; retries had no budget and no jitter; failing backend servers kept their work; leaving was one flag that any source could reset. Change: dispatch feeds decide::route, health, retry and drain with what sidecars report, and asks them for places, retries and whether a ticket may go to a sidecar. A claim that timed out no longer counts as a fault of the backend server.

--- a/src/control/backend/start.rs
+++ b/src/control/backend/start.rs
@@ -34,7 +34,7 @@
         let Some(claim) = claim else {
             // Promise that it never starts here, also if this frame comes twice.
             memory.voided.insert(run.request, (run.attempt, now));
-            self.not_started(link, &run, code::Code::BackendRefused, time::Duration::ZERO);
+            self.not_started(link, &run, code::Code::Shed, time::Duration::ZERO);
             return;
         };
         if run.idempotency_key.is_empty() {
@@ -171,7 +171,7 @@
         let voided = wire::Voided {
             request: resume.request,
             attempt: resume.attempt,
-            code: u32::from(code::Code::BackendRefused.number()),
+            code: u32::from(code::Code::Shed.number()),
             not_started: true,
             retry_after_ms: 0,
         };
--- a/src/control/dispatch/frames.rs
+++ b/src/control/dispatch/frames.rs
@@ -5,6 +5,7 @@
 use crate::control::answer;
 use crate::control::dispatch::request::{Attempt, Reply};
 use crate::control::dispatch::{Dispatch, Stage, number, request};
+use crate::decide::drain;
 use crate::wire::frame;
 use crate::{code, key, wire};
 
@@ -36,7 +37,7 @@
             frame::Sidecar::End(end) => self.end(now, sidecar, &end),
             frame::Sidecar::Failed(failed) => self.failed(now, sidecar, &failed),
             frame::Sidecar::Beat(beat) => self.heard(now, sidecar, &beat),
-            frame::Sidecar::Want(want) => self.feed(now, sidecar, want.slots),
+            frame::Sidecar::Want(want) => self.wanted(now, sidecar, want.slots),
             frame::Sidecar::Welcome(_) => self.stale += 1,
         }
     }
@@ -97,7 +98,7 @@
                 && held.ask.model == ask.model
                 && held.ask.key.is_empty()
                 && *not_before <= now
-                && !held.tried.contains(&sidecar)
+                && !held.trail.tried().contains(&sidecar)
         };
         let mut candidates = self.waiting.customer(self.requests[claimed].customer);
         candidates
@@ -116,6 +117,7 @@
     ) {
         let held = &mut self.requests[request];
         held.attempt += 1;
+        held.trail.enter(sidecar);
         let attempt = Attempt {
             sidecar,
             incarnation: self.sidecars[sidecar].incarnation,
@@ -144,6 +146,8 @@
         let known = &mut self.sidecars[sidecar];
         known.outstanding += 1;
         known.send(frame::Entry::Run(run));
+        self.routing
+            .begun(sidecar, &self.sidecars[sidecar], &held.ask);
         if let Stage::Waiting { tickets, .. } = stage {
             self.void(request, &tickets);
         }
@@ -157,7 +161,8 @@
         let code = code::Code::from_number(voided.code).unwrap_or(code::Code::BackendRefused);
         if code == code::Code::Leaving {
             // Before its heartbeat says so: no new ticket goes there.
-            self.sidecars[sidecar].leaving = true;
+            let signs = &mut self.sidecars[sidecar].signs;
+            signs.hear(now, drain::Source::Own, true);
         }
         if voided.attempt == 0 {
             self.ticket_refused(now, sidecar, key);
@@ -242,6 +247,7 @@
             self.stale += 1;
             return;
         };
+        let attempt_since = attempt.since;
         match attempt.answer.end(end.length, end.checksum) {
             answer::Ending::Whole => {
                 held.pass_head();
@@ -252,9 +258,13 @@
                     offset: end.length,
                     done: true,
                 };
+                let took = now.saturating_sub(attempt_since);
+                let pace = took / (end.cost.clamp(1, u64::from(u32::MAX)) as u32);
                 if let Some(reservation) = held.reservation.take() {
                     self.shares.settle(reservation, end.cost);
                 }
+                self.routing
+                    .succeeded(now, sidecar, &self.sidecars[sidecar], pace);
                 self.sidecars[sidecar].send(frame::Entry::Ack(ack));
                 self.finish(key);
             }
@@ -281,8 +291,10 @@
         known.running = beat.running;
         known.waiting = beat.waiting;
         known.reported = now;
-        let began_leaving = beat.leaving && !known.leaving;
-        known.leaving = beat.leaving;
+        let was_open = known.signs.open(now);
+        known.signs.hear(now, drain::Source::Own, beat.leaving);
+        let began_leaving = was_open && beat.leaving;
+        self.routing.report(now, sidecar, &self.sidecars[sidecar]);
         self.clock.hear(sidecar, beat.virtual_time, beat.waiting);
         self.shares.advance(self.clock.time());
         if began_leaving {
@@ -290,7 +302,7 @@
         }
         let idle = beat.window.saturating_sub(beat.running + beat.waiting);
         if idle > 0 && !beat.leaving {
-            self.feed(now, sidecar, idle);
+            self.wanted(now, sidecar, idle);
         }
     }
 
--- a/src/control/dispatch/keyed.rs
+++ b/src/control/dispatch/keyed.rs
@@ -26,7 +26,7 @@
             self.refuse(request, refusal);
             return;
         }
-        match self.home(request) {
+        match self.home(now, request) {
             Some(home) => self.offer(now, request, home),
             None => self.unplaced.push_back(request),
         }
@@ -46,17 +46,17 @@
 
     /// The sidecar that decides about the key, if it can be reached. A lost one is not passed over:
     /// it may still run the key.
-    fn home(&self, request: key::Request) -> Option<key::Sidecar> {
+    fn home(&self, now: time::Duration, request: key::Request) -> Option<key::Sidecar> {
         let ask = &self.requests[request].ask;
         let members = self
             .sidecars
             .values()
-            .filter(|known| known.service == ask.service && known.listed && !known.leaving);
+            .filter(|known| known.service == ask.service && known.listed && known.signs.open(now));
         let ids = members.map(|known| known.id.as_str());
         let home = *home::rank(ids, &ask.customer, &ask.key).first()?;
         let key = *self.by_id.get(home)?;
         self.sidecars[key]
-            .open(&ask.service, &ask.model)
+            .open(now, &ask.service, &ask.model)
             .then_some(key)
     }
 }
--- a/src/control/dispatch/links.rs
+++ b/src/control/dispatch/links.rs
@@ -4,6 +4,7 @@
 
 use crate::control::dispatch::sidecar::{self, Sidecar};
 use crate::control::dispatch::{Dispatch, Found, Stage, number};
+use crate::decide::drain;
 use crate::wire::frame;
 use crate::{key, wire};
 
@@ -24,16 +25,20 @@
         let key = self.known(id);
         let process = welcome.process.unwrap_or_default();
         let known = &mut self.sidecars[key];
+        if known.incarnation != process.incarnation {
+            known.signs = drain::Signs::default();
+        }
         known.incarnation = process.incarnation;
         known.zone = process.zone;
+        known.region = process.region;
         known.service = welcome.service;
         known.models = welcome.models;
         known.window = welcome.window;
         known.reported = now;
         known.tickets = 0;
-        known.leaving = false;
         known.link = Some(sidecar::Link { number: link, tx });
         log::info!(event = "link_up", sidecar = id, incarnation = process.incarnation; "");
+        self.routing.add(now, key, &self.sidecars[key]);
         self.drop_tickets(now, key);
         for request in self.handed_over(key) {
             self.resume(now, request, key, process.incarnation);
@@ -60,6 +65,7 @@
 
     fn lose(&mut self, now: time::Duration, key: key::Sidecar) {
         self.sidecars[key].link = None;
+        self.routing.remove(key, &self.sidecars[key]);
         self.clock.remove(key);
         self.sidecars[key].tickets = 0;
         log::info!(event = "link_down", sidecar = self.sidecars[key].id.as_str(); "");
@@ -83,8 +89,9 @@
             known.zone = found.zone;
             known.service = found.service;
             known.listed = true;
-            if leaving && !known.leaving {
-                known.leaving = true;
+            let was_open = known.signs.open(now);
+            known.signs.hear(now, drain::Source::Peer, leaving);
+            if was_open && leaving {
                 self.drop_tickets(now, key);
             }
         }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod place;
 mod request;
 mod retry;
+mod routing;
 mod sidecar;
 mod status;
 mod waiting;
@@ -24,6 +25,7 @@
 use tokio::sync::oneshot;
 
 use crate::control::{customers, tally};
+use crate::decide::retry as decide_retry;
 use crate::decide::share;
 use crate::ops::report;
 use crate::wire::frame;
@@ -36,6 +38,9 @@
 /// Time between two runs of the timers.
 const TICK: time::Duration = time::Duration::from_millis(50);
 
+/// Time between two comparisons of the backend servers' speeds.
+const COMPARE: time::Duration = time::Duration::from_secs(1);
+
 /// Time between two heartbeats to a sidecar.
 const BEAT: time::Duration = time::Duration::from_millis(500);
 
@@ -138,7 +143,9 @@
     beats: u64,
     stale: u64,
     revision: u64,
-    turn: usize,
+    routing: routing::Routing,
+    budget: decide_retry::Budget,
+    compared: time::Duration,
     /// Requests without a ticket.
     unplaced: collections::VecDeque<key::Request>,
     /// Requests whose attempt waits to be resumed.
@@ -171,13 +178,15 @@
             shares: share::Table::new(time::Duration::ZERO),
             clock: share::Clock::default(),
             weights: SecondaryMap::new(),
-            ledger: ledger::Ledger::new(setup.process, setup.outbox),
+            ledger: ledger::Ledger::new(setup.process.clone(), setup.outbox),
             tally: tally::Tally::default(),
             last_beat: time::Duration::ZERO,
             beats: 0,
             stale: 0,
             revision: 0,
-            turn: 0,
+            routing: routing::Routing::new(setup.process),
+            budget: decide_retry::Budget::new(time::Duration::ZERO),
+            compared: time::Duration::ZERO,
             unplaced: collections::VecDeque::new(),
             detached: Vec::new(),
             in_progress: setup.in_progress,
@@ -205,7 +214,7 @@
             Message::Report(report, answer) => self.reported(now, &report, answer),
             Message::Told(report) => self.told(&report),
             Message::Catalogue(accepted) => self.catalogue(&accepted),
-            Message::Status(tx) => drop(tx.send(self.status())),
+            Message::Status(tx) => drop(tx.send(self.status(now))),
             Message::Customers(tx) => drop(tx.send(self.report(now))),
             Message::Stop => cx.shutdown(stakker::StopCause::Stopped),
         }
@@ -217,6 +226,10 @@
         self.abandon(now);
         self.place_waiting(now);
         self.report_service(now);
+        if now >= self.compared + COMPARE {
+            self.compared = now;
+            self.routing.compare();
+        }
         if now >= self.last_beat + BEAT {
             self.last_beat = now;
             self.beat();
@@ -235,6 +248,7 @@
         self.tally.weight(customer, ask.weight);
         self.weights.insert(customer, ask.weight);
         self.ledger.hold(customer, 1);
+        self.budget.earn();
         if !self.waiting.has(customer) {
             self.shares.activate(customer);
         }
@@ -245,7 +259,7 @@
             arrived: now,
             expires,
             attempt: 0,
-            tried: smallvec::SmallVec::new(),
+            trail: decide_retry::Trail::default(),
             stage: Stage::Waiting {
                 tickets: smallvec::SmallVec::new(),
                 not_before: now,
@@ -314,6 +328,7 @@
             };
             if let Some(sidecar) = self.sidecars.get(attempt.sidecar) {
                 sidecar.send(frame::Entry::Cancel(cancel));
+                self.routing.withdrawn(attempt.sidecar, sidecar);
             }
         }
         log::info!(
--- a/src/control/dispatch/place.rs
+++ b/src/control/dispatch/place.rs
@@ -8,10 +8,6 @@
 use crate::wire::frame;
 use crate::{code, filter, key, wire};
 
-/// Tickets placed for a request at once. Two find the less loaded of two servers (Mitzenmacher,
-/// "The Power of Two Choices", 2001); each more costs a frame and a void.
-const TICKETS: usize = 2;
-
 /// How long a request without deadline waits for a backend server to appear: longer than a sidecar
 /// takes to restart and be linked again.
 const NO_SERVER_LIMIT: time::Duration = time::Duration::from_secs(10);
@@ -40,7 +36,8 @@
             self.place_keyed(now, request);
             return;
         }
-        let chosen = self.choose(request);
+        let tried = held.trail.tried();
+        let chosen = self.routing.place(now, &held.ask, tried, &self.sidecars);
         if chosen.is_empty() {
             self.wait_for_server(now, request);
         }
@@ -58,8 +55,18 @@
         }
     }
 
+    /// A sidecar has idle slots and no ticket: it gets the oldest requests it could run, and new
+    /// ones for a while.
+    pub(super) fn wanted(&mut self, now: time::Duration, sidecar: key::Sidecar, slots: u32) {
+        self.routing
+            .want(now, sidecar, &self.sidecars[sidecar], slots);
+        if self.routing.usable(sidecar) {
+            self.feed(now, sidecar, slots);
+        }
+    }
+
     /// Offers waiting requests to a sidecar that has idle slots and no ticket.
-    pub(super) fn feed(&mut self, now: time::Duration, sidecar: key::Sidecar, slots: u32) {
+    fn feed(&mut self, now: time::Duration, sidecar: key::Sidecar, slots: u32) {
         let Some(known) = self.sidecars.get(sidecar) else {
             return;
         };
@@ -77,8 +84,8 @@
             held.ask.key.is_empty()
                 && *not_before <= now
                 && !tickets.contains(&sidecar)
-                && !held.tried.contains(&sidecar)
-                && known.open(&held.ask.service, &held.ask.model)
+                && !held.trail.tried().contains(&sidecar)
+                && known.open(now, &held.ask.service, &held.ask.model)
         };
         let chosen: SmallVec<[key::Request; 16]> = self
             .waiting
@@ -106,28 +113,6 @@
         }
     }
 
-    fn choose(&mut self, request: key::Request) -> SmallVec<[key::Sidecar; 4]> {
-        let held = &self.requests[request];
-        let ask = &held.ask;
-        self.turn = self.turn.wrapping_add(1);
-        let mut open: Vec<_> = self
-            .sidecars
-            .iter()
-            .filter(|(_, sidecar)| sidecar.open(&ask.service, &ask.model))
-            .enumerate()
-            .map(|(at, (key, sidecar))| {
-                let load = f64::from(sidecar.outstanding + sidecar.tickets)
-                    / f64::from(sidecar.window.max(1));
-                (held.tried.contains(&key), load, (at + self.turn) % 17, key)
-            })
-            .collect();
-        open.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        open.into_iter()
-            .take(TICKETS)
-            .map(|(_, _, _, key)| key)
-            .collect()
-    }
-
     fn wait_for_server(&mut self, now: time::Duration, request: key::Request) {
         let held = &self.requests[request];
         if held.expires.is_none() && now >= held.arrived + NO_SERVER_LIMIT {
--- a/src/control/dispatch/request.rs
+++ b/src/control/dispatch/request.rs
@@ -7,7 +7,7 @@
 use tokio::sync::mpsc;
 
 use crate::control::answer;
-use crate::decide::share;
+use crate::decide::{retry, share};
 use crate::{code, filter, key, wire};
 
 /// What the caller's connection receives, in order.
@@ -51,8 +51,8 @@
     pub expires: Option<time::Duration>,
     /// Attempts so far; the frames of an attempt carry its number.
     pub attempt: u32,
-    /// Sidecars that attempts have failed at.
-    pub tried: SmallVec<[key::Sidecar; 2]>,
+    /// Sidecars that it was tried at.
+    pub trail: retry::Trail,
     /// Where it stands.
     pub stage: Stage,
     /// Head of the answer, held back until the first byte or the end.
--- a/src/control/dispatch/retry.rs
+++ b/src/control/dispatch/retry.rs
@@ -5,15 +5,9 @@
 use smallvec::SmallVec;
 
 use crate::control::dispatch::{Dispatch, Stage};
-use crate::decide::outcome;
+use crate::decide::{outcome, retry};
 use crate::{code, filter, key, wire};
 
-/// Most attempts of one request.
-const ATTEMPTS: u32 = 3;
-
-/// Wait before the second attempt; doubled for each further one.
-const BACKOFF: time::Duration = time::Duration::from_millis(50);
-
 /// Wait before a key's sidecar is tried again while who decides changes hands.
 const KEY_BACKOFF: time::Duration = time::Duration::from_millis(200);
 
@@ -84,6 +78,7 @@
         let Stage::HandedOver(attempt) = &held.stage else {
             return;
         };
+        let sidecar = attempt.sidecar;
         let stage = if held.head.is_some() || held.passed || attempt.answer.received() > 0 {
             outcome::Stage::Answering
         } else {
@@ -93,6 +88,8 @@
             idempotent: held.ask.idempotent,
             passed: held.passed,
         };
+        self.routing
+            .failed(now, sidecar, &self.sidecars[sidecar], cause);
         match outcome::decide(known, stage, trouble) {
             outcome::Verdict::Retry => self.again_or(now, request, cause, retry_after),
             outcome::Verdict::Fail(code) => self.fail(request, code, retry_after),
@@ -122,33 +119,40 @@
         retry_after: Option<time::Duration>,
     ) {
         let home_may_change = self.home_may_change(now, request, code);
-        let held = &mut self.requests[request];
-        let Stage::HandedOver(attempt) = &held.stage else {
-            return;
-        };
-        let sidecar = attempt.sidecar;
-        if held.attempt >= ATTEMPTS && !home_may_change {
-            self.fail(request, code, retry_after);
-            return;
-        }
-        if !held.tried.contains(&sidecar) {
-            held.tried.push(sidecar);
-        }
-        held.head = None;
-        let wait = if home_may_change {
-            KEY_BACKOFF
+        let held = &self.requests[request];
+        let rng = &mut self.routing.rng;
+        let verdict = if home_may_change {
+            retry::Verdict::After(KEY_BACKOFF)
         } else {
-            BACKOFF * 2_u32.pow(held.attempt - 1)
+            held.trail
+                .decide(now, held.expires, code, &mut self.budget, rng)
         };
-        held.stage = Stage::Waiting {
+        match verdict {
+            retry::Verdict::After(wait) => self.wait_again(now, request, now + wait),
+            retry::Verdict::Refuse(code) => self.fail(request, code, retry_after),
+        }
+    }
+
+    fn wait_again(
+        &mut self,
+        now: time::Duration,
+        request: key::Request,
+        not_before: time::Duration,
+    ) {
+        let held = &mut self.requests[request];
+        let waiting = Stage::Waiting {
             tickets: SmallVec::new(),
-            not_before: now + wait,
+            not_before,
         };
+        let Stage::HandedOver(attempt) = std::mem::replace(&mut held.stage, waiting) else {
+            return;
+        };
+        held.head = None;
         self.tally.running(held.customer, -1);
         if let Some(reservation) = held.reservation.take() {
             self.shares.release(reservation);
         }
-        if let Some(known) = self.sidecars.get_mut(sidecar) {
+        if let Some(known) = self.sidecars.get_mut(attempt.sidecar) {
             known.outstanding = known.outstanding.saturating_sub(1);
         }
         self.waiting.add(request, &self.requests[request]);
--- a/src/control/dispatch/sidecar.rs
+++ b/src/control/dispatch/sidecar.rs
@@ -4,6 +4,7 @@
 
 use tokio::sync::mpsc;
 
+use crate::decide::drain;
 use crate::wire::frame;
 use crate::{key, wire};
 
@@ -17,6 +18,8 @@
     pub id: String,
     /// Its availability zone.
     pub zone: String,
+    /// Its region.
+    pub region: String,
     /// The service of its backend server.
     pub service: String,
     /// Models it serves; empty means all of the service.
@@ -35,8 +38,8 @@
     pub reported: time::Duration,
     /// True while the platform's list has it.
     pub listed: bool,
-    /// True once it takes no new work.
-    pub leaving: bool,
+    /// What all sources say of whether it takes new work.
+    pub signs: drain::Signs,
     /// Requests this entry has handed over and not seen the end of.
     pub outstanding: u32,
     /// Tickets this entry has placed there and not seen claimed or voided.
@@ -58,6 +61,7 @@
         Self {
             id: id.to_owned(),
             zone: String::new(),
+            region: String::new(),
             service: String::new(),
             models: Vec::new(),
             incarnation: 0,
@@ -67,7 +71,7 @@
             waiting: 0,
             reported: time::Duration::ZERO,
             listed: false,
-            leaving: false,
+            signs: drain::Signs::default(),
             outstanding: 0,
             tickets: 0,
         }
@@ -80,16 +84,19 @@
         }
     }
 
-    /// True if a new ticket may go there.
-    pub fn open(&self, service: &str, model: &str) -> bool {
-        self.link.is_some()
-            && !self.leaving
-            && self.service == service
+    /// True if its backend server serves this.
+    pub fn serves(&self, service: &str, model: &str) -> bool {
+        self.service == service
             && (model.is_empty()
                 || self.models.is_empty()
                 || self.models.iter().any(|name| name == model))
     }
 
+    /// True if a new ticket may go there.
+    pub fn open(&self, now: time::Duration, service: &str, model: &str) -> bool {
+        self.link.is_some() && self.signs.open(now) && self.serves(service, model)
+    }
+
     /// True if this frame's link is the one that is up.
     pub fn is_current(&self, number: u64) -> bool {
         self.link.as_ref().is_some_and(|link| link.number == number)
--- a/src/control/dispatch/status.rs
+++ b/src/control/dispatch/status.rs
@@ -8,12 +8,16 @@
 
 impl Dispatch {
     /// The state; what only the process knows is left to it.
-    pub(super) fn status(&self) -> report::Status {
+    pub(super) fn status(&self, now: time::Duration) -> report::Status {
         report::Status {
             revision: (self.revision > 0).then_some(self.revision),
             waiting: self.waiting.len() as u64,
             running: (self.requests.len() - self.waiting.len()) as u64,
-            sidecars: self.sidecars.values().map(sidecar).collect(),
+            sidecars: self
+                .sidecars
+                .values()
+                .map(|known| sidecar(now, known))
+                .collect(),
             ..report::Status::default()
         }
     }
@@ -51,8 +55,8 @@
     }
 }
 
-fn sidecar(known: &sidecar::Sidecar) -> report::Sidecar {
-    let state = match (&known.link, known.leaving) {
+fn sidecar(now: time::Duration, known: &sidecar::Sidecar) -> report::Sidecar {
+    let state = match (&known.link, !known.signs.open(now)) {
         (None, _) => "lost",
         (Some(_), true) => "leaving",
         (Some(_), false) => "live",
