Admit, limit and size windows

Cause: above its capacity the fleet did work whose callers had left; limits and windows were open. Change: decide::admit (early refusal by the customer's own drain rate, displacement when memory is full, latest start), decide::limit (slices that follow the demand) and decide::window (AIMD against 1.3 s and 65 ms); the world admits, and the overload case measures it.

--- a/examples/measure/arrive.rs
+++ b/examples/measure/arrive.rs
@@ -2,7 +2,10 @@
 
 use std::time;
 
-use chivebend::decide::{random, retry};
+use chivebend::{
+    code,
+    decide::{admit, random, retry},
+};
 use smallvec::SmallVec;
 
 use super::{
@@ -10,6 +13,9 @@
     plan::{Hint, Load},
 };
 
+/// Bytes of a request's body.
+pub const BODY: u64 = 2_000;
+
 impl World {
     pub fn set_load(&mut self, customer: usize, load: Load) {
         self.plan.customers[customer].load = load;
@@ -89,9 +95,50 @@
             trail: retry::Trail::default(),
             load,
         });
-        if let Some(patience) = self.plan.customers[customer].patience {
-            self.after(patience, Event::Expire { request });
+        if self.admit(request) {
+            self.wait(request);
+        }
+    }
+
+    // Whether it may wait; a refusal is answered at once.
+    fn admit(&mut self, request: usize) -> bool {
+        let outcome = self.requests[request].outcome;
+        let key = self.keys[outcome.customer];
+        let patience = self.plan.customers[outcome.customer].patience;
+        let deadline = patience.map(|patience| self.now + patience);
+        let table = &mut self.entries[outcome.entry].admit;
+        if !self.plan.admission {
+            if let Some(deadline) = deadline {
+                self.push(deadline, Event::Expire { request });
+            }
+            return true;
+        }
+        let victim = match table.admit(self.now, key, BODY, deadline) {
+            admit::Admission::Wait => None,
+            admit::Admission::Displace(other) => Some(self.positions[other]),
+            admit::Admission::Refuse(refusal) => {
+                self.refuse_caller(request, refusal);
+                return false;
+            }
+        };
+        if let Some(deadline) = deadline {
+            let latest = table.latest_start(key, deadline);
+            self.push(latest, Event::Expire { request });
+        }
+        let waiting = victim.map(|victim| &self.entries[outcome.entry].waiting[victim]);
+        if let Some(newest) = waiting.and_then(|waiting| waiting.last().copied()) {
+            self.end(newest, Some(code::Code::Shed));
+        }
+        true
+    }
+
+    fn refuse_caller(&mut self, request: usize, refusal: admit::Refusal) {
+        let Request { outcome, load, .. } = &mut self.requests[request];
+        outcome.ended = Some(self.now);
+        outcome.code = Some(refusal.code);
+        let (customer, load) = (outcome.customer, *load);
+        if matches!(self.plan.customers[customer].load, Load::Closed { .. }) {
+            self.after(refusal.retry_after, Event::Arrive { customer, load });
         }
-        self.wait(request);
     }
 }
--- a/examples/measure/entry.rs
+++ b/examples/measure/entry.rs
@@ -3,10 +3,13 @@
 use std::{collections, time};
 
 use chivebend::{
-    decide::{drain, health, ledger, queue, retry, route, share},
+    decide::{admit, drain, health, ledger, queue, retry, route, share},
     key,
 };
 
+/// Bytes of waiting requests that an entry holds.
+const MEMORY: u64 = 64 << 20;
+
 /// An entry instance.
 #[derive(Debug)]
 pub struct Entry {
@@ -42,6 +45,8 @@
     pub local: queue::Queue,
     /// When each sidecar was last told totals.
     pub told: collections::BTreeMap<usize, time::Duration>,
+    /// Admission.
+    pub admit: admit::Table,
     /// Cut off from the other entries.
     pub partitioned: bool,
 }
@@ -76,6 +81,7 @@
                 floor: 0,
             }),
             told: collections::BTreeMap::new(),
+            admit: admit::Table::new(MEMORY),
             partitioned: false,
         }
     }
--- a/examples/measure/hold.rs
+++ b/examples/measure/hold.rs
@@ -6,6 +6,7 @@
 
 use super::{
     Event, Outcome, WARM_UP, World,
+    arrive::BODY,
     plan::{Load, Policy, Routing},
     ticket,
 };
@@ -154,6 +155,7 @@
         }
         self.requests[request].trail.enter(self.sidecars[server]);
         own.running[customer] += 1;
+        own.admit.start(self.now, self.keys[customer], BODY);
         self.requests[request].reservation = Some(own.shares.reserve(self.keys[customer]));
         self.requests[request].outcome.server = Some(server);
         self.send(Event::Run {
@@ -191,9 +193,15 @@
         let Outcome {
             customer, entry, ..
         } = self.requests[request].outcome;
-        if !self.unwait(request, None) {
-            let running = &mut self.entries[entry].running[customer];
-            *running = running.saturating_sub(1);
+        let key = self.keys[customer];
+        if self.unwait(request, None) {
+            self.entries[entry].admit.leave(key, BODY);
+        } else {
+            let own = &mut self.entries[entry];
+            own.running[customer] = own.running[customer].saturating_sub(1);
+            if let Some(started) = self.requests[request].outcome.started {
+                own.admit.end(key, self.now.saturating_sub(started));
+            }
         }
         if let Some(reservation) = self.requests[request].reservation.take() {
             self.entries[entry].shares.release(reservation);
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -65,6 +65,7 @@
     Utilisation,
     Poller,
     Affinity,
+    Overload,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
@@ -82,6 +83,7 @@
         Case::Utilisation => utilisation(&args),
         Case::Poller => poller(&args),
         Case::Affinity => affinity(&args),
+        Case::Overload => overload(&args),
     }
 }
 
@@ -266,3 +268,62 @@
     });
     (hits / all, world.utilisation(), world.gap_ratio())
 }
+
+/// Cost of the requests in the overload case: 0.1 to 2.5 s in a slot.
+const OVERLOAD_COST: (u64, u64) = (50, 1_000);
+/// How long callers wait in the overload case.
+const OVERLOAD_PATIENCE: time::Duration = time::Duration::from_secs(8);
+
+/// Offered load over capacity, from light to ten times.
+fn overload(args: &Args) {
+    let mut last = String::new();
+    for factor in [0.5, 1.0, 2.0, 3.0, 5.0, 10.0] {
+        for admission in [false, true] {
+            let (goodput, refused, late) = overloaded(args, factor, admission);
+            last = format!("goodput_ratio={goodput:.3} refused={refused:.3} late={late:.3}");
+            println!("offered={factor} admission={admission} {last}");
+        }
+    }
+    println!(
+        "case=overload policy={:?} seed={} {last}",
+        args.policy, args.seed
+    );
+}
+
+fn overloaded(args: &Args, factor: f64, admission: bool) -> (f64, f64, f64) {
+    let mut plan = plan(args);
+    plan.admission = admission;
+    let capacity = f64::from(plan.slots) * plan.servers as f64 * plan.rate;
+    // Mean of the log-uniform distribution.
+    let (low, high) = (OVERLOAD_COST.0 as f64, OVERLOAD_COST.1 as f64);
+    let mean = (high - low) / (high / low).ln();
+    let per_s = factor * capacity / mean / args.customers as f64;
+    plan.customers = (0..args.customers)
+        .map(|at| Customer {
+            load: Load::Open { per_s },
+            cost: OVERLOAD_COST,
+            patience: Some(OVERLOAD_PATIENCE),
+            ..backlogged(args, at, false)
+        })
+        .collect();
+    let mut world = world::World::new(plan);
+    let seconds = time::Duration::from_secs(args.seconds);
+    world.run(seconds);
+    // From when the queues are full to where every outcome is known.
+    let (from, to) = (OVERLOAD_PATIENCE, seconds.saturating_sub(OVERLOAD_PATIENCE));
+    let (mut good, mut refused, mut late, mut all) = (0.0, 0.0, 0.0, 0.0);
+    for outcome in world.outcomes() {
+        let Some(ended) = outcome.ended else { continue };
+        let in_time = ended <= outcome.arrived + OVERLOAD_PATIENCE;
+        if outcome.code.is_none() && in_time && ended > from && ended <= seconds {
+            good += outcome.cost as f64;
+        }
+        if outcome.arrived > from && outcome.arrived <= to {
+            all += 1.0;
+            refused += f64::from(u8::from(outcome.code.is_some()));
+            late += f64::from(u8::from(outcome.code.is_none() && !in_time));
+        }
+    }
+    let capacity = capacity * seconds.saturating_sub(from).as_secs_f64();
+    (good / capacity, refused / all, late / all)
+}
--- a/examples/measure/peer.rs
+++ b/examples/measure/peer.rs
@@ -4,7 +4,7 @@
 
 use chivebend::decide::{drain, health, outcome, random, retry, route};
 
-use super::{Event, Outcome, World};
+use super::{Event, Outcome, World, arrive::BODY};
 
 impl World {
     pub fn link(&mut self, entry: usize, server: usize) {
@@ -120,6 +120,10 @@
 
     pub fn again(&mut self, request: usize) {
         if self.requests[request].outcome.ended.is_none() {
+            let Outcome {
+                customer, entry, ..
+            } = self.requests[request].outcome;
+            self.entries[entry].admit.back(self.keys[customer], BODY);
             self.wait(request);
         }
     }
--- a/examples/measure/plan.rs
+++ b/examples/measure/plan.rs
@@ -139,6 +139,8 @@
     pub routing: Routing,
     /// Prefixes that a backend server holds.
     pub cache: usize,
+    /// Whether entries refuse what can't meet its deadline.
+    pub admission: bool,
     /// Bounds of the sidecars' queues.
     pub limit: queue::Limit,
     /// The customers.
@@ -189,6 +191,7 @@
             policy: Policy::Fleet,
             routing: Routing::Affinity,
             cache: 100,
+            admission: true,
             limit: queue::Limit::default(),
             customers: Vec::new(),
         }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,11 +4,13 @@
 //! this folder decides whom to serve, who waits, who is refused or where work goes.
 
 pub mod accept;
+pub mod admit;
 pub mod drain;
 pub mod health;
 pub mod home;
 pub mod keys;
 pub mod ledger;
+pub mod limit;
 pub mod member;
 pub mod outcome;
 pub mod queue;
@@ -17,3 +19,4 @@
 pub mod retry;
 pub mod route;
 pub mod share;
+pub mod window;
--- /dev/null
+++ b/tests/window.rs
@@ -0,0 +1,90 @@
+//! The window finds what an engine can hold.
+
+use std::time;
+
+use chivebend::decide::window;
+
+/// An engine whose tokens come later the more requests it runs: 20 ms and 1 ms for each.
+fn between(running: u32) -> time::Duration {
+    time::Duration::from_millis(20 + u64::from(running))
+}
+
+fn run(window: &mut window::Window, samples: u32, offered: u32) -> u32 {
+    for _ in 0..samples {
+        let running = window.size().min(offered);
+        window.has_room(running.saturating_sub(1));
+        window.between_tokens(between(running));
+    }
+    window.size()
+}
+
+#[test]
+fn size_settles_where_the_goal_is_met() {
+    struct Case {
+        catalogue: u32,
+        offered: u32,
+        least: u32,
+        most: u32,
+    }
+    // 45 running meet 65 ms exactly.
+    let cases = [
+        Case {
+            catalogue: 32,
+            offered: 1_000,
+            least: 38,
+            most: 46,
+        },
+        Case {
+            catalogue: 100,
+            offered: 1_000,
+            least: 38,
+            most: 46,
+        },
+        // Bounded by the catalogue.
+        Case {
+            catalogue: 8,
+            offered: 1_000,
+            least: 32,
+            most: 32,
+        },
+        // Never used up: no reason to grow.
+        Case {
+            catalogue: 32,
+            offered: 5,
+            least: 32,
+            most: 32,
+        },
+    ];
+    for case in cases {
+        let mut window = window::Window::new(case.catalogue);
+        assert_eq!(window.size(), case.catalogue);
+        let size = run(&mut window, 20_000, case.offered);
+        assert!(
+            (case.least..=case.most).contains(&size),
+            "{size} from {}",
+            case.catalogue
+        );
+    }
+}
+
+#[test]
+fn late_first_tokens_shrink_it_and_never_below_one() {
+    let mut window = window::Window::new(4);
+    for _ in 0..10_000 {
+        window.first_token(window::FIRST_TOKEN * 2);
+    }
+    assert_eq!(window.size(), 1);
+    window.reset(4);
+    assert_eq!(window.size(), 4);
+}
+
+#[test]
+fn one_late_answer_in_twenty_is_allowed() {
+    let mut window = window::Window::new(10);
+    for at in 0..1_000 {
+        let late = if at % 20 == 0 { 2 } else { 1 };
+        window.has_room(9);
+        window.first_token(window::FIRST_TOKEN * late);
+    }
+    assert!(window.size() > 10);
+}
