Split events and settings, and refuse stamps far ahead without a log line

Change: event::ring and settings::read are modules of their own; a stamp more than 60 s ahead is refused before the library sees it.

--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,9 +8,11 @@
 use crate::event;
 
 mod check;
+mod read;
 mod secret;
 
-pub use check::{Fault, Stop, check_entry, check_sidecar, entry, sidecar};
+pub use check::{Fault, check_entry, check_sidecar};
+pub use read::{Stop, entry, sidecar};
 pub use secret::{SECRET_VARIABLE, Secret};
 
 /// Settings that every process of the fleet has.
--- a/tests/events.rs
+++ b/tests/events.rs
@@ -150,6 +150,7 @@
     let before = ring.stamp();
     let ahead = event::Stamp::from_unix_ms(before.unix_ms() + 3_600_000);
     assert!(!ring.observe(ahead));
+    assert!(!ring.observe(event::Stamp(u64::MAX)));
     assert!(ring.stamp() < ahead);
 }
 
