--- a/tests/home.rs
+++ b/tests/home.rs
@@ -701,3 +701,165 @@
     assert!(all.iter().any(|r| r.customer == customer));
     assert_eq!(other.len(), all.len());
 }
+
+/// A sidecar "a:1" whose view is given step by step. It is confirmed at each view.
+struct Single {
+    table: home::Table,
+    now: time::Duration,
+}
+
+impl Single {
+    fn new(history: home::History) -> Self {
+        let table = home::Table::open(secs(0), IDS[0], 1, TERMS, history);
+        Self {
+            table,
+            now: secs(0),
+        }
+    }
+
+    /// A read of the list at a time, with these other slots.
+    fn view(&mut self, at: u64, others: &[usize]) {
+        self.now = secs(at);
+        let slots = others.iter().copied().chain([0]);
+        let list: Vec<_> = slots
+            .map(|slot| home::Listed {
+                id: IDS[slot].into(),
+                incarnation: Some(1),
+            })
+            .collect();
+        self.table.listed(self.now, self.now, &list);
+    }
+
+    fn ask(&self, slot: usize) -> Option<home::Ask> {
+        self.table
+            .asks()
+            .into_iter()
+            .find(|ask| *ask.id == *IDS[slot])
+    }
+
+    fn reply(&mut self, ask: &home::Ask, members: Vec<home::Known>) {
+        let reply = home::Reply {
+            accepted: true,
+            incarnation: 1,
+            settled: true,
+            members,
+            known_incarnation: 0,
+        };
+        self.table.handed(self.now, ask, &reply);
+    }
+
+    /// The verdicts for the keys whose order of these slots is as given.
+    fn verdict(&self, order: &[usize]) -> home::Verdict {
+        let ids: Vec<_> = order.iter().map(|slot| IDS[*slot]).collect();
+        let mut names = (0..999).map(|n| format!("k{n}"));
+        let fits = |key: &String| {
+            let ranked = home::rank(ids.iter().copied(), "customer", key);
+            ranked.as_slice() == ids.as_slice()
+        };
+        let key = names.find(fits).expect("a key with this order");
+        self.table.verdict(self.now, "customer", &key)
+    }
+}
+
+#[test]
+fn a_reply_to_an_earlier_join_is_ignored() {
+    let mut a = Single::new(home::History::Unknown);
+    a.view(1, &[1]);
+    let old = a.ask(1).expect("a question");
+    a.view(1 + TERMS.retention.as_secs(), &[1]);
+    a.reply(&old, vec![]);
+    assert!(a.ask(1).is_some());
+    assert_ne!(a.verdict(&[0, 1]), home::Verdict::Mine);
+    let new = a.ask(1).expect("a question");
+    a.reply(&new, vec![]);
+    assert_eq!(a.verdict(&[0, 1]), home::Verdict::Mine);
+}
+
+#[test]
+fn a_settled_member_covers_only_those_it_vouches_for() {
+    let known = home::Known {
+        id: IDS[2].into(),
+        incarnation: 1,
+        gone_age: None,
+        complete: false,
+        handed: true,
+    };
+    let strange = home::Known {
+        handed: false,
+        ..known.clone()
+    };
+    for (members, verdict) in [
+        (vec![], home::Verdict::NotReady),
+        (vec![strange], home::Verdict::NotReady),
+        (vec![known], home::Verdict::Mine),
+    ] {
+        let mut a = Single::new(home::History::Unknown);
+        a.view(1, &[1, 2]);
+        let ask = a.ask(1).expect("a question");
+        a.reply(&ask, members);
+        assert_eq!(a.verdict(&[0, 1, 2]), verdict);
+    }
+}
+
+#[test]
+fn a_member_that_returns_after_the_retention_hands_over_again() {
+    let retention = TERMS.retention.as_secs();
+    for (back, again) in [(5, false), (3 + retention, true)] {
+        let mut a = Single::new(home::History::Unknown);
+        a.view(1, &[1]);
+        let ask = a.ask(1).expect("a question");
+        a.reply(&ask, vec![]);
+        for at in 2..back {
+            a.view(at, &[]);
+        }
+        a.view(back, &[1]);
+        assert_eq!(a.ask(1).is_some(), again, "back at {back}");
+    }
+}
+
+#[test]
+fn a_member_that_gave_everything_stays_gone() {
+    let mut a = Single::new(home::History::Unknown);
+    a.view(1, &[1]);
+    let ask = a.ask(1).expect("a question");
+    a.reply(&ask, vec![]);
+    assert_eq!(a.verdict(&[1, 0]), home::Verdict::Elsewhere(IDS[1].into()));
+    a.table.given(a.now, IDS[1], 1);
+    a.view(2, &[1]);
+    assert_eq!(a.verdict(&[1, 0]), home::Verdict::Mine);
+}
+
+#[test]
+fn the_hold_starts_anew_after_a_gap_in_the_views() {
+    let lost = |since: u64| home::Verdict::Lost {
+        until: secs(since) + TERMS.hold(),
+    };
+    let mut a = Single::new(home::History::Unknown);
+    a.view(1, &[1]);
+    a.view(2, &[]);
+    assert_eq!(a.verdict(&[1, 0]), lost(2));
+    a.view(4, &[]);
+    assert_eq!(a.verdict(&[1, 0]), lost(2));
+    a.view(12, &[]);
+    assert_eq!(a.verdict(&[1, 0]), lost(12));
+}
+
+#[test]
+fn a_fresh_service_waits_for_the_lag_of_the_list() {
+    let mut a = Single::new(home::History::Fresh);
+    a.view(1, &[]);
+    assert_ne!(a.verdict(&[0]), home::Verdict::Mine);
+    a.view(1 + TERMS.list_lag.as_secs(), &[]);
+    assert_eq!(a.verdict(&[0]), home::Verdict::Mine);
+}
+
+#[test]
+fn a_leaving_or_superseded_sidecar_is_told_no() {
+    let mut a = Single::new(home::History::Fresh);
+    a.view(1, &[]);
+    assert!(a.table.answer(a.now, IDS[1], 5).accepted);
+    assert!(!a.table.answer(a.now, IDS[1], 4).accepted);
+    a.table.leave();
+    assert!(!a.table.answer(a.now, IDS[2], 1).accepted);
+    assert_eq!(a.verdict(&[0]), home::Verdict::Leaving);
+}
