Bear figures of other processes that are not finite or overflow

Cause: a ticket or a totals frame with an infinite service total made the sidecar's core loop for ever, as its tag then differs from itself; a heartbeat whose running and waiting requests exceed 32 bits together ended the entry's core in a debug build. Change: share::Table ignores totals, weights and virtual times that are not finite; the sums saturate or are taken as floating point numbers. Figures: tests/hostile.rs, frames_of_a_wild_entry and frames_of_a_wild_sidecar: failed before, pass after. Conclusion: what a process of the fleet says is checked where it enters the decisions.

--- a/src/control/dispatch/frames.rs
+++ b/src/control/dispatch/frames.rs
@@ -300,7 +300,8 @@
         if began_leaving {
             self.drop_tickets(now, sidecar);
         }
-        let idle = beat.window.saturating_sub(beat.running + beat.waiting);
+        let busy = beat.running.saturating_add(beat.waiting);
+        let idle = beat.window.saturating_sub(busy);
         if idle > 0 && !beat.leaving {
             self.wanted(now, sidecar, idle);
         }
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -104,7 +104,7 @@
 
 impl Place {
     fn load(&self) -> f64 {
-        f64::from(self.candidate.running + self.candidate.waiting) + self.sent
+        f64::from(self.candidate.running) + f64::from(self.candidate.waiting) + self.sent
     }
 
     fn window(&self) -> f64 {
--- a/src/decide/share.rs
+++ b/src/decide/share.rs
@@ -186,7 +186,7 @@
     /// Sets a customer's weight. Service received so far keeps its amount and is weighted anew, so
     /// call [`crate::decide::queue::Queue::reorder`] afterwards.
     pub fn set_weight(&mut self, customer: key::Customer, weight: f64) {
-        if let Some(counter) = self.counter(customer) {
+        if let Some(counter) = self.counter(customer).filter(|_| weight.is_finite()) {
             counter.weight = weight.max(LEAST_WEIGHT);
         }
     }
@@ -199,7 +199,8 @@
         let Some(counter) = self.counter(customer) else {
             return;
         };
-        if total <= counter.total {
+        // One that is not finite would make every later tag differ from itself.
+        if total <= counter.total || !total.is_finite() {
             return;
         }
         // A total can contain no more of our charges than it grew by, nor any younger than the lag.
@@ -216,6 +217,9 @@
         let Some(counter) = self.counter(customer) else {
             return;
         };
+        if !total.is_finite() || !contained.is_finite() {
+            return;
+        }
         if total - contained > counter.total - counter.contained {
             counter.total = total;
             counter.contained = contained.min(counter.charged);
@@ -239,7 +243,9 @@
 
     /// Moves the virtual time forward to what sidecars report; it never goes back.
     pub fn advance(&mut self, virtual_time: f64) {
-        self.virtual_time = self.virtual_time.max(virtual_time);
+        if virtual_time.is_finite() {
+            self.virtual_time = self.virtual_time.max(virtual_time);
+        }
     }
 
     /// Tag of the ticket picked last, for heartbeats.
