--- /dev/null
+++ b/tests/frames.rs
@@ -0,0 +1,269 @@
+//! Every parser and frame of ours on input of any kind: no panic, and what is taken is within its
+//! bounds.
+
+use std::sync;
+
+use bytes::Bytes;
+use chivebend::control::{answer, kept};
+use chivebend::platform::{self, usage};
+use chivebend::{catalogue, code, filter, settings, wire};
+use proptest::prelude::*;
+use prost::Message;
+
+const CATALOGUE: &str = r#"
+[class.standard]
+weight = 2.0
+deadline_ms = 1000
+
+[[customer]]
+name = "alpha"
+owner = "tests"
+class = "standard"
+key_hashes = ["HASH"]
+
+[[service]]
+name = "llm"
+owner = "tests"
+kind = "model"
+models = ["default"]
+window = 4
+
+[[service]]
+name = "records"
+owner = "tests"
+kind = "plain"
+window = 8
+
+[[service.route]]
+path = "/records"
+"#;
+
+fn context() -> filter::Context {
+    let digest = catalogue::digest("key");
+    let hash: String = digest
+        .iter()
+        .fold(String::new(), |hex, byte| hex + &format!("{byte:02x}"));
+    let toml = CATALOGUE.replace("HASH", &hash);
+    filter::Context {
+        accepted: sync::Arc::new(catalogue::Accepted {
+            revision: 1,
+            catalogue: catalogue::parse(&toml).expect("a catalogue without faults"),
+            toml: toml.into(),
+        }),
+    }
+}
+
+fn header(name: &str, value: impl Into<Bytes>) -> wire::Header {
+    wire::Header {
+        name: name.to_owned(),
+        value: value.into(),
+    }
+}
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        failure_persistence: None,
+        rng_seed: prop::test_runner::RngSeed::Fixed(seed),
+        ..ProptestConfig::with_cases(400)
+    }
+}
+
+/// Text that looks like what a parser expects, cut and joined.
+fn pieces(words: &'static [&'static str]) -> impl Strategy<Value = String> {
+    prop::collection::vec(prop::sample::select(words), 0..30).prop_map(|words| words.concat())
+}
+
+const TOML: &[&str] = &[
+    "[class.standard]\n",
+    "weight = 1.0\n",
+    "weight = nan\n",
+    "weight = -1e308\n",
+    "[[customer]]\n",
+    "name = \"a\"\n",
+    "owner = \"b\"\n",
+    "class = \"standard\"\n",
+    "key_hashes = [\"00\"]\n",
+    "[[service]]\n",
+    "kind = \"model\"\n",
+    "kind = \"plain\"\n",
+    "models = [\"m\", \"m\"]\n",
+    "window = 0\n",
+    "window = 4294967295\n",
+    "[[service.route]]\n",
+    "path = \"/\"\n",
+    "path = \"x\"\n",
+    "deadline_ms = 0\n",
+    "= ]\n",
+    "\u{0}",
+];
+
+proptest! {
+    #![proptest_config(config(1))]
+
+    #[test]
+    fn catalogues_of_any_text_are_taken_or_their_faults_listed(
+        text in prop_oneof![any::<String>(), pieces(TOML)],
+    ) {
+        if let Err(faults) = catalogue::parse(&text) {
+            prop_assert!(!faults.is_empty());
+        }
+    }
+
+    #[test]
+    fn frames_of_any_bytes_are_refused_or_survive_a_round(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        if let Ok(frame) = wire::EntryFrame::decode(bytes.as_slice()) {
+            let again = wire::EntryFrame::decode(frame.encode_to_vec().as_slice());
+            prop_assert_eq!(format!("{:?}", again.expect("our own bytes")), format!("{frame:?}"));
+        }
+        if let Ok(frame) = wire::SidecarFrame::decode(bytes.as_slice()) {
+            let again = wire::SidecarFrame::decode(frame.encode_to_vec().as_slice());
+            prop_assert_eq!(format!("{:?}", again.expect("our own bytes")), format!("{frame:?}"));
+        }
+        drop(wire::Digest::decode(bytes.as_slice()));
+        drop(wire::HandoverRequest::decode(bytes.as_slice()));
+    }
+
+    #[test]
+    fn cut_frames_are_refused_or_shorter(
+        data in prop::collection::vec(any::<u8>(), 1..100),
+        offset in any::<u64>(),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let chunk = wire::Chunk { request: 1, attempt: 1, offset, data: data.into(), cost: 1 };
+        let kind = wire::sidecar_frame::Kind::Chunk(chunk);
+        let frame = wire::SidecarFrame { kind: Some(kind) };
+        let bytes = frame.encode_to_vec();
+        let cut = cut.index(bytes.len());
+        let decoded = wire::SidecarFrame::decode(&bytes[..cut]);
+        prop_assert!(decoded.is_err() || decoded.expect("checked").kind.is_none());
+    }
+
+    /// A frame claims any place of the answer: only contiguous bytes come out.
+    #[test]
+    fn chunks_at_any_offset_give_contiguous_bytes(
+        chunks in prop::collection::vec((any::<u64>(), 0..40_u64, 0..20_usize), 0..40),
+        ends in prop::collection::vec((any::<u64>(), any::<u32>()), 1..5),
+    ) {
+        let mut progress = answer::Progress::default();
+        let mut received = 0;
+        for (wild, near, length) in chunks {
+            let offset = if wild % 3 == 0 { wild } else { near };
+            let data = Bytes::from(vec![7; length]);
+            match progress.chunk(offset, data) {
+                answer::Step::Next(next) => {
+                    prop_assert!(offset <= received);
+                    received += next.len() as u64;
+                }
+                answer::Step::Duplicate => prop_assert!(offset <= received),
+                answer::Step::Gap(at) => prop_assert!(at == received && offset > received),
+            }
+            prop_assert_eq!(progress.received(), received);
+        }
+        let crc = crc32fast::hash(&vec![7; received as usize]);
+        for (length, checksum) in ends {
+            let whole = progress.end(length, checksum) == answer::Ending::Whole;
+            prop_assert_eq!(whole, length == received && checksum == crc);
+        }
+        prop_assert_eq!(progress.end(received, crc), answer::Ending::Whole);
+    }
+
+    /// An entry may ask from any offset.
+    #[test]
+    fn kept_answers_give_the_bytes_from_any_offset(
+        pieces in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..20), 0..20),
+        wild in any::<u64>(),
+    ) {
+        let mut kept = kept::Answer::default();
+        for piece in &pieces {
+            kept.push(Bytes::from(piece.clone()));
+        }
+        let whole = pieces.concat();
+        prop_assert_eq!(kept.length(), whole.len() as u64);
+        prop_assert_eq!(kept.checksum(), crc32fast::hash(&whole));
+        prop_assert_eq!(&*kept.body(), &*whole);
+        for offset in 0..whole.len() {
+            let data = kept.from_offset(offset as u64).expect("bytes");
+            prop_assert!(!data.is_empty());
+            prop_assert_eq!(&*data, &whole[offset..offset + data.len()]);
+        }
+        prop_assert!(kept.from_offset(whole.len() as u64).is_none());
+        prop_assert!(kept.from_offset(wild.max(whole.len() as u64)).is_none());
+    }
+
+    /// The count of events does not depend on where the bytes were cut.
+    #[test]
+    fn meters_count_alike_however_the_bytes_come(
+        text in pieces(&[
+            "data: {}\n", "\n", "data: [DONE]\n", "data:", ": note\n", "\r\n", "{\"usage\":",
+            "data: {\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":4}}\n", "\u{fffd}",
+            "data: {\"usage\":{\"prompt_tokens\":-3}}\n", "data: {\"usage\":null}\n",
+        ]),
+        cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..10),
+    ) {
+        let bytes = text.as_bytes();
+        let mut whole = usage::Meter::default();
+        let count = whole.take(bytes);
+        let mut cuts: Vec<_> = cuts.iter().map(|cut| cut.index(bytes.len() + 1)).collect();
+        cuts.push(bytes.len());
+        cuts.sort_unstable();
+        let mut parts = usage::Meter::default();
+        let (mut sum, mut start) = (0, 0);
+        for cut in cuts {
+            sum += parts.take(&bytes[start..cut]);
+            start = cut;
+        }
+        prop_assert_eq!(sum, count);
+        prop_assert_eq!(parts.finish(), whole.finish());
+    }
+
+    #[test]
+    fn filters_take_any_request(
+        path in prop_oneof![
+            any::<String>(),
+            Just("/records".to_owned()),
+            Just("/v1/completions".to_owned()),
+            Just("/v1/chat/completions?x".to_owned()),
+        ],
+        method in prop_oneof![any::<String>(), Just("POST".to_owned())],
+        names in prop::collection::vec((0..4_usize, prop::collection::vec(any::<u8>(), 0..300)), 0..5),
+        body in prop_oneof![
+            prop::collection::vec(any::<u8>(), 0..200),
+            pieces(&[
+                "{", "}", "\"model\":", "\"default\"", ",", "\"max_tokens\":", "-1", "1e999",
+                "18446744073709551615", "\"prompt\":", "[", "]", "\"messages\":", "null", "\"\\ud800\"",
+            ]).prop_map(String::into_bytes),
+        ],
+    ) {
+        const NAMES: [&str; 4] =
+            ["authorization", "idempotency-key", "chivebend-idempotent", "chivebend-deadline-ms"];
+        let mut headers = vec![header("authorization", "Bearer key")];
+        headers.extend(names.into_iter().map(|(at, value)| header(NAMES[at], value)));
+        let mut ask = filter::Ask { path, method, headers, body: body.into(), ..filter::Ask::default() };
+        if filter::apply(&context(), &mut ask).is_ok() {
+            prop_assert_eq!(&ask.customer, "alpha");
+            prop_assert!(["llm", "records"].contains(&ask.service.as_str()));
+            prop_assert!(ask.key.len() <= 256);
+            prop_assert!(ask.header("authorization").is_none());
+        }
+    }
+
+    #[test]
+    fn secrets_accept_their_own_words_alone(text in any::<String>(), given in any::<String>()) {
+        let secret = settings::Secret::from_text(&text);
+        let own = text.split(',').map(str::trim).any(|word| !word.is_empty() && word == given);
+        prop_assert!(own || !secret.accepts(&given));
+    }
+
+    #[test]
+    fn codes_of_any_number(number in any::<u32>()) {
+        if let Some(code) = code::Code::from_number(number) {
+            prop_assert_eq!(u32::from(code.number()), number);
+        }
+    }
+
+    #[test]
+    fn lists_of_any_text_are_refused_or_taken(text in any::<String>()) {
+        let list = serde_json::from_str::<platform::instances::List>(&text);
+        prop_assert!(list.is_err() || text.contains("version"));
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -299,6 +299,13 @@
         Process::start(env!("CARGO_BIN_EXE_chivebend-entry"), &self.args(id))
     }
 
+    /// Starts an entry with further settings.
+    pub fn entry_with(&self, id: &str, more: &[&str]) -> Process {
+        let mut args = self.args(id);
+        args.extend(more.iter().map(|arg| (*arg).to_owned()));
+        Process::start(env!("CARGO_BIN_EXE_chivebend-entry"), &args)
+    }
+
     /// Starts an entry that sees only the instances on a list of its own.
     pub fn entry_on(&self, id: &str, list: &standin::instances::Handle) -> Process {
         let args = self.args_on(id, list.addr);
