--- a/src/control/exchange.rs
+++ b/src/control/exchange.rs
@@ -20,8 +20,9 @@
 /// and receives two digests every period each way.
 pub const PERIOD: time::Duration = time::Duration::from_secs(2);
 
-/// Processes told at once of urgent news. Three, each telling three more, are 1,270 in seven steps.
-const FANOUT: usize = 3;
+/// Processes told at once of urgent news. Each that learns of it tells six more, which leaves about
+/// e^-6, 3 of 1,270, for the next period; three would leave one in twenty.
+const FANOUT: usize = 6;
 
 /// How long one exchange may take; a whole catalogue passes in it.
 const TIMEOUT: time::Duration = time::Duration::from_secs(3);
@@ -74,6 +75,8 @@
     news: tokio::sync::Notify,
     sent: atomic::AtomicU64,
     received: atomic::AtomicU64,
+    // Most processes known so far.
+    known: atomic::AtomicUsize,
     last_whole: sync::Mutex<Option<time::Instant>>,
 }
 
@@ -107,6 +110,7 @@
         news: tokio::sync::Notify::new(),
         sent: atomic::AtomicU64::new(0),
         received: atomic::AtomicU64::new(0),
+        known: atomic::AtomicUsize::new(0),
         last_whole: sync::Mutex::new(None),
     });
     let weak = sync::Arc::downgrade(&shared);
@@ -119,7 +123,9 @@
     members.subscribe(move || {
         let Some(shared) = weak.upgrade() else { return };
         // A process without a catalogue asks those it has just heard of.
-        if shared.members.take_urgent() || shared.catalogue.revision() == 0 {
+        let known = shared.members.len();
+        let more = shared.known.fetch_max(known, atomic::Ordering::Relaxed) < known;
+        if shared.members.take_urgent() || (more && shared.catalogue.revision() == 0) {
             shared.news.notify_one();
         }
     });
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -131,6 +131,16 @@
         self.table().digest(rows).iter().map(sent).collect()
     }
 
+    /// Processes known, this one not counted.
+    pub fn len(&self) -> usize {
+        self.table().len()
+    }
+
+    /// Whether this process knows no other.
+    pub fn is_empty(&self) -> bool {
+        self.table().is_empty()
+    }
+
     /// Whether a process is known.
     pub fn knows(&self, id: &str) -> bool {
         self.table()
--- a/src/decide/member/list.rs
+++ b/src/decide/member/list.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::decide::member::{Event, Listing, Member, Table};
+use crate::decide::member::{Event, Listing, Member, Table, digest};
 
 /// Time that most of the list must be missing before it counts: a list that lost its content looks
 /// just like a fleet that died, and the fleet is the likelier to be alive.
@@ -63,6 +63,10 @@
         if known.is_none_or(|row| incarnation > row.member.incarnation) {
             self.tombstones.remove(&listed.member.id);
             self.join(now, listed.member.clone(), Listing::Present);
+            // Others have the list too; a fleet that starts would fill digests for minutes.
+            if let Some(row) = self.rows.get_mut(&listed.member.id) {
+                row.news = digest::BEAT_NEWS;
+            }
         }
         let news = self.news();
         let Some(row) = self.rows.get_mut(&listed.member.id) else {
--- a/src/decide/member/mod.rs
+++ b/src/decide/member/mod.rs
@@ -275,7 +275,10 @@
         }
         if member.heartbeat > known.heartbeat {
             row.news = row.news.max(digest::BEAT_NEWS);
-            row.answered(now);
+            let moved = member.address != known.address || member.service != known.service;
+            if row.answered(now) || moved {
+                self.version += 1;
+            }
             let leaving = row.member.leaving;
             row.member = Member {
                 leaving,
@@ -286,9 +289,9 @@
             row.member.leaving = true;
             row.news = news;
             self.urgent = true;
+            self.version += 1;
             self.events.push(Event::Leaving(member.id));
         }
-        self.version += 1;
     }
 
     /// A process answered this one directly.
@@ -315,7 +318,9 @@
             };
             return self.observe_member(now, member);
         }
-        row.answered(now);
+        if row.answered(now) {
+            self.version += 1;
+        }
         let member = Member {
             leaving,
             ..row.member.clone()
@@ -421,14 +426,17 @@
     }
 
     /// It answers. Each time it does so after it was suspected, it is held back twice as long.
-    fn answered(&mut self, now: time::Duration) {
+    /// True if it was suspected.
+    fn answered(&mut self, now: time::Duration) -> bool {
         self.heard = now;
-        if self.failures >= SUSPECT_AFTER {
+        let suspected = self.failures >= SUSPECT_AFTER;
+        if suspected {
             let hold = time::Duration::from_secs(1 << self.flaps.min(6));
             self.hold = now + hold.min(HOLD_LIMIT);
             self.flaps += 1;
         }
         self.failures = 0;
+        suspected
     }
 
     fn is_lost(&self, now: time::Duration) -> bool {
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -464,3 +464,19 @@
         assert_eq!(ids.len(), rows.len(), "each row once");
     }
 }
+
+#[test]
+fn what_is_known_already_changes_nothing() {
+    let mut table = table();
+    table.observe_member(s(0), sidecar("a", 5, 1));
+    let version = table.version();
+    table.observe_member(s(1), sidecar("a", 5, 1));
+    table.observe_member(s(2), sidecar("a", 5, 2));
+    table.observe_heartbeat(s(3), "a", 5, false);
+    table.observe_failure(s(4), "a");
+    assert_eq!(table.version(), version);
+    table.observe_failure(s(5), "a");
+    assert_eq!(table.version(), version + 1);
+    table.observe_heartbeat(s(6), "a", 5, false);
+    assert_eq!(table.version(), version + 2);
+}
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -26,6 +26,34 @@
     }
 }
 
+/// How often a process reads the log and exchanges digests.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// The log.
+    pub timing: catalogue::Timing,
+    /// Exchanges.
+    pub period: time::Duration,
+}
+
+impl Default for Pace {
+    /// As in a fleet.
+    fn default() -> Self {
+        Self {
+            timing: catalogue::Timing::default(),
+            period: exchange::PERIOD,
+        }
+    }
+}
+
+impl Pace {
+    fn short() -> Self {
+        Self {
+            timing: timing(),
+            period: time::Duration::from_millis(100),
+        }
+    }
+}
+
 /// Any free port of this machine.
 pub fn any() -> net::SocketAddr {
     net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0))
@@ -72,13 +100,25 @@
 }
 
 impl Node {
-    /// Starts a process of this incarnation.
+    /// Starts a process of this incarnation, with short waits.
     pub fn spawn(
         runtime: &process::Runtime,
         log: net::SocketAddr,
         id: &str,
         incarnation: u64,
         secret: &str,
+    ) -> Self {
+        Self::spawn_with(runtime, log, id, incarnation, secret, &Pace::short())
+    }
+
+    /// Starts a process of this incarnation.
+    pub fn spawn_with(
+        runtime: &process::Runtime,
+        log: net::SocketAddr,
+        id: &str,
+        incarnation: u64,
+        secret: &str,
+        pace: &Pace,
     ) -> Self {
         let runtime = runtime.handle();
         let listener = runtime
@@ -119,8 +159,8 @@
             log_address: log,
             secret: settings::Secret::from_text(secret),
             ring: ring.clone(),
-            timing: timing(),
-            period: time::Duration::from_millis(100),
+            timing: pace.timing,
+            period: pace.period,
         };
         let exchange = exchange::spawn(setup, &runtime).expect("it starts");
         let router = tonic::transport::Server::builder().add_service(exchange.service());
@@ -170,11 +210,21 @@
 
 /// Starts processes that all have each other on their lists.
 pub fn fleet(runtime: &process::Runtime, log: net::SocketAddr, count: usize) -> Vec<Node> {
-    let nodes: Vec<Node> = (0..count)
-        .map(|at| Node::spawn(runtime, log, &format!("n{at}"), 1, "secret"))
-        .collect();
+    fleet_with(runtime, log, count, &Pace::short())
+}
+
+/// The same, with another pace.
+pub fn fleet_with(
+    runtime: &process::Runtime,
+    log: net::SocketAddr,
+    count: usize,
+    pace: &Pace,
+) -> Vec<Node> {
+    let start = |at| Node::spawn_with(runtime, log, &format!("n{at}"), 1, "secret", pace);
+    let nodes: Vec<Node> = (0..count).map(start).collect();
+    let list = list(&nodes);
     for node in &nodes {
-        node.exchange.members.observe_list(&list(&nodes));
+        node.exchange.members.observe_list(&list);
     }
     nodes
 }
