--- /dev/null
+++ b/examples/load.rs
@@ -0,0 +1,402 @@
+//! Measures the data path against the same stand-in engine called directly, in one run.
+//!
+//! usage: cargo build --release --bins && cargo run --release --example load -- CASE
+//!
+//! CASE is one of
+//!   latency     added latency of short completions at 100 requests/s, each sent directly and
+//!               through one entry and one sidecar in turn
+//!   streams     600 concurrent streams at 65 ms a token, first directly, then through one entry
+//!   throughput  short completions a second over 64 connections, first directly, then through
+//!
+//! Log, instance list, engine, sidecar and entry are processes of their own on loopback, from the
+//! binaries of the same build. The last line is `key=value` pairs.
+
+use std::io::{BufRead, BufReader};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::{env, fs, net, path, process, sync, thread, time};
+
+use chivebend::{catalogue, cmd, platform};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+
+type Sender = http1::SendRequest<Full<bytes::Bytes>>;
+type Error = Box<dyn std::error::Error + Send + Sync>;
+
+/// API key of the only customer.
+const KEY: &str = "load-key";
+
+/// Requests a second of case `latency`, and how many.
+const RATE: (u64, usize) = (100, 2000);
+
+/// Concurrent streams, tokens of each and milliseconds a token of case `streams`.
+const STREAMS: (usize, u64, u64) = (600, 150, 65);
+
+/// A token this much later than the engine's pace is late: half a token's time.
+const LATE: time::Duration = time::Duration::from_millis(65 + 32);
+
+/// Connections of case `throughput`, and how long it lasts each way.
+const BURST: (usize, time::Duration) = (64, time::Duration::from_secs(8));
+
+/// Longest wait for the catalogue to be accepted.
+const PATIENCE: time::Duration = time::Duration::from_secs(10);
+
+struct Process {
+    child: process::Child,
+    line: String,
+}
+
+impl Process {
+    fn start(name: &str, args: &[String]) -> Result<Self, Error> {
+        let mut program = env::current_exe()?;
+        // target/release/examples/load: the binaries lie one level up.
+        program.pop();
+        program.pop();
+        program.push(name);
+        let mut child = process::Command::new(&program)
+            .args(args)
+            .env("CHIVEBEND_SECRET", "a secret for loopback")
+            .env("CHIVEBEND_LOG_LEVEL", "error")
+            .stdout(process::Stdio::piped())
+            .spawn()
+            .map_err(|err| format!("{}: {err}: build the binaries first", program.display()))?;
+        let mut line = String::new();
+        let stdout = child.stdout.take().ok_or("no output")?;
+        BufReader::new(stdout).read_line(&mut line)?;
+        Ok(Self { child, line })
+    }
+
+    fn addr(&self, name: &str) -> Result<net::SocketAddr, Error> {
+        let mut word = self.line.split_whitespace();
+        let addr = word.find_map(|word| word.strip_prefix(name));
+        Ok(addr
+            .ok_or_else(|| format!("{name} is not in {:?}", self.line))?
+            .parse()?)
+    }
+
+    fn status(&self, name: &str) -> u64 {
+        let path = path::PathBuf::from(format!("/proc/{}/status", self.child.id()));
+        let text = fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with(name));
+        let word = line.and_then(|line| line.split_whitespace().nth(1));
+        word.and_then(|word| word.parse().ok()).unwrap_or_default()
+    }
+
+    /// Processor time used so far, in clock ticks of 10 ms.
+    fn ticks(&self) -> u64 {
+        let path = format!("/proc/{}/stat", self.child.id());
+        let text = fs::read_to_string(path).unwrap_or_default();
+        let after = text.rsplit(')').next().unwrap_or_default();
+        let words: Vec<_> = after.split_whitespace().collect();
+        let word = |at: usize| words.get(at).and_then(|word| word.parse::<u64>().ok());
+        word(11).unwrap_or_default() + word(12).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// The processes of a run.
+struct Fleet {
+    engine: net::SocketAddr,
+    callers: net::SocketAddr,
+    entry: Process,
+    sidecar: Process,
+    _others: Vec<Process>,
+}
+
+fn open(slots: usize, token_ms: u64) -> Result<Fleet, Error> {
+    let text = |words: &[&str]| {
+        words
+            .iter()
+            .map(|word| (*word).to_owned())
+            .collect::<Vec<_>>()
+    };
+    let log = Process::start("chivebend-standin", &text(&["log"]))?;
+    let list = Process::start("chivebend-standin", &text(&["instances"]))?;
+    let (slots, token_ms) = (slots.to_string(), token_ms.to_string());
+    let args = text(&["engine", "--slots", &slots, "--token-ms", &token_ms]);
+    let engine = Process::start("chivebend-standin", &args)?;
+    publish(log.addr("listening=")?, &slots)?;
+    let backend = engine.addr("listening=")?;
+    let common = |id: &str| -> Result<Vec<String>, Error> {
+        let log = log.addr("listening=")?.to_string();
+        let list = list.addr("listening=")?.to_string();
+        Ok(text(&[
+            "--id",
+            id,
+            "--zone",
+            "a",
+            "--log-address",
+            &log,
+            "--instances-address",
+            &list,
+        ]))
+    };
+    let mut args = common("m1")?;
+    args.extend(text(&[
+        "--service",
+        "llm",
+        "--backend-address",
+        &backend.to_string(),
+    ]));
+    let sidecar = Process::start("chivebend-sidecar", &args)?;
+    let entry = Process::start("chivebend-entry", &common("e1")?)?;
+    let fleet = Fleet {
+        engine: backend,
+        callers: entry.addr("callers=")?,
+        entry,
+        sidecar,
+        _others: vec![log, list, engine],
+    };
+    Ok(fleet)
+}
+
+fn publish(log: net::SocketAddr, window: &str) -> Result<(), Error> {
+    let hash = catalogue::digest(KEY);
+    let hash: String = hash
+        .iter()
+        .fold(String::new(), |hex, byte| hex + &format!("{byte:02x}"));
+    let toml = format!(
+        "[class.standard]\nweight = 1.0\n\n[[customer]]\nname = \"load\"\nowner = \"load\"\n\
+         class = \"standard\"\nkey_hashes = [\"{hash}\"]\n\n[[service]]\nname = \"llm\"\n\
+         owner = \"load\"\nkind = \"model\"\nmodels = [\"default\"]\nwindow = {window}\n"
+    );
+    let request = cmd::publish::Request {
+        change_id: "load".to_owned(),
+        base: None,
+        over_gap: false,
+        author: "load".to_owned(),
+        toml,
+    };
+    cmd::publish::publish(&platform::log::open(log), &request, PATIENCE)?;
+    Ok(())
+}
+
+async fn connect(to: net::SocketAddr) -> Result<Sender, Error> {
+    let stream = tokio::net::TcpStream::connect(to).await?;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    tokio::spawn(connection);
+    Ok(sender)
+}
+
+fn request(
+    prompt: &str,
+    tokens: u64,
+    stream: bool,
+) -> Result<hyper::Request<Full<bytes::Bytes>>, Error> {
+    let body = serde_json::json!({
+        "model": "default", "prompt": prompt, "max_tokens": tokens, "stream": stream,
+    });
+    let request = hyper::Request::post("/v1/completions")
+        .header("host", "loopback")
+        .header("authorization", format!("Bearer {KEY}"))
+        .body(Full::new(bytes::Bytes::from(body.to_string())))?;
+    Ok(request)
+}
+
+/// One short completion; its time.
+async fn short(sender: &mut Sender, prompt: &str) -> Result<time::Duration, Error> {
+    let began = time::Instant::now();
+    sender.ready().await?;
+    let answer = sender.send_request(request(prompt, 1, false)?).await?;
+    let status = answer.status();
+    let body = answer.into_body().collect().await?.to_bytes();
+    if status != 200 {
+        return Err(format!("{status}: {}", String::from_utf8_lossy(&body)).into());
+    }
+    Ok(began.elapsed())
+}
+
+/// Waits until a request passes through the fleet.
+async fn ready(fleet: &Fleet) -> Result<(), Error> {
+    for _ in 0..200 {
+        if let Ok(mut sender) = connect(fleet.callers).await
+            && short(&mut sender, "ready").await.is_ok()
+        {
+            return Ok(());
+        }
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    Err("the fleet does not serve".into())
+}
+
+fn percentile(times: &mut [time::Duration], share: f64) -> f64 {
+    times.sort_unstable();
+    let at = ((times.len() - 1) as f64 * share).round() as usize;
+    times[at].as_secs_f64() * 1e3
+}
+
+async fn latency() -> Result<String, Error> {
+    let fleet = open(16, 0)?;
+    ready(&fleet).await?;
+    let tasks = 8;
+    let pace = time::Duration::from_micros(1_000_000 / RATE.0);
+    let mut joins = Vec::new();
+    for task in 0..tasks {
+        let (engine, callers) = (fleet.engine, fleet.callers);
+        joins.push(tokio::spawn(async move {
+            let mut direct = connect(engine).await?;
+            let mut through = connect(callers).await?;
+            let mut times = Vec::new();
+            let mut ticks = tokio::time::interval(pace * tasks);
+            tokio::time::sleep(pace * task).await;
+            for at in 0..RATE.1 / tasks as usize {
+                ticks.tick().await;
+                let prompt = format!("{task} {at}");
+                // In turn, so that both see the same state of the machine.
+                let first = short(&mut direct, &prompt).await?;
+                times.push((first, short(&mut through, &prompt).await?));
+            }
+            Ok::<_, Error>(times)
+        }));
+    }
+    let (mut direct, mut through, mut added) = (Vec::new(), Vec::new(), Vec::new());
+    for join in joins {
+        for (first, second) in join.await?? {
+            direct.push(first);
+            through.push(second);
+            added.push(second.saturating_sub(first));
+        }
+    }
+    let [d50, d99] = [0.5, 0.99].map(|share| percentile(&mut direct, share));
+    let [t50, t99] = [0.5, 0.99].map(|share| percentile(&mut through, share));
+    let [a50, a99] = [0.5, 0.99].map(|share| percentile(&mut added, share));
+    Ok(format!(
+        "case=latency requests={} direct_p50_ms={d50:.3} direct_p99_ms={d99:.3} \
+         through_p50_ms={t50:.3} through_p99_ms={t99:.3} added_p50_ms={a50:.3} \
+         added_p99_ms={a99:.3} ratio_p50={:.2}",
+        added.len(),
+        t50 / d50
+    ))
+}
+
+/// One stream: gaps between tokens that were late, and all gaps.
+async fn stream(to: net::SocketAddr, prompt: String) -> Result<(u64, u64), Error> {
+    let mut sender = connect(to).await?;
+    let answer = sender
+        .send_request(request(&prompt, STREAMS.1, true)?)
+        .await?;
+    let mut body = answer.into_body();
+    let (mut late, mut tokens) = (0, 0);
+    let mut last = None;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        let events = data.windows(6).filter(|part| part == b"data: ").count() as u64;
+        let now = time::Instant::now();
+        if let Some(last) = last
+            && now - last > LATE
+        {
+            late += 1;
+        }
+        tokens += events;
+        last = Some(now);
+    }
+    // The usage event and the end mark are no tokens.
+    if tokens != STREAMS.1 + 2 {
+        return Err(format!("{tokens} events").into());
+    }
+    Ok((late, STREAMS.1))
+}
+
+async fn all_streams(to: net::SocketAddr) -> Result<(u64, u64), Error> {
+    let joins: Vec<_> = (0..STREAMS.0)
+        .map(|at| tokio::spawn(stream(to, format!("stream {at}"))))
+        .collect();
+    let (mut late, mut tokens) = (0, 0);
+    for join in joins {
+        let counted = join.await??;
+        late += counted.0;
+        tokens += counted.1;
+    }
+    Ok((late, tokens))
+}
+
+async fn streams() -> Result<String, Error> {
+    let fleet = open(STREAMS.0 + 8, STREAMS.2)?;
+    ready(&fleet).await?;
+    let (direct, tokens) = all_streams(fleet.engine).await?;
+    let ticks = fleet.entry.ticks();
+    let began = time::Instant::now();
+    let (through, _) = all_streams(fleet.callers).await?;
+    let cores = (fleet.entry.ticks() - ticks) as f64 / 100.0 / began.elapsed().as_secs_f64();
+    let share = |late: u64| late as f64 / tokens as f64 * 100.0;
+    Ok(format!(
+        "case=streams streams={} tokens={tokens} late_direct_pct={:.3} late_through_pct={:.3} \
+         late_added_pct={:.3} entry_peak_mb={:.1} sidecar_peak_mb={:.1} entry_cores={cores:.2}",
+        STREAMS.0,
+        share(direct),
+        share(through),
+        share(through.saturating_sub(direct)),
+        fleet.entry.status("VmHWM:") as f64 / 1024.0,
+        fleet.sidecar.status("VmHWM:") as f64 / 1024.0,
+    ))
+}
+
+async fn burst(to: net::SocketAddr) -> Result<f64, Error> {
+    let stop = sync::Arc::new(AtomicBool::new(false));
+    let count = sync::Arc::new(AtomicU64::new(0));
+    let joins: Vec<_> = (0..BURST.0)
+        .map(|at| {
+            let (stop, count) = (sync::Arc::clone(&stop), sync::Arc::clone(&count));
+            tokio::spawn(async move {
+                let mut sender = connect(to).await?;
+                while !stop.load(Ordering::Relaxed) {
+                    short(&mut sender, &format!("burst {at}")).await?;
+                    count.fetch_add(1, Ordering::Relaxed);
+                }
+                Ok::<_, Error>(())
+            })
+        })
+        .collect();
+    let began = time::Instant::now();
+    tokio::time::sleep(BURST.1).await;
+    let rate = count.load(Ordering::Relaxed) as f64 / began.elapsed().as_secs_f64();
+    stop.store(true, Ordering::Relaxed);
+    for join in joins {
+        join.await??;
+    }
+    Ok(rate)
+}
+
+async fn throughput() -> Result<String, Error> {
+    let fleet = open(BURST.0, 0)?;
+    ready(&fleet).await?;
+    let direct = burst(fleet.engine).await?;
+    let ticks = [fleet.entry.ticks(), fleet.sidecar.ticks()];
+    let through = burst(fleet.callers).await?;
+    let cores = |now: u64, before: u64| (now - before) as f64 / 100.0 / BURST.1.as_secs_f64();
+    Ok(format!(
+        "case=throughput connections={} direct_per_s={direct:.0} through_per_s={through:.0} \
+         ratio={:.3} entry_cores={:.2} sidecar_cores={:.2} entry_peak_mb={:.1}",
+        BURST.0,
+        through / direct,
+        cores(fleet.entry.ticks(), ticks[0]),
+        cores(fleet.sidecar.ticks(), ticks[1]),
+        fleet.entry.status("VmHWM:") as f64 / 1024.0,
+    ))
+}
+
+fn main() -> Result<(), Error> {
+    let case = env::args().nth(1).unwrap_or_default();
+    let workers = thread::available_parallelism()?.get().min(4);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(workers)
+        .enable_all()
+        .build()?;
+    let line = match case.as_str() {
+        "latency" => runtime.block_on(latency())?,
+        "streams" => runtime.block_on(streams())?,
+        "throughput" => runtime.block_on(throughput())?,
+        _ => return Err("usage: load latency|streams|throughput".into()),
+    };
+    println!("{line}");
+    Ok(())
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -201,6 +201,8 @@
 /// The platform and the fleet of a test.
 #[derive(Debug)]
 pub struct Fleet {
+    /// How long sidecars started from now on remember keys, in milliseconds.
+    pub key_retention_ms: u64,
     /// Runs the stand-ins for backend servers.
     pub runtime: chivebend::process::Runtime,
     /// The platform's log.
@@ -226,6 +228,7 @@
             standin::instances::spawn(any, standin::instances::Switches::default()).expect("list");
         publish(&log, &catalogue());
         Self {
+            key_retention_ms: 3000,
             runtime: chivebend::process::Runtime::open("test").expect("runtime"),
             log,
             instances,
@@ -278,7 +281,7 @@
         args.extend(["--backend-address".into(), backend.to_string()]);
         args.extend(["--service".into(), service.into()]);
         let terms = [
-            ("--key-retention-ms", "3000"),
+            ("--key-retention-ms", &*self.key_retention_ms.to_string()),
             ("--key-lease-ms", "2000"),
             ("--list-lag-ms", "500"),
         ];
