--- /dev/null
+++ b/tests/faults_roll.rs
@@ -0,0 +1,161 @@
+//! A rolling restart of every process under steady load: no request cut, none lost, none doubled.
+
+mod support;
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::{net, sync, thread, time};
+
+use support::{Fleet, PATIENCE, Process, call_at, completion, expected, streamed, until};
+
+/// Callers of each kind; together they keep both sidecars busy.
+const CALLERS: usize = 4;
+
+/// Where entries are, as a balancer knows them: it asks each whether it is ready.
+#[derive(Default)]
+struct Balancer {
+    entries: sync::Mutex<Vec<(net::SocketAddr, net::SocketAddr)>>,
+    turn: AtomicU64,
+}
+
+impl Balancer {
+    fn add(&self, entry: &Process) {
+        let addresses = (entry.callers.expect("an entry"), entry.ops);
+        self.entries.lock().expect("entries").push(addresses);
+    }
+
+    /// A ready entry.
+    fn pick(&self) -> net::SocketAddr {
+        let began = time::Instant::now();
+        loop {
+            let entries = self.entries.lock().expect("entries").clone();
+            let first = self.turn.fetch_add(1, Ordering::Relaxed) as usize;
+            for at in 0..entries.len() {
+                let (callers, ops) = entries[(first + at) % entries.len()];
+                let answer = support::agent().get(format!("http://{ops}/ready")).call();
+                if answer.is_ok_and(|answer| answer.status() == 200) {
+                    return callers;
+                }
+            }
+            assert!(began.elapsed() < PATIENCE, "no entry is ready");
+            thread::sleep(time::Duration::from_millis(20));
+        }
+    }
+
+    /// Makes a call; moves on to another entry only if the connection is refused.
+    fn call(&self, path: &str, headers: &[(&str, &str)], body: &str) -> support::Received {
+        loop {
+            let to = self.pick();
+            if net::TcpStream::connect(to).is_ok() {
+                return call_at(to, path, headers, body);
+            }
+        }
+    }
+}
+
+/// Calls until told to stop; returns how many were answered.
+fn load(balancer: &Balancer, stop: &AtomicBool, number: usize, model: bool) -> u64 {
+    let mut count = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let name = format!("caller {number} call {count}");
+        let answer = if model {
+            let body = completion(&name, 20, true);
+            balancer.call("/v1/completions", &[], &body)
+        } else {
+            balancer.call("/records", &[("idempotency-key", &name)], &name)
+        };
+        assert_eq!(answer.status, 200, "{name}: {answer:?}");
+        let body = answer.body.expect("whole");
+        if model {
+            assert_eq!(streamed(&body), expected(&name, 20), "{name}");
+        } else {
+            let json: serde_json::Value = serde_json::from_str(&body).expect("json");
+            assert_eq!(json["echo"], name);
+        }
+        count += 1;
+    }
+    count
+}
+
+/// Ends a process by SIGTERM and checks that it cut nothing. The platform sees that it has ended.
+fn leave(fleet: &Fleet, id: &str, mut process: Process) {
+    process.signal("TERM");
+    assert_eq!(process.wait().code(), Some(0), "nothing was cut");
+    fleet.instances.delete(id);
+}
+
+#[test]
+fn a_rolling_restart_cuts_loses_and_doubles_nothing() {
+    let mut fleet = Fleet::open();
+    let mut sidecars = vec![
+        fleet.model("m1", 10),
+        fleet.model("m2", 10),
+        fleet.plain("p1", 30),
+        fleet.plain("p2", 30),
+    ];
+    let entries = [fleet.entry("e1"), fleet.entry("e2")];
+    until("ready", || entries.iter().all(Process::is_ready));
+    let balancer = Balancer::default();
+    for entry in &entries {
+        balancer.add(entry);
+    }
+    let stop = AtomicBool::new(false);
+    let counts = thread::scope(|scope| {
+        let callers: Vec<_> = (0..2 * CALLERS)
+            .map(|number| {
+                let (balancer, stop) = (&balancer, &stop);
+                scope.spawn(move || load(balancer, stop, number, number < CALLERS))
+            })
+            .collect();
+        let rolled = scope.spawn(|| {
+            // Entries start again once with a new name and once with their own.
+            let [first, second] = entries;
+            leave(&fleet, "e1", first);
+            let again = fleet.entry("e3");
+            until("ready", || again.is_ready());
+            balancer.add(&again);
+            leave(&fleet, "e2", second);
+            let second = fleet.entry("e2");
+            until("ready", || second.is_ready());
+            balancer.add(&second);
+            let backends = [
+                ("m3", "llm", fleet.engines[0].address),
+                ("m2", "llm", fleet.engines[1].address),
+                ("p3", "records", fleet.services[0].address),
+                ("p2", "records", fleet.services[1].address),
+            ];
+            for (at, (id, service, backend)) in backends.into_iter().enumerate() {
+                leave(&fleet, ["m1", "m2", "p1", "p2"][at], sidecars.remove(0));
+                let started = fleet.sidecar(id, service, backend);
+                // The next one leaves when this one does its work.
+                until("it decides about keys", || started.decides_keys());
+                sidecars.push(started);
+                for entry in [&again, &second] {
+                    until("linked again", || is_linked(entry, id));
+                }
+            }
+            [again, second]
+        });
+        let rolled = rolled.join();
+        stop.store(true, Ordering::Relaxed);
+        let counts: Vec<_> = callers
+            .into_iter()
+            .map(|caller| caller.join().expect("a caller met no fault"))
+            .collect();
+        drop(rolled.expect("rolled"));
+        counts
+    });
+    assert!(counts.iter().all(|count| *count > 0), "{counts:?}");
+    let runs = fleet.record.executions();
+    assert!(runs.values().all(|count| *count == 1), "doubled: {runs:?}");
+    assert_eq!(runs.len() as u64, counts[CALLERS..].iter().sum::<u64>());
+}
+
+fn is_linked(entry: &Process, id: &str) -> bool {
+    let status = entry.ops("/status").unwrap_or_default();
+    let status: serde_json::Value = serde_json::from_str(&status).unwrap_or_default();
+    status["sidecars"].as_array().is_some_and(|sidecars| {
+        sidecars
+            .iter()
+            .any(|sidecar| sidecar["instance"] == id && sidecar["state"] == "live")
+    })
+}
