Weight service when it is charged; measure control and cost

Cause: a changed weight rescaled all past service, so one customer got nothing until the other had caught up (weight_changed_under_load was known red); control bytes and cost per decision were open.

--- /dev/null
+++ b/examples/measure/control.rs
@@ -0,0 +1,103 @@
+//! Bytes of control messages, from the encoded frames themselves.
+
+use chivebend::wire;
+use prost::Message as _;
+
+/// HTTP/2 frame header (9) and gRPC message prefix (5) of a message on an open stream.
+const STREAM: usize = 14;
+/// What a unary call adds in one direction: the header block with indexed fields, its frame header,
+/// and the same for the trailers of the answer, halved. An estimate; TCP and IP are not counted.
+const UNARY: usize = 40;
+
+/// Bytes of each message.
+#[derive(Clone, Copy, Debug)]
+pub struct Sizes {
+    /// A report or its answer, without accounts.
+    pub exchange: usize,
+    /// Each account in it.
+    pub account: usize,
+    /// A totals frame, without totals.
+    pub frame: usize,
+    /// Each total in it.
+    pub total: usize,
+    /// A sidecar's heartbeat.
+    pub beat: usize,
+    /// An idle sidecar's request for work.
+    pub want: usize,
+    /// A digest of membership without members.
+    pub digest: usize,
+    /// One member in a digest.
+    pub member: usize,
+}
+
+/// Encodes one of each with names of the length operators use.
+pub fn sizes() -> Sizes {
+    let customer = "trinacria-sala-a".to_owned();
+    let account = wire::Account {
+        customer: customer.clone(),
+        charged: 1e9,
+        total: 1e9,
+        charged_in_total: 1e9,
+    };
+    let process = wire::Process {
+        id: "entry-sala-a-17".into(),
+        incarnation: 1 << 60,
+        zone: "sala-a".into(),
+        region: "palermo".into(),
+        address: "10.11.12.13:20000".into(),
+        role: 1,
+    };
+    let report = |accounts| wire::Report {
+        sender: Some(process.clone()),
+        accounts,
+    };
+    let digest = |members| wire::Digest {
+        sender: Some(process.clone()),
+        catalogue_revision: 1_000_000,
+        members,
+        stamp: 1 << 60,
+        ..wire::Digest::default()
+    };
+    let member = wire::Member {
+        process: Some(process.clone()),
+        heartbeat: 1_000_000,
+        leaving: false,
+        service: "modello-sala".into(),
+        ops_address: "10.11.12.13:20001".into(),
+    };
+    let alone = report(vec![]).encoded_len();
+    let empty = digest(vec![]).encoded_len();
+    let beat = wire::SidecarBeat {
+        sequence: 1_000_000,
+        window: 32,
+        running: 32,
+        waiting: 1_000,
+        leaving: false,
+        catalogue_revision: 1_000_000,
+        virtual_time: 1e9,
+        first_token_ms: 1_000,
+        between_tokens_us: 60_000,
+        stamp: 1 << 60,
+    };
+    let total = wire::Total {
+        customer,
+        service: 1e9,
+    };
+    let want = wire::Want {
+        slots: 8,
+        models: vec![],
+    };
+    Sizes {
+        exchange: UNARY + STREAM + alone,
+        digest: UNARY + STREAM + empty,
+        account: report(vec![account]).encoded_len() - alone,
+        frame: STREAM + 2,
+        total: wire::Totals {
+            totals: vec![total],
+        }
+        .encoded_len(),
+        beat: STREAM + 2 + beat.encoded_len(),
+        want: STREAM + 2 + want.encoded_len(),
+        member: digest(vec![member]).encoded_len() - empty,
+    }
+}
--- /dev/null
+++ b/examples/measure/cost.rs
@@ -0,0 +1,132 @@
+//! Time and memory of the decisions, measured on the running machine.
+
+use std::{fs, hint, time};
+
+use chivebend::{
+    decide::{ledger, queue, share},
+    key,
+};
+use slotmap::SlotMap;
+
+use super::world::rng;
+
+/// Decisions timed for each size.
+const ROUNDS: u32 = 400_000;
+/// Most tickets that wait.
+const TICKETS: usize = 100_000;
+/// Entries that report a customer to its home.
+const REPORTERS: usize = 16;
+/// Bytes of a page of memory on the machines this is built for.
+const PAGE: u64 = 4_096;
+
+/// Slopes for a number of customers.
+pub struct Cost {
+    /// Totals heard, pick, reservation, three charges, settlement and the next offer.
+    pub ns_per_decision: f64,
+    /// One report merged at a home.
+    pub ns_per_merge: f64,
+    /// Resident bytes for each waiting ticket, the customers' lists included.
+    pub bytes_per_ticket: f64,
+}
+
+/// Times the real modules with so many customers.
+pub fn measure(customers: usize, seed: u64) -> Cost {
+    let mut rng = rng::Rng(seed);
+    let mut arena = SlotMap::<key::Customer, ()>::with_key();
+    let keys = (0..customers).map(|_| arena.insert(())).collect::<Vec<_>>();
+    let before = resident();
+    let (mut queue, mut shares) = filled(&keys);
+    let bytes = resident().saturating_sub(before);
+    let bytes_per_ticket = bytes as f64 / queue.len() as f64;
+    // Once round without the clock, so that every list and heap has its size.
+    decide(&mut queue, &mut shares, &keys, &mut rng, ROUNDS / 4);
+    let started = time::Instant::now();
+    decide(&mut queue, &mut shares, &keys, &mut rng, ROUNDS);
+    let ns_per_decision = started.elapsed().as_nanos() as f64 / f64::from(ROUNDS);
+    Cost {
+        ns_per_decision,
+        ns_per_merge: merges(&keys, &mut rng),
+        bytes_per_ticket,
+    }
+}
+
+fn ticket(customer: key::Customer, request: u64) -> queue::Ticket {
+    queue::Ticket {
+        customer,
+        link: key::Link::default(),
+        request,
+        model: 0,
+        cost_hint: 1,
+        prefix_hash: 0,
+        deadline: None,
+        offered: time::Duration::ZERO,
+    }
+}
+
+fn filled(keys: &[key::Customer]) -> (queue::Queue, share::Table) {
+    let shares = share::Table::new(time::Duration::from_millis(400));
+    let mut queue = queue::Queue::new(queue::Limit {
+        customer: u32::MAX,
+        ..queue::Limit::default()
+    });
+    for request in 0..TICKETS {
+        let customer = keys[request % keys.len()];
+        if queue
+            .offer(ticket(customer, request as u64), &shares)
+            .is_err()
+        {
+            break;
+        }
+    }
+    (queue, shares)
+}
+
+fn decide(
+    queue: &mut queue::Queue,
+    shares: &mut share::Table,
+    keys: &[key::Customer],
+    rng: &mut rng::Rng,
+    rounds: u32,
+) {
+    let start = shares.virtual_time();
+    for round in 0..rounds {
+        let now = time::Duration::from_millis(u64::from(round));
+        let heard = keys[rng.below(keys.len())];
+        shares.observe(now, heard, start + f64::from(round));
+        let Some((_, picked)) = queue.pick(now, shares) else {
+            return;
+        };
+        let mut reservation = shares.reserve(picked.customer);
+        for _ in 0..3 {
+            shares.charge(&mut reservation, 100);
+        }
+        shares.settle(reservation, 300 + rng.next() % 300);
+        hint::black_box(queue.offer(picked, shares).is_ok());
+    }
+}
+
+fn merges(keys: &[key::Customer], rng: &mut rng::Rng) -> f64 {
+    let mut book = ledger::Book::new(time::Duration::ZERO);
+    let now = time::Duration::from_secs(100);
+    let started = time::Instant::now();
+    for round in 0..ROUNDS {
+        let source = ledger::Source {
+            process: rng.below(REPORTERS) as u64,
+            incarnation: 1,
+        };
+        let account = ledger::Account {
+            customer: keys[rng.below(keys.len())],
+            charged: f64::from(round),
+            total: 0.0,
+            contained: 0.0,
+        };
+        hint::black_box(book.merge(now, source, account, 0.0));
+    }
+    started.elapsed().as_nanos() as f64 / f64::from(ROUNDS)
+}
+
+fn resident() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1);
+    pages.and_then(|pages| pages.parse().ok()).unwrap_or(0_u64) * PAGE
+}
--- a/examples/measure/world.rs
+++ b/examples/measure/world.rs
@@ -51,17 +51,19 @@
 const WANT_AGAIN: time::Duration = time::Duration::from_millis(20);
 /// Entries an idle sidecar asks at once.
 const WANT_FANOUT: usize = 4;
-/// Bytes of framing of a message on a stream: HTTP/2 frame header and message prefix.
-const FRAME_BYTES: u64 = 14;
 /// Gaps are counted from here on.
 const WARM_UP: time::Duration = time::Duration::from_secs(1);
 
-/// Bytes of control messages on the wire, framing included; see the `control` case.
+/// Control messages sent; see the `control` case for their bytes.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Bytes {
+pub struct Sent {
     /// Reports between entries and their answers.
     pub reports: u64,
+    /// Accounts in them.
+    pub accounts: u64,
     /// Totals frames to sidecars.
+    pub frames: u64,
+    /// Totals in them.
     pub totals: u64,
     /// Heartbeats.
     pub beats: u64,
@@ -84,8 +86,8 @@
 pub struct World {
     /// What it was made from.
     pub plan: Plan,
-    /// Control bytes so far.
-    pub bytes: Bytes,
+    /// Control messages so far.
+    pub sent: Sent,
     now: time::Duration,
     turn: u64,
     events: collections::BinaryHeap<Timed>,
@@ -137,7 +139,7 @@
             .map(|_| server::Server::new(plan.limit, plan.slots))
             .collect();
         let mut world = Self {
-            bytes: Bytes::default(),
+            sent: Sent::default(),
             now: time::Duration::ZERO,
             turn: 0,
             events: collections::BinaryHeap::new(),
--- a/src/control/dispatch/ledger.rs
+++ b/src/control/dispatch/ledger.rs
@@ -186,7 +186,7 @@
         source: ledger::Source,
         account: ledger::Account,
     ) -> Option<ledger::Account> {
-        let floor = self.clock.time() * self.weights.get(account.customer).copied().unwrap_or(0.0);
+        let floor = self.clock.time();
         self.ledger.book.merge(now, source, account, floor)
     }
 
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -20,7 +20,7 @@
 use std::{collections, sync, time};
 
 use crossbeam_channel as channel;
-use slotmap::{Key as _, KeyData, SecondaryMap, SlotMap};
+use slotmap::{Key as _, KeyData, SlotMap};
 use stakker::CX;
 use tokio::sync::oneshot;
 
@@ -136,7 +136,6 @@
     customers: customers::Arena,
     shares: share::Table,
     clock: share::Clock,
-    weights: SecondaryMap<key::Customer, f64>,
     ledger: ledger::Ledger,
     tally: tally::Tally,
     last_beat: time::Duration,
@@ -177,7 +176,6 @@
             customers: customers::Arena::default(),
             shares: share::Table::new(time::Duration::ZERO),
             clock: share::Clock::default(),
-            weights: SecondaryMap::new(),
             ledger: ledger::Ledger::new(setup.process.clone(), setup.outbox),
             tally: tally::Tally::default(),
             last_beat: time::Duration::ZERO,
@@ -246,7 +244,6 @@
         let customer = self.customers.intern(&ask.customer);
         self.shares.set_weight(customer, ask.weight);
         self.tally.weight(customer, ask.weight);
-        self.weights.insert(customer, ask.weight);
         self.ledger.hold(customer, 1);
         self.budget.earn();
         if !self.waiting.has(customer) {
--- a/src/decide/ledger.rs
+++ b/src/decide/ledger.rs
@@ -70,7 +70,7 @@
 pub struct Account {
     /// The customer.
     pub customer: key::Customer,
-    /// Cost units the reporter has charged, cumulative for its incarnation.
+    /// Weighted service the reporter has charged, cumulative for its incarnation.
     pub charged: f64,
     /// Fleet total known to the sender.
     pub total: f64,
@@ -134,8 +134,8 @@
         self.sums.is_empty()
     }
 
-    /// Takes in a report and answers with the total. `floor` is the unweighted service at the
-    /// virtual time, to which a customer is lifted that nobody reported for [`IDLE`].
+    /// Takes in a report and answers with the total. `floor` is the virtual time,
+    /// to which a customer is lifted that nobody reported for [`IDLE`].
     pub fn merge(
         &mut self,
         now: time::Duration,
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -73,8 +73,6 @@
     charged: f64,
     learned: time::Duration,
     part: f64,
-    // Own charges that have been drained from the token bucket.
-    drained: Option<f64>,
 }
 
 /// Limits of all customers at an entry.
@@ -123,7 +121,6 @@
             charged: 0.0,
             learned: now,
             part,
-            drained: None,
         };
         if let Some(entry) = self.states.entry(customer) {
             entry.or_insert(fresh).limit = limit;
@@ -138,17 +135,9 @@
         total: f64,
         charged: f64,
     ) {
-        let entries = self.entries;
         let Some(state) = self.states.get_mut(customer) else {
             return;
         };
-        if let Some(rate) = state.limit.tokens_s {
-            let slice = state.slice(entries);
-            state.tokens.fill(now, rate * slice);
-            // What was charged before the first call was before the limit.
-            state.tokens.level -= charged - state.drained.unwrap_or(charged);
-        }
-        state.drained = Some(charged);
         let (grown, own) = (total - state.total, charged - state.charged);
         if now < state.learned + LEARN || grown <= 0.0 {
             return;
@@ -157,6 +146,18 @@
         (state.total, state.charged, state.learned) = (total, charged, now);
     }
 
+    /// Drains cost units as they are rendered.
+    pub fn charge(&mut self, now: time::Duration, customer: key::Customer, cost: u64) {
+        let entries = self.entries;
+        let Some(state) = self.states.get_mut(customer) else {
+            return;
+        };
+        if let Some(rate) = state.limit.tokens_s {
+            state.tokens.fill(now, rate * state.slice(entries));
+            state.tokens.level -= cost as f64;
+        }
+    }
+
     /// Whether a request may join the queue.
     pub fn admit(
         &mut self,
@@ -204,8 +205,7 @@
             return true;
         };
         if let Some(rate) = state.limit.tokens_s {
-            let slice = state.slice(entries);
-            state.tokens.fill(now, rate * slice);
+            state.tokens.fill(now, rate * state.slice(entries));
             if state.tokens.level <= 0.0 {
                 return false;
             }
--- a/src/decide/queue.rs
+++ b/src/decide/queue.rs
@@ -281,7 +281,7 @@
             if let Some(mut item) = self.heap.peek_mut() {
                 item.turn = turn;
             }
-            shares.advance(shares.virtual_tag(customer));
+            shares.advance(shares.total(customer));
             return Some((first, ticket));
         }
     }
@@ -329,17 +329,6 @@
         }
     }
 
-    /// Sorts anew after a weight has changed.
-    pub fn reorder(&mut self, shares: &share::Table) {
-        let mut items = std::mem::take(&mut self.heap).into_vec();
-        items.retain(|item| self.lists[item.customer].turn == item.turn);
-        for item in &mut items {
-            item.tag = shares.tag(item.customer);
-            self.lists[item.customer].tag = item.tag;
-        }
-        self.heap = items.into();
-    }
-
     /// Forgets a customer and returns its tickets.
     pub fn remove(&mut self, customer: key::Customer) -> Vec<Ticket> {
         let mut out = Vec::new();
--- a/src/decide/share.rs
+++ b/src/decide/share.rs
@@ -6,8 +6,8 @@
 //! counters that trust hints the customer with the most hostile hint does.
 //!
 //! Service is counted in cost units: prompt plus generated tokens, or milliseconds held for plain
-//! services. The tag of a customer is its service divided by its weight; the least tag is served
-//! first (virtual token counters: Sheng et al., OSDI 2024; start-time fair queueing: Goyal et al.,
+//! services, each divided by the customer's weight when it is charged. The tag of a customer is the
+//! sum; the least tag is served first (virtual token counters: Sheng et al., OSDI 2024; start-time fair queueing: Goyal et al.,
 //! SIGCOMM 1996). Service is charged as it is rendered and corrected at the end. A request in
 //! progress also counts for the mean cost of a request, the same for every customer, until it ends:
 //! slots render at about the same rate, so customers that hold equally many slots are served
@@ -97,7 +97,7 @@
 
     fn tag(&self) -> f64 {
         let young = self.charged - self.contained;
-        (self.total + SAMPLE * young + self.held) / self.weight
+        self.total + SAMPLE * young + self.held
     }
 }
 
@@ -183,8 +183,8 @@
             .map(slotmap::secondary::Entry::or_default)
     }
 
-    /// Sets a customer's weight. Service received so far keeps its amount and is weighted anew, so
-    /// call [`crate::decide::queue::Queue::reorder`] afterwards.
+    /// Sets a customer's weight. It counts for what is charged from now on: what was received under
+    /// the old weight stays as it was, or the customer would owe or be owed all its past.
     pub fn set_weight(&mut self, customer: key::Customer, weight: f64) {
         if let Some(counter) = self.counter(customer).filter(|_| weight.is_finite()) {
             counter.weight = weight.max(LEAST_WEIGHT);
@@ -231,7 +231,7 @@
     pub fn activate(&mut self, customer: key::Customer) {
         let virtual_time = self.virtual_time;
         if let Some(counter) = self.counter(customer) {
-            let short = virtual_time * counter.weight - counter.service();
+            let short = virtual_time - counter.service();
             counter.total += short.max(0.0);
         }
     }
@@ -258,18 +258,12 @@
         self.counters.get(customer).map_or(0.0, Counter::tag)
     }
 
-    /// The tag without what is in progress here: what other processes can compare with theirs.
-    pub fn virtual_tag(&self, customer: key::Customer) -> f64 {
-        let own = |counter: &Counter| counter.service() / counter.weight;
-        self.counters.get(customer).map_or(0.0, own)
-    }
-
-    /// Unweighted fleet-wide service as far as known here, for the tickets an entry places.
+    /// Weighted fleet-wide service as far as known here, for the tickets an entry places.
     pub fn total(&self, customer: key::Customer) -> f64 {
         self.counters.get(customer).map_or(0.0, Counter::service)
     }
 
-    /// Cost units this process has charged to a customer: cumulative, never falling.
+    /// Weighted service this process has charged to a customer: cumulative, never falling.
     pub fn charged(&self, customer: key::Customer) -> f64 {
         self.counters
             .get(customer)
@@ -298,8 +292,9 @@
 
     /// Counts a request as in progress: from its pick at a sidecar, its claim at an entry.
     pub fn reserve(&mut self, customer: key::Customer) -> Reservation {
-        let held = HELD * self.mean();
+        let mut held = HELD * self.mean();
         if let Some(counter) = self.counter(customer) {
+            held /= counter.weight;
             counter.held += held;
         }
         Reservation {
@@ -321,7 +316,7 @@
             if now >= counter.marks[1].0 + lag {
                 counter.marks = [counter.marks[1], (now, counter.charged)];
             }
-            counter.charged += cost;
+            counter.charged += cost / counter.weight;
         }
     }
 
