Record events and metrics on the data path

Cause: time line and metrics showed nothing of requests. Change: both controllers note what happens to requests, runs, links and keys, heartbeats carry the hybrid logical clock, and the meters are fed.

--- a/src/control/backend/link.rs
+++ b/src/control/backend/link.rs
@@ -6,7 +6,7 @@
 
 use crate::control::backend::Backend;
 use crate::wire::frame;
-use crate::{key, wire};
+use crate::{event, key, wire};
 
 /// Frames to an entry.
 pub type Sender = mpsc::UnboundedSender<Result<wire::SidecarFrame, tonic::Status>>;
@@ -79,6 +79,8 @@
             window: self.window,
         };
         self.links[link].send(frame::Sidecar::Welcome(welcome));
+        let note = self.setup.ring.note(event::Kind::LinkOpened);
+        note.field("entry", &self.links[link].origin.id).send();
     }
 
     /// A link is lost.
@@ -94,6 +96,8 @@
             return;
         };
         self.link_numbers.remove(&gone.number);
+        let note = self.setup.ring.note(event::Kind::LinkClosed);
+        note.field("entry", &gone.origin.id).send();
         let tickets: Vec<_> = self
             .tickets
             .keys()
--- a/src/control/backend/mod.rs
+++ b/src/control/backend/mod.rs
@@ -24,13 +24,16 @@
 use crate::decide::{home, queue, share};
 use crate::ops::report;
 use crate::wire::frame;
-use crate::{key, platform, process, settings, wire};
+use crate::{event, key, metric, platform, process, settings, wire};
 
 pub use link::Sender;
 
 /// Time between two runs of the timers.
 const TICK: time::Duration = time::Duration::from_millis(50);
 
+/// Time between two updates of the metrics.
+const REPORT: time::Duration = time::Duration::from_secs(1);
+
 /// Time between two heartbeats on a link.
 const BEAT: time::Duration = time::Duration::from_millis(500);
 
@@ -126,6 +129,8 @@
     pub tx: channel::Sender<Message>,
     /// Counters for other threads.
     pub gauges: sync::Arc<Gauges>,
+    /// Events of this process.
+    pub ring: event::Ring,
     /// Calls another sidecar to hand keys over.
     #[debug(skip)]
     pub hand_over: HandOver,
@@ -152,7 +157,9 @@
     models: Vec<String>,
     leaving: bool,
     kept_bytes: u64,
+    meter: metric::Meter,
     last_beat: time::Duration,
+    last_report: time::Duration,
     beats: u64,
     stale: u64,
 }
@@ -162,7 +169,9 @@
     pub fn init(cx: CX![], setup: Setup) -> Option<Self> {
         stakker::after!(TICK, [cx], tick());
         let keyed = keyed::Keyed::new(&setup.process, &setup.settings);
+        let meter = metric::Meter::open(&setup.process.id);
         Some(Self {
+            meter,
             setup,
             keyed,
             start: cx.now(),
@@ -182,6 +191,7 @@
             leaving: false,
             kept_bytes: 0,
             last_beat: time::Duration::ZERO,
+            last_report: time::Duration::ZERO,
             beats: 0,
             stale: 0,
         })
@@ -231,6 +241,12 @@
             self.last_beat = now;
             self.beat();
         }
+        if now >= self.last_report + REPORT {
+            self.last_report = now;
+            let revision = self.setup.gauges.revision.load(atomic::Ordering::Relaxed);
+            let (running, window) = (u64::from(self.running), u64::from(self.window));
+            self.meter.state(running, Some(window), Some(revision));
+        }
         self.fill(now);
         let unsettled = self.runs.values().filter(|run| !run.settled()).count();
         let in_progress = unsettled as u64 + u64::from(self.keyed.giving());
@@ -258,7 +274,9 @@
             frame::Entry::Resume(resume) => self.resume(now, link, &resume),
             frame::Entry::Cancel(cancel) => self.cancelled(now, link, &cancel),
             frame::Entry::Totals(totals) => self.totals(now, &totals),
-            frame::Entry::Beat(_) => {}
+            frame::Entry::Beat(beat) => {
+                self.setup.ring.observe(event::Stamp(beat.stamp));
+            }
             frame::Entry::Hello(_) => self.stale += 1,
         }
     }
@@ -283,7 +301,7 @@
             virtual_time: self.shares.virtual_time(),
             first_token_ms: 0,
             between_tokens_us: 0,
-            stamp: 0,
+            stamp: self.setup.ring.stamp().0,
         };
         for link in self.links.values() {
             link.send(frame::Sidecar::Beat(beat));
--- a/src/control/backend/run.rs
+++ b/src/control/backend/run.rs
@@ -8,7 +8,7 @@
 use crate::decide::share;
 use crate::platform::{backend, usage};
 use crate::wire::frame;
-use crate::{code, key, wire};
+use crate::{code, event, key, wire};
 
 /// Bytes sent ahead of the entry's acknowledgement: bounds what a slow caller makes an entry hold.
 const SEND_AHEAD: u64 = 256 << 10;
@@ -41,6 +41,8 @@
     pub request: u64,
     /// The attempt that was started.
     pub attempt: u32,
+    /// The request's id, as callers see it.
+    pub id: String,
     /// When the entry's link was lost, until it asks for the rest.
     pub detached: Option<time::Duration>,
     /// The call to the backend server.
@@ -99,6 +101,7 @@
             origin,
             request: run.request,
             attempt: run.attempt,
+            id: run.request_id.clone(),
             detached: None,
             task: None,
             customer,
@@ -240,6 +243,8 @@
         self.kept_bytes += answer.length();
         run.answer = answer;
         run.ended = Some(now);
+        let note = self.setup.ring.note(event::Kind::KeyReplayed);
+        note.request(&run.id).send();
         if let Some(reservation) = run.reservation.take() {
             self.shares.release(reservation);
         }
@@ -252,6 +257,18 @@
         run.ended = Some(now);
         run.task = None;
         self.tally.running(run.customer, -1);
+        let kind = match run.failed {
+            None => event::Kind::RunFinished,
+            Some(code::Code::CallerLeft) => event::Kind::RunCancelled,
+            Some(_) => event::Kind::RunFailed,
+        };
+        let note = self.setup.ring.note(kind).request(&run.id);
+        let note = note.customer(self.customers.name(run.customer));
+        let note = note.field("bytes", run.answer.length());
+        match run.failed {
+            Some(code) => note.code(code).send(),
+            None => note.send(),
+        }
         if let Some(name) = run.name.take() {
             self.keyed.end(now, name, run.failed, &run.answer);
         }
--- a/src/control/backend/start.rs
+++ b/src/control/backend/start.rs
@@ -7,7 +7,7 @@
 use crate::decide::share;
 use crate::platform::backend;
 use crate::wire::frame;
-use crate::{code, key, wire};
+use crate::{code, event, key, wire};
 
 impl Backend {
     /// A request arrives for a claim.
@@ -91,6 +91,7 @@
 
     fn start(&mut self, key: key::Run, run: wire::Run) {
         self.running += 1;
+        self.note(event::Kind::RunStarted, &run).send();
         self.tally.running(self.runs[key].customer, 1);
         let settings = &self.setup.settings;
         let limits = backend::Limits {
@@ -126,6 +127,7 @@
         let origin = self.links[link].origin.clone();
         let memory = self.origins.entry(origin).or_default();
         memory.voided.insert(run.request, (run.attempt, now));
+        self.note(event::Kind::KeyConflict, run).code(code).send();
         let changes_hands = matches!(code, code::Code::KeyHomeUnreachable | code::Code::Leaving);
         if changes_hands {
             self.not_started(link, run, code, retry_after);
@@ -135,6 +137,11 @@
         self.links[link].send(frame::Sidecar::Failed(failed));
     }
 
+    fn note(&self, kind: event::Kind, run: &wire::Run) -> event::Note<'_> {
+        let note = self.setup.ring.note(kind);
+        note.request(&run.request_id).customer(&run.customer)
+    }
+
     fn not_started(
         &self,
         link: key::Link,
--- a/src/control/dispatch/frames.rs
+++ b/src/control/dispatch/frames.rs
@@ -7,7 +7,7 @@
 use crate::control::dispatch::{Dispatch, Stage, number, request};
 use crate::decide::drain;
 use crate::wire::frame;
-use crate::{code, key, wire};
+use crate::{code, event, key, wire};
 
 /// Bytes the caller must have taken before they are acknowledged: an eighth of what a sidecar sends
 /// ahead, so that acknowledgements are few and the sidecar never waits for one.
@@ -146,6 +146,12 @@
         let known = &mut self.sidecars[sidecar];
         known.outstanding += 1;
         known.send(frame::Entry::Run(run));
+        let held = &self.requests[request];
+        self.meter.waited(now.saturating_sub(held.arrived));
+        self.note(event::Kind::RequestHandedOver, held)
+            .field("sidecar", &self.sidecars[sidecar].id)
+            .field("attempt", held.attempt)
+            .send();
         self.routing
             .begun(sidecar, &self.sidecars[sidecar], &held.ask);
         if let Stage::Waiting { tickets, .. } = stage {
@@ -224,12 +230,16 @@
             self.stale += 1;
             return;
         };
+        let since = attempt.since;
         match attempt.answer.chunk(chunk.offset, chunk.data) {
             answer::Step::Next(data) => {
                 self.tally.served(now, held.customer, f64::from(chunk.cost));
                 if let Some(reservation) = &mut held.reservation {
                     self.shares.charge(reservation, u64::from(chunk.cost));
                 }
+                if !held.passed {
+                    self.meter.first_token(now.saturating_sub(since));
+                }
                 held.pass_head();
                 held.send(Reply::Data(data));
             }
@@ -252,6 +262,16 @@
             answer::Ending::Whole => {
                 held.pass_head();
                 held.send(Reply::End);
+                let whole = self
+                    .ring
+                    .note(event::Kind::RequestFinished)
+                    .request(&held.ask.id);
+                whole
+                    .customer(&held.ask.customer)
+                    .field("bytes", end.length)
+                    .field("cost", end.cost)
+                    .send();
+                self.meter.answered(None);
                 let ack = wire::Ack {
                     request: end.request,
                     attempt: end.attempt,
@@ -295,6 +315,7 @@
         known.signs.hear(now, drain::Source::Own, beat.leaving);
         let began_leaving = was_open && beat.leaving;
         self.routing.report(now, sidecar, &self.sidecars[sidecar]);
+        self.ring.observe(event::Stamp(beat.stamp));
         self.clock.hear(sidecar, beat.virtual_time, beat.waiting);
         self.shares.advance(self.clock.time());
         if began_leaving {
--- a/src/control/dispatch/links.rs
+++ b/src/control/dispatch/links.rs
@@ -6,7 +6,7 @@
 use crate::control::dispatch::{Dispatch, Found, Stage, number};
 use crate::decide::drain;
 use crate::wire::frame;
-use crate::{key, wire};
+use crate::{event, key, wire};
 
 /// How long an attempt whose link is lost may wait to be resumed. Three times the silence limit of
 /// a link: time to notice, to connect again, and once more.
@@ -37,7 +37,11 @@
         known.reported = now;
         known.tickets = 0;
         known.link = Some(sidecar::Link { number: link, tx });
-        log::info!(event = "link_up", sidecar = id, incarnation = process.incarnation; "");
+        self.ring
+            .note(event::Kind::LinkOpened)
+            .field("sidecar", id)
+            .field("incarnation", process.incarnation)
+            .send();
         self.routing.add(now, key, &self.sidecars[key]);
         self.drop_tickets(now, key);
         for request in self.handed_over(key) {
@@ -68,7 +72,10 @@
         self.routing.remove(key, &self.sidecars[key]);
         self.clock.remove(key);
         self.sidecars[key].tickets = 0;
-        log::info!(event = "link_down", sidecar = self.sidecars[key].id.as_str(); "");
+        self.ring
+            .note(event::Kind::LinkClosed)
+            .field("sidecar", &self.sidecars[key].id)
+            .send();
         self.drop_tickets(now, key);
         for request in self.handed_over(key) {
             if let Stage::HandedOver(attempt) = &mut self.requests[request].stage {
@@ -180,5 +187,9 @@
             incarnation,
         };
         self.sidecars[sidecar].send(frame::Entry::Resume(resume));
+        let held = &self.requests[request];
+        self.note(event::Kind::RequestResumed, held)
+            .field("offset", resume.offset)
+            .send();
     }
 }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -29,7 +29,7 @@
 use crate::decide::share;
 use crate::ops::report;
 use crate::wire::frame;
-use crate::{code, filter, key, wire};
+use crate::{code, event, filter, key, metric, wire};
 
 pub use ledger::{Outbox, Peer};
 pub use request::{Reply, Request, Stage, Submission};
@@ -123,6 +123,8 @@
     pub outbox: Outbox,
     /// Requests in progress, read by a shutdown.
     pub in_progress: sync::Arc<sync::atomic::AtomicU64>,
+    /// Events of this process.
+    pub ring: event::Ring,
 }
 
 /// The controller.
@@ -138,6 +140,8 @@
     clock: share::Clock,
     ledger: ledger::Ledger,
     tally: tally::Tally,
+    ring: event::Ring,
+    meter: metric::Meter,
     last_beat: time::Duration,
     beats: u64,
     stale: u64,
@@ -178,6 +182,8 @@
             clock: share::Clock::default(),
             ledger: ledger::Ledger::new(setup.process.clone(), setup.outbox),
             tally: tally::Tally::default(),
+            meter: metric::Meter::open(&setup.process.id),
+            ring: setup.ring,
             last_beat: time::Duration::ZERO,
             beats: 0,
             stale: 0,
@@ -227,6 +233,10 @@
         if now >= self.compared + COMPARE {
             self.compared = now;
             self.routing.compare();
+            let running = (self.requests.len() - self.waiting.len()) as u64;
+            self.meter.state(running, None, Some(self.revision));
+            let customers = self.report(now);
+            self.meter.customers(&customers);
         }
         if now >= self.last_beat + BEAT {
             self.last_beat = now;
@@ -274,14 +284,29 @@
             self.finish(request);
             return;
         }
-        self.waiting.add(request, &self.requests[request]);
+        let held = &self.requests[request];
+        self.note(event::Kind::RequestReceived, held).send();
+        self.waiting.add(request, held);
         self.place(now, request);
     }
 
+    /// An event about a request.
+    fn note<'a>(&'a self, kind: event::Kind, held: &Request) -> event::Note<'a> {
+        let note = self.ring.note(kind);
+        note.request(&held.ask.id).customer(&held.ask.customer)
+    }
+
     /// Gives a request its final answer and forgets it.
     fn refuse(&mut self, request: key::Request, refusal: filter::Refusal) {
         if let Some(held) = self.requests.get(request) {
             self.tally.refused(held.customer, refusal.code);
+            self.meter.answered(Some(refusal.code));
+            let kind = if held.passed || held.attempt > 0 {
+                event::Kind::RequestFailed
+            } else {
+                event::Kind::RequestRefused
+            };
+            self.note(kind, held).code(refusal.code).send();
             if held.passed {
                 held.send(Reply::Broken(refusal.code));
             } else {
@@ -328,10 +353,11 @@
                 self.routing.withdrawn(attempt.sidecar, sidecar);
             }
         }
-        log::info!(
-            event = "caller_left", request = held.ask.id.as_str(),
-            customer = held.ask.customer.as_str(), code = code::Code::CallerLeft.number(); ""
-        );
+        let left = code::Code::CallerLeft;
+        self.note(event::Kind::RequestCancelled, held)
+            .code(left)
+            .send();
+        self.meter.answered(Some(left));
         self.finish(request);
     }
 
@@ -351,7 +377,7 @@
             sidecar.send(frame::Entry::Beat(wire::EntryBeat {
                 sequence: self.beats,
                 catalogue_revision: self.revision,
-                stamp: 0,
+                stamp: self.ring.stamp().0,
             }));
         }
     }
--- a/src/control/dispatch/retry.rs
+++ b/src/control/dispatch/retry.rs
@@ -6,7 +6,7 @@
 
 use crate::control::dispatch::{Dispatch, Stage};
 use crate::decide::{outcome, retry};
-use crate::{code, filter, key, wire};
+use crate::{code, event, filter, key, wire};
 
 /// Wait before a key's sidecar is tried again while who decides changes hands.
 const KEY_BACKOFF: time::Duration = time::Duration::from_millis(200);
@@ -128,7 +128,13 @@
                 .decide(now, held.expires, code, &mut self.budget, rng)
         };
         match verdict {
-            retry::Verdict::After(wait) => self.wait_again(now, request, now + wait),
+            retry::Verdict::After(wait) => {
+                let held = &self.requests[request];
+                let note = self.note(event::Kind::RequestRetried, held);
+                note.code(code).field("wait_ms", wait.as_millis()).send();
+                self.meter.retried();
+                self.wait_again(now, request, now + wait);
+            }
             retry::Verdict::Refuse(code) => self.fail(request, code, retry_after),
         }
     }
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -18,7 +18,7 @@
 use crate::control::dispatch;
 use crate::entry::{body, refusal};
 use crate::platform::backend;
-use crate::{catalogue, code, event, filter, settings};
+use crate::{catalogue, code, event, filter, metric, settings};
 
 /// Largest head of a request in bytes, and most headers.
 const HEAD_LIMIT: (usize, usize) = (64 << 10, 100);
@@ -31,6 +31,7 @@
 pub struct Shared {
     /// Events of this process.
     pub ring: event::Ring,
+    meter: metric::Meter,
     core: channel::Sender<dispatch::Message>,
     catalogue: sync::RwLock<Option<sync::Arc<catalogue::Accepted>>>,
     in_progress: sync::Arc<atomic::AtomicU64>,
@@ -56,6 +57,7 @@
     ) -> Self {
         Self {
             ring,
+            meter: metric::Meter::open(&settings.process.id),
             core,
             catalogue: sync::RwLock::new(None),
             in_progress,
@@ -196,15 +198,7 @@
     } else {
         forward(shared, &id, request).await
     };
-    outcome.unwrap_or_else(|refusal| {
-        shared
-            .ring
-            .note(event::Kind::RequestRefused)
-            .request(&id)
-            .code(refusal.code)
-            .send();
-        refusal::response(&id, &refusal)
-    })
+    outcome.unwrap_or_else(|refusal| refusal::response(&id, &refusal))
 }
 
 async fn forward(
@@ -212,6 +206,24 @@
     id: &str,
     request: hyper::Request<Incoming>,
 ) -> Result<hyper::Response<body::Body>, filter::Refusal> {
+    let prepared = prepare(shared, id, request).await;
+    let (context, ask) = prepared.inspect_err(|refusal| {
+        let note = shared.ring.note(event::Kind::RequestRefused);
+        note.request(id).code(refusal.code).send();
+        shared.meter.answered(Some(refusal.code));
+    })?;
+    if ask.method == "GET" && ask.path == "/v1/models" {
+        return Ok(models(&context, id));
+    }
+    submit(shared, id, ask).await
+}
+
+/// Reads the request and passes it through the filters.
+async fn prepare(
+    shared: &Shared,
+    id: &str,
+    request: hyper::Request<Incoming>,
+) -> Result<(filter::Context, filter::Ask), filter::Refusal> {
     let accepted = shared.catalogue().ok_or_else(|| filter::Refusal {
         code: code::Code::NoCatalogue,
         detail: String::new(),
@@ -220,10 +232,7 @@
     let mut ask = read(shared, id, request).await?;
     let context = filter::Context { accepted };
     filter::apply(&context, &mut ask)?;
-    if ask.method == "GET" && ask.path == "/v1/models" {
-        return Ok(models(&context, id));
-    }
-    submit(shared, id, ask).await
+    Ok((context, ask))
 }
 
 /// Reads the whole request, within the limits.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -61,7 +61,9 @@
     let (tx, rx) = channel::unbounded();
     let in_progress = sync::Arc::new(atomic::AtomicU64::new(0));
     let (outbox, reports) = mpsc::unbounded_channel();
+    let ring = event::Ring::open(event::CAPACITY, &settings.process.identity("entry"));
     let setup = dispatch::Setup {
+        ring: ring.clone(),
         process: process.clone(),
         outbox,
         in_progress: sync::Arc::clone(&in_progress),
@@ -71,7 +73,6 @@
     runtime
         .handle()
         .spawn(fleet::send(reports, secret, tx.clone()));
-    let ring = event::Ring::open(event::CAPACITY, &settings.process.identity("entry"));
     let shared = sync::Arc::new(callers::Shared::new(
         settings,
         process.incarnation,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -51,6 +51,7 @@
     let process = process::identity(&settings.process, wire::Role::Sidecar, fleet_address);
     let (tx, rx) = channel::unbounded();
     let gauges = sync::Arc::new(backend::Gauges::default());
+    let ring = event::Ring::open(event::CAPACITY, &settings.process.identity("sidecar"));
     let core = backend::spawn(
         rx,
         backend::Setup {
@@ -59,10 +60,10 @@
             runtime: runtime.handle(),
             tx: tx.clone(),
             gauges: sync::Arc::clone(&gauges),
+            ring: ring.clone(),
             hand_over: hand_over(&runtime, settings),
         },
     )?;
-    let ring = event::Ring::open(event::CAPACITY, &settings.process.identity("sidecar"));
     let ops = ops::spawn(
         settings.process.ops_address,
         source(settings, &process, &tx, &gauges, &ring),
