Put limits, admission, shedding and the learned window to work

Cause: a customer could queue without bound, limits of the catalogue had no effect, and a backend server got a fixed number of requests. Change: entries ask decide::limit and decide::admit for every request and refuse at once with the numbered code and Retry-After; a published change holds for waiting work too, and a customer that leaves the catalogue is refused. Sidecars size their window by decide::window. A deadline now covers the whole answer, as the admission decision is measured. A process whose core panics ends with code 70 instead of answering health checks.

--- a/src/control/backend/claim.rs
+++ b/src/control/backend/claim.rs
@@ -64,7 +64,7 @@
 
     /// Claims tickets while the window has room.
     pub(super) fn fill(&mut self, now: time::Duration) {
-        while self.free() > 0 {
+        while self.has_place() {
             let Some((_, ticket)) = self.queue.pick(now, &mut self.shares) else {
                 return;
             };
@@ -133,11 +133,20 @@
         }
     }
 
-    fn free(&self) -> u32 {
-        if self.leaving || self.kept_bytes > self.setup.settings.answer_memory {
+    /// Requests that the backend server may hold now.
+    pub(super) fn places(&self) -> u32 {
+        if self.catalogue_window == 0 {
             return 0;
         }
+        self.window.size()
+    }
+
+    fn has_place(&mut self) -> bool {
+        let full = self.kept_bytes > self.setup.settings.answer_memory;
+        if self.leaving || full || self.catalogue_window == 0 {
+            return false;
+        }
         self.window
-            .saturating_sub(self.running + self.claims.len() as u32)
+            .has_room(self.running + self.claims.len() as u32)
     }
 }
--- a/src/control/backend/link.rs
+++ b/src/control/backend/link.rs
@@ -76,7 +76,7 @@
             process: Some(self.setup.process.clone()),
             service: self.setup.settings.service.clone(),
             models: self.models.clone(),
-            window: self.window,
+            window: self.places(),
         };
         self.links[link].send(frame::Sidecar::Welcome(welcome));
         let note = self.setup.ring.note(event::Kind::LinkOpened);
--- a/src/control/backend/mod.rs
+++ b/src/control/backend/mod.rs
@@ -21,7 +21,7 @@
 use tokio::sync::oneshot;
 
 use crate::control::{customers, tally};
-use crate::decide::{home, queue, share};
+use crate::decide::{home, queue, share, window};
 use crate::ops::report;
 use crate::wire::frame;
 use crate::{event, key, metric, platform, process, settings, wire};
@@ -153,7 +153,9 @@
     runs: SlotMap<key::Run, run::Run>,
     keyed: keyed::Keyed,
     running: u32,
-    window: u32,
+    window: window::Window,
+    /// The catalogue's figure, 0 before the first catalogue.
+    catalogue_window: u32,
     models: Vec<String>,
     leaving: bool,
     kept_bytes: u64,
@@ -186,7 +188,8 @@
             claims: collections::HashMap::new(),
             runs: SlotMap::with_key(),
             running: 0,
-            window: 0,
+            window: window::Window::new(1),
+            catalogue_window: 0,
             models: Vec::new(),
             leaving: false,
             kept_bytes: 0,
@@ -215,7 +218,10 @@
                     .revision
                     .store(revision, atomic::Ordering::Relaxed);
                 self.models = models;
-                self.window = window;
+                if window != self.catalogue_window {
+                    self.catalogue_window = window;
+                    self.window.reset(window);
+                }
             }
             Message::Listed(read) => {
                 let asked_at = read.asked_at.saturating_duration_since(self.start);
@@ -244,7 +250,7 @@
         if now >= self.last_report + REPORT {
             self.last_report = now;
             let revision = self.setup.gauges.revision.load(atomic::Ordering::Relaxed);
-            let (running, window) = (u64::from(self.running), u64::from(self.window));
+            let (running, window) = (u64::from(self.running), u64::from(self.places()));
             self.meter.state(running, Some(window), Some(revision));
         }
         self.fill(now);
@@ -293,7 +299,7 @@
         self.beats += 1;
         let beat = wire::SidecarBeat {
             sequence: self.beats,
-            window: self.window,
+            window: self.places(),
             running: self.running + self.claims.len() as u32,
             waiting: self.queue.len() as u32,
             leaving: self.leaving,
--- a/src/control/backend/run.rs
+++ b/src/control/backend/run.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use tokio::sync::watch;
+
 use crate::control::backend::Backend;
 use crate::control::backend::link::Origin;
 use crate::control::kept;
@@ -59,10 +61,14 @@
     uncharged: u32,
     sent: Sent,
     acknowledged: u64,
+    /// Tells the call how much the entry has taken.
+    pub taken: watch::Sender<u64>,
     done: bool,
     failed: Option<code::Code>,
     ended: Option<time::Duration>,
     started: time::Duration,
+    /// When the first byte of the answer came.
+    first: Option<time::Duration>,
     reservation: Option<share::Reservation>,
 }
 
@@ -114,10 +120,12 @@
             uncharged: 0,
             sent: Sent::default(),
             acknowledged: 0,
+            taken: watch::Sender::new(0),
             done: false,
             failed: None,
             ended: None,
             started: now,
+            first: None,
             reservation: Some(reservation),
         }
     }
@@ -222,6 +230,12 @@
                 if let Some(reservation) = &mut run.reservation {
                     self.shares.charge(reservation, u64::from(tokens));
                 }
+                if run.first.is_none() {
+                    run.first = Some(now);
+                    if !self.models.is_empty() {
+                        self.window.first_token(now.saturating_sub(run.started));
+                    }
+                }
                 self.kept_bytes += data.len() as u64;
                 run.answer.push(data);
             }
@@ -279,6 +293,13 @@
             self.shares.release(reservation);
             return;
         }
+        if let Some(first) = run.first
+            && run.cost > 1
+            && !self.models.is_empty()
+        {
+            let gaps = (run.cost - 1).min(u64::from(u32::MAX)) as u32;
+            self.window.between_tokens(now.saturating_sub(first) / gaps);
+        }
         run.cost = match run.meter.finish() {
             Some(usage) => usage.prompt_tokens + usage.completion_tokens,
             None if self.models.is_empty() => now.saturating_sub(run.started).as_millis() as u64,
@@ -314,6 +335,7 @@
         };
         let run = &mut self.runs[key];
         run.acknowledged = run.acknowledged.max(ack.offset);
+        run.taken.send_replace(run.acknowledged);
         if ack.done {
             run.done = true;
             self.drop_answer(key);
@@ -374,7 +396,12 @@
 
     fn stop(&mut self, now: time::Duration, key: key::Run) {
         let run = &mut self.runs[key];
-        if run.ended.is_some() || !run.idempotent {
+        if run.ended.is_some() {
+            return;
+        }
+        if !run.idempotent {
+            // Nobody takes the answer any more, but the call has to come to its end.
+            run.taken.send_replace(u64::MAX);
             return;
         }
         if let Some(task) = run.task.take() {
--- a/src/control/backend/start.rs
+++ b/src/control/backend/start.rs
@@ -9,6 +9,10 @@
 use crate::wire::frame;
 use crate::{code, event, key, wire};
 
+/// Fewest bytes of an answer that are read ahead of its entry: above any answer of a model, so that
+/// only callers of large answers who do not read hold up their backend server.
+const LEAST_AHEAD: u64 = 1 << 20;
+
 impl Backend {
     /// A request arrives for a claim.
     pub(super) fn handed_over(&mut self, now: time::Duration, link: key::Link, run: wire::Run) {
@@ -98,6 +102,7 @@
             address: settings.backend_address,
             progress: time::Duration::from_millis(settings.progress_timeout_ms),
             answer: settings.answer_limit,
+            ahead: (settings.answer_memory / u64::from(self.places().max(1))).max(LEAST_AHEAD),
         };
         let call = backend::Call {
             method: run.method,
@@ -105,13 +110,14 @@
             headers: run.headers,
             body: run.body,
         };
+        let taken = self.runs[key].taken.subscribe();
         let tx = self.setup.tx.clone();
         // The core outlives its runs, or nobody is left to tell.
         let report = move |event| drop(tx.send(Message::Run(key, event)));
         let task = self
             .setup
             .runtime
-            .spawn(backend::call(limits, call, report));
+            .spawn(backend::call(limits, call, taken, report));
         self.runs[key].task = Some(task);
     }
 
--- a/src/control/backend/status.rs
+++ b/src/control/backend/status.rs
@@ -15,7 +15,7 @@
             leaving: self.leaving,
             decides_keys: self.keyed.settled(now),
             service: Some(self.setup.settings.service.clone()),
-            window: Some(u64::from(self.window)),
+            window: Some(u64::from(self.places())),
             running: u64::from(self.running),
             waiting: self.queue.len() as u64,
             ..report::Status::default()
--- a/src/control/dispatch/frames.rs
+++ b/src/control/dispatch/frames.rs
@@ -115,6 +115,7 @@
         claimed: key::Request,
         request: key::Request,
     ) {
+        self.count_start(now, request);
         let held = &mut self.requests[request];
         held.attempt += 1;
         held.trail.enter(sidecar);
@@ -279,6 +280,7 @@
                     done: true,
                 };
                 let took = now.saturating_sub(attempt_since);
+                self.admission.end(held.customer, took);
                 let pace = took / (end.cost.clamp(1, u64::from(u32::MAX)) as u32);
                 if let Some(reservation) = held.reservation.take() {
                     self.shares.settle(reservation, end.cost);
--- a/src/control/dispatch/ledger.rs
+++ b/src/control/dispatch/ledger.rs
@@ -134,7 +134,7 @@
                 let own = source(&self.ledger.own.id, self.ledger.own.incarnation);
                 for account in accounts {
                     let answer = self.merge(now, own, account);
-                    self.counted(answer);
+                    self.counted(now, answer);
                 }
                 continue;
             }
@@ -173,10 +173,10 @@
     }
 
     /// A home's answer.
-    pub(super) fn told(&mut self, report: &wire::Report) {
+    pub(super) fn told(&mut self, now: time::Duration, report: &wire::Report) {
         for account in &report.accounts {
             let known = self.known_account(account);
-            self.counted(Some(known));
+            self.counted(now, Some(known));
         }
     }
 
@@ -190,11 +190,13 @@
         self.ledger.book.merge(now, source, account, floor)
     }
 
-    fn counted(&mut self, account: Option<ledger::Account>) {
+    fn counted(&mut self, now: time::Duration, account: Option<ledger::Account>) {
         let Some(account) = account else { return };
         let customer = account.customer;
         self.shares
             .observe_counted(customer, account.total, account.contained);
+        let charged = self.shares.charged(customer);
+        self.limits.learn(now, customer, account.total, charged);
         let total = wire::Total {
             customer: self.customers.name(customer).to_owned(),
             service: self.shares.total(customer),
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! the first claim wins and the request is handed over. Its answer is passed on in order, resumed
 //! after a lost link, and ended so that the caller can tell a whole answer from a broken one.
 
+mod admission;
 mod frames;
 mod keyed;
 mod ledger;
@@ -22,11 +23,11 @@
 use crossbeam_channel as channel;
 use slotmap::{Key as _, KeyData, SlotMap};
 use stakker::CX;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::control::{customers, tally};
 use crate::decide::retry as decide_retry;
-use crate::decide::share;
+use crate::decide::{admit, limit, share};
 use crate::ops::report;
 use crate::wire::frame;
 use crate::{code, event, filter, key, metric, wire};
@@ -38,6 +39,9 @@
 /// Time between two runs of the timers.
 const TICK: time::Duration = time::Duration::from_millis(50);
 
+/// Bytes of request bodies that may wait at one entry: a quarter of the 256 MB a node may use.
+const WAITING_BYTES: u64 = 64 << 20;
+
 /// Time between two comparisons of the backend servers' speeds.
 const COMPARE: time::Duration = time::Duration::from_secs(1);
 
@@ -148,6 +152,8 @@
     revision: u64,
     routing: routing::Routing,
     budget: decide_retry::Budget,
+    limits: limit::Table,
+    admission: admit::Table,
     compared: time::Duration,
     /// Requests without a ticket.
     unplaced: collections::VecDeque<key::Request>,
@@ -190,6 +196,8 @@
             revision: 0,
             routing: routing::Routing::new(setup.process),
             budget: decide_retry::Budget::new(time::Duration::ZERO),
+            limits: limit::Table::new(1),
+            admission: admit::Table::new(WAITING_BYTES),
             compared: time::Duration::ZERO,
             unplaced: collections::VecDeque::new(),
             detached: Vec::new(),
@@ -214,10 +222,13 @@
             Message::Down { id, link } => self.down(now, &id, link),
             Message::Gone { id } => self.gone(now, &id),
             Message::Members(members) => self.members(now, members),
-            Message::Peers(peers) => self.ledger.set_peers(now, peers),
+            Message::Peers(peers) => {
+                self.limits.set_entries(peers.len() + 1);
+                self.ledger.set_peers(now, peers);
+            }
             Message::Report(report, answer) => self.reported(now, &report, answer),
-            Message::Told(report) => self.told(&report),
-            Message::Catalogue(accepted) => self.catalogue(&accepted),
+            Message::Told(report) => self.told(now, &report),
+            Message::Catalogue(accepted) => self.catalogue(now, &accepted),
             Message::Status(tx) => drop(tx.send(self.status(now))),
             Message::Customers(tx) => drop(tx.send(self.report(now))),
             Message::Stop => cx.shutdown(stakker::StopCause::Stopped),
@@ -252,6 +263,10 @@
             accepted,
         } = submission;
         let customer = self.customers.intern(&ask.customer);
+        if let Err(refusal) = self.admit(now, customer, &ask) {
+            self.turn_away(customer, &ask, &reply, accepted, refusal);
+            return;
+        }
         self.shares.set_weight(customer, ask.weight);
         self.tally.weight(customer, ask.weight);
         self.ledger.hold(customer, 1);
@@ -259,7 +274,8 @@
         if !self.waiting.has(customer) {
             self.shares.activate(customer);
         }
-        let expires = ask.deadline.map(|deadline| now + deadline);
+        let latest = |deadline| self.admission.latest_start(customer, now + deadline);
+        let expires = ask.deadline.map(latest);
         let request = self.requests.insert(Request {
             customer,
             reply,
@@ -290,6 +306,26 @@
         self.place(now, request);
     }
 
+    /// Answers a request that is not admitted at once.
+    fn turn_away(
+        &mut self,
+        customer: key::Customer,
+        ask: &filter::Ask,
+        reply: &mpsc::UnboundedSender<Reply>,
+        accepted: oneshot::Sender<key::Request>,
+        refusal: filter::Refusal,
+    ) {
+        self.tally.refused(customer, refusal.code);
+        self.meter.answered(Some(refusal.code));
+        let note = self.ring.note(event::Kind::RequestRefused);
+        let note = note.request(&ask.id).customer(&ask.customer);
+        note.code(refusal.code).send();
+        let listens = accepted.send(key::Request::default()).is_ok();
+        if listens {
+            drop(reply.send(Reply::Refused(refusal)));
+        }
+    }
+
     /// An event about a request.
     fn note<'a>(&'a self, kind: event::Kind, held: &Request) -> event::Note<'a> {
         let note = self.ring.note(kind);
@@ -329,9 +365,15 @@
             self.shares.release(reservation);
         }
         match held.stage {
-            Stage::Waiting { tickets, .. } => self.void(request, &tickets),
+            Stage::Waiting { tickets, .. } => {
+                let bytes = held.ask.body.len() as u64;
+                self.limits.leave(held.customer, bytes);
+                self.admission.leave(held.customer, bytes);
+                self.void(request, &tickets);
+            }
             Stage::HandedOver(attempt) => {
                 self.tally.running(held.customer, -1);
+                self.limits.end(held.customer);
                 if let Some(sidecar) = self.sidecars.get_mut(attempt.sidecar) {
                     sidecar.outstanding = sidecar.outstanding.saturating_sub(1);
                 }
@@ -381,10 +423,6 @@
             }));
         }
     }
-
-    fn catalogue(&mut self, accepted: &crate::catalogue::Accepted) {
-        self.revision = accepted.revision;
-    }
 }
 
 /// Starts the core thread of an entry.
--- a/src/control/dispatch/place.rs
+++ b/src/control/dispatch/place.rs
@@ -32,6 +32,11 @@
             self.unplaced.push_back(request);
             return;
         }
+        if !self.has_room(now, request) {
+            self.unplaced.push_back(request);
+            return;
+        }
+        let held = &self.requests[request];
         if !held.ask.key.is_empty() {
             self.place_keyed(now, request);
             return;
@@ -94,7 +99,9 @@
             .take(slots as usize)
             .collect();
         for request in chosen {
-            self.offer(now, request, sidecar);
+            if self.has_room(now, request) {
+                self.offer(now, request, sidecar);
+            }
         }
     }
 
--- a/src/control/dispatch/retry.rs
+++ b/src/control/dispatch/retry.rs
@@ -155,6 +155,8 @@
         };
         held.head = None;
         self.tally.running(held.customer, -1);
+        self.count_back(request);
+        let held = &mut self.requests[request];
         if let Some(reservation) = held.reservation.take() {
             self.shares.release(reservation);
         }
--- a/src/control/dispatch/waiting.rs
+++ b/src/control/dispatch/waiting.rs
@@ -95,6 +95,14 @@
             .flat_map(|service| service.values().copied())
     }
 
+    /// The request of a customer that has waited shortest.
+    pub fn newest(&self, customer: key::Customer) -> Option<key::Request> {
+        self.customers
+            .get(&customer)?
+            .last_key_value()
+            .map(|(_, request)| *request)
+    }
+
     /// All requests that wait.
     pub fn iter(&self) -> impl Iterator<Item = key::Request> {
         self.members.keys().copied()
--- a/src/core.rs
+++ b/src/core.rs
@@ -18,6 +18,22 @@
 /// Handles one message; owns the actors.
 pub type Handler<M> = Box<dyn FnMut(&mut Stakker, M)>;
 
+/// Exit code of a process whose core has panicked.
+const EXIT_PANICKED: i32 = 70;
+
+/// Ends the process if the core panics. Without its core it would go on answering health checks
+/// while its callers wait for ever.
+struct Guard;
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            log::error!(event = "internal_fault"; "the core panicked");
+            std::process::exit(EXIT_PANICKED);
+        }
+    }
+}
+
 /// A running core thread.
 #[derive(Debug)]
 pub struct Core {
@@ -48,6 +64,7 @@
 }
 
 fn run<M>(rx: &channel::Receiver<M>, start: impl FnOnce(&mut Stakker) -> Handler<M>) {
+    let _guard = Guard;
     let mut stakker = Stakker::new(time::Instant::now());
     let mut handle = start(&mut stakker);
     stakker.run(time::Instant::now(), false);
--- a/src/filter/deadline.rs
+++ b/src/filter/deadline.rs
@@ -5,7 +5,8 @@
 use crate::code;
 use crate::filter::{Ask, Context, Refusal};
 
-/// Header with the milliseconds the caller will wait for the beginning of its answer.
+/// Header with the milliseconds within which the caller wants its whole answer. What cannot make it
+/// is refused early; what has started is never cut.
 pub const HEADER: &str = "chivebend-deadline-ms";
 
 /// Largest deadline: a day; anything longer is a mistake.
--- a/src/platform/backend.rs
+++ b/src/platform/backend.rs
@@ -12,6 +12,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 
 use crate::{code, wire};
 
@@ -53,6 +54,8 @@
     pub progress: time::Duration,
     /// Largest answer, in bytes.
     pub answer: u64,
+    /// Bytes read ahead of what the entry has taken.
+    pub ahead: u64,
 }
 
 /// What happened to a call.
@@ -69,14 +72,22 @@
 }
 
 /// Makes a call and reports each event.
-pub async fn call(limits: Limits, call: Call, report: impl Fn(Event)) {
-    match exchange(limits, call, &report).await {
+///
+/// `taken` tells how many bytes the entry has taken; reading stops far enough ahead of it, so that
+/// callers that do not read cost bounded memory. Its engine then waits for them.
+pub async fn call(limits: Limits, call: Call, taken: watch::Receiver<u64>, report: impl Fn(Event)) {
+    match exchange(limits, call, taken, &report).await {
         Ok(()) => report(Event::End),
         Err(code) => report(Event::Failed(code)),
     }
 }
 
-async fn exchange(limits: Limits, call: Call, report: &impl Fn(Event)) -> Result<(), code::Code> {
+async fn exchange(
+    limits: Limits,
+    call: Call,
+    taken: watch::Receiver<u64>,
+    report: &impl Fn(Event),
+) -> Result<(), code::Code> {
     // A connection for each call: one left open could have been closed by the backend server just
     // as the request was written, and its outcome would then be unknown. Costs one loopback
     // handshake.
@@ -92,7 +103,7 @@
     };
     let driver = tokio::spawn(connection);
     let outcome = match request(limits.address, call) {
-        Ok(request) => send(limits, &mut sender, request, report).await,
+        Ok(request) => send(limits, &mut sender, request, taken, report).await,
         Err(code) => Err(code),
     };
     driver.abort();
@@ -119,6 +130,7 @@
     limits: Limits,
     sender: &mut http1::SendRequest<Full<Bytes>>,
     request: hyper::Request<Full<Bytes>>,
+    taken: watch::Receiver<u64>,
     report: &impl Fn(Event),
 ) -> Result<(), code::Code> {
     let answer = tokio::time::timeout(limits.progress, sender.send_request(request)).await;
@@ -131,16 +143,22 @@
         u32::from(answer.status().as_u16()),
         headers(answer.headers()),
     ));
-    receive(limits, answer.into_body(), report).await
+    receive(limits, answer.into_body(), taken, report).await
 }
 
 async fn receive(
     limits: Limits,
     mut body: Incoming,
+    mut taken: watch::Receiver<u64>,
     report: &impl Fn(Event),
 ) -> Result<(), code::Code> {
     let mut length = 0;
     loop {
+        // The sender is dropped with the run; then nobody waits for the answer.
+        let room = taken.wait_for(|taken| length < taken.saturating_add(limits.ahead));
+        if room.await.is_err() {
+            return Err(code::Code::CallerLeft);
+        }
         let frame = match tokio::time::timeout(limits.progress, body.frame()).await {
             Err(_elapsed) => return Err(code::Code::BackendSilent),
             Ok(None) => return Ok(()),
