Count a retried request as waiting for its limits again

Cause: a request that went back to waiting was not counted, so its next start took another's count. Change: limit::Table::back. Measured: covered by the retry tests; nothing to measure.

--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -226,6 +226,14 @@
         }
     }
 
+    /// A started request is back to be tried again: it was admitted once and is counted only.
+    pub fn back(&mut self, customer: key::Customer, bytes: u64) {
+        if let Some(state) = self.states.get_mut(customer) {
+            state.waiting += 1;
+            state.bytes += bytes;
+        }
+    }
+
     /// A waiting request left without being started.
     pub fn leave(&mut self, customer: key::Customer, bytes: u64) {
         if let Some(state) = self.states.get_mut(customer) {
