Keep no answer of a call whose caller has left, and mark charges with their time

Cause: since answers are read a bounded distance ahead, a call that is not idempotent went on filling the kept answers after its caller had left (faults_leave failed: the sidecar claimed nothing for 30 s); share::Table was never told the time, so no own charge ever grew old enough to be contained in a total. Change: such an answer is read and dropped, unless a key wants it; both controllers tell the table the time; /customers reports unweighted cost units.

--- a/src/control/backend/mod.rs
+++ b/src/control/backend/mod.rs
@@ -203,6 +203,7 @@
     /// Takes one message.
     pub fn take(&mut self, cx: CX![], message: Message) {
         let now = cx.now() - self.start;
+        self.shares.tick(now);
         match message {
             Message::Open { link, process, tx } => self.open(now, link, process, tx),
             Message::Frame { link, kind } => self.frame(now, link, kind),
--- a/src/control/backend/run.rs
+++ b/src/control/backend/run.rs
@@ -236,8 +236,11 @@
                         self.window.first_token(now.saturating_sub(run.started));
                     }
                 }
-                self.kept_bytes += data.len() as u64;
-                run.answer.push(data);
+                // Of a call whose caller has left only the answer to a key is wanted.
+                if !run.done || run.name.is_some() {
+                    self.kept_bytes += data.len() as u64;
+                    run.answer.push(data);
+                }
             }
             backend::Event::End => {
                 run.answer.end();
@@ -248,6 +251,10 @@
                 self.end(now, key);
             }
         }
+        let run = &self.runs[key];
+        if run.done && run.ended.is_some() {
+            self.drop_answer(key);
+        }
         self.push(now, key);
     }
 
@@ -357,7 +364,8 @@
         };
         self.runs[key].done = true;
         self.stop(now, key);
-        if self.runs[key].ended.is_some() {
+        let run = &self.runs[key];
+        if run.ended.is_some() || run.name.is_none() {
             self.drop_answer(key);
         }
     }
--- a/src/control/backend/status.rs
+++ b/src/control/backend/status.rs
@@ -28,7 +28,6 @@
         self.customers
             .iter()
             .map(|(key, name)| report::Customer {
-                service: self.shares.charged(key),
                 waiting: u64::from(self.queue.waiting(key)),
                 ..tally.report(now, key, name)
             })
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -208,6 +208,7 @@
     /// Takes one message.
     pub fn take(&mut self, cx: CX![], message: Message) {
         let now = cx.now() - self.start;
+        self.shares.tick(now);
         match message {
             Message::Submit(submission) => self.submit(now, *submission),
             Message::Consumed(request, bytes) => self.consumed(request, bytes),
--- a/src/control/dispatch/status.rs
+++ b/src/control/dispatch/status.rs
@@ -47,7 +47,6 @@
             .and_then(|request| self.requests.get(request));
         let waited = oldest.map(|held| now.saturating_sub(held.arrived).as_millis() as u64);
         report::Customer {
-            service: self.shares.charged(key),
             waiting: u64::from(self.waiting.count(key)),
             oldest_wait_ms: waited.unwrap_or_default(),
             ..self.tally.report(now, key, name)
--- a/src/control/tally.rs
+++ b/src/control/tally.rs
@@ -21,6 +21,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Counts {
+    served: f64,
     slots: [f64; SLOTS],
     newest: u64,
     running: u32,
@@ -59,6 +60,7 @@
             counts.advance(now);
             let slot = (counts.newest % SLOTS as u64) as usize;
             counts.slots[slot] += cost;
+            counts.served += cost;
         }
     }
 
@@ -90,6 +92,7 @@
         report::Customer {
             customer: name.to_owned(),
             weight: counts.weight,
+            service: counts.served,
             recent: counts.slots.iter().sum(),
             running: u64::from(counts.running),
             refused: counts.refused.clone(),
