Ask for keys less and less often, and measure what an idle fleet spends

Cause: the new case idle of examples/load showed a sidecar using 1.7 % of a core among 8 and 5.1 to 6.4 % among 32: while no peer knows the past, each asked every other twice a second. Change: the time between two questions to the same sidecar doubles, up to 30 s. The load example is split into files.

--- a/examples/load.rs
+++ b/examples/load/main.rs
@@ -6,26 +6,27 @@
 //!   latency     added latency of short completions at 100 requests/s, each sent directly and
 //!               through one entry and one sidecar in turn
 //!   streams     600 concurrent streams at 65 ms a token, first directly, then through one entry
+//!   idle        processor time and memory of entries and sidecars without a request
 //!   throughput  short completions a second over 64 connections, first directly, then through
 //!
 //! Log, instance list, engine, sidecar and entry are processes of their own on loopback, from the
 //! binaries of the same build. The last line is `key=value` pairs.
 
-use std::io::{BufRead, BufReader};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::{env, fs, net, path, process, sync, thread, time};
+use std::{env, net, sync, thread, time};
 
-use chivebend::{catalogue, cmd, platform};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 
+use crate::process::{KEY, Process, publish, settings};
+
+mod idle;
+mod process;
+
 type Sender = http1::SendRequest<Full<bytes::Bytes>>;
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
-/// API key of the only customer.
-const KEY: &str = "load-key";
-
 /// Requests a second of case `latency`, and how many.
 const RATE: (u64, usize) = (100, 2000);
 
@@ -38,68 +39,6 @@
 /// Connections of case `throughput`, and how long it lasts each way.
 const BURST: (usize, time::Duration) = (64, time::Duration::from_secs(8));
 
-/// Longest wait for the catalogue to be accepted.
-const PATIENCE: time::Duration = time::Duration::from_secs(10);
-
-struct Process {
-    child: process::Child,
-    line: String,
-}
-
-impl Process {
-    fn start(name: &str, args: &[String]) -> Result<Self, Error> {
-        let mut program = env::current_exe()?;
-        // target/release/examples/load: the binaries lie one level up.
-        program.pop();
-        program.pop();
-        program.push(name);
-        let mut child = process::Command::new(&program)
-            .args(args)
-            .env("CHIVEBEND_SECRET", "a secret for loopback")
-            .env("CHIVEBEND_LOG_LEVEL", "error")
-            .stdout(process::Stdio::piped())
-            .spawn()
-            .map_err(|err| format!("{}: {err}: build the binaries first", program.display()))?;
-        let mut line = String::new();
-        let stdout = child.stdout.take().ok_or("no output")?;
-        BufReader::new(stdout).read_line(&mut line)?;
-        Ok(Self { child, line })
-    }
-
-    fn addr(&self, name: &str) -> Result<net::SocketAddr, Error> {
-        let mut word = self.line.split_whitespace();
-        let addr = word.find_map(|word| word.strip_prefix(name));
-        Ok(addr
-            .ok_or_else(|| format!("{name} is not in {:?}", self.line))?
-            .parse()?)
-    }
-
-    fn status(&self, name: &str) -> u64 {
-        let path = path::PathBuf::from(format!("/proc/{}/status", self.child.id()));
-        let text = fs::read_to_string(path).unwrap_or_default();
-        let line = text.lines().find(|line| line.starts_with(name));
-        let word = line.and_then(|line| line.split_whitespace().nth(1));
-        word.and_then(|word| word.parse().ok()).unwrap_or_default()
-    }
-
-    /// Processor time used so far, in clock ticks of 10 ms.
-    fn ticks(&self) -> u64 {
-        let path = format!("/proc/{}/stat", self.child.id());
-        let text = fs::read_to_string(path).unwrap_or_default();
-        let after = text.rsplit(')').next().unwrap_or_default();
-        let words: Vec<_> = after.split_whitespace().collect();
-        let word = |at: usize| words.get(at).and_then(|word| word.parse::<u64>().ok());
-        word(11).unwrap_or_default() + word(12).unwrap_or_default()
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        drop(self.child.kill());
-        drop(self.child.wait());
-    }
-}
-
 /// The processes of a run.
 struct Fleet {
     engine: net::SocketAddr,
@@ -123,21 +62,7 @@
     let engine = Process::start("chivebend-standin", &args)?;
     publish(log.addr("listening=")?, &slots)?;
     let backend = engine.addr("listening=")?;
-    let common = |id: &str| -> Result<Vec<String>, Error> {
-        let log = log.addr("listening=")?.to_string();
-        let list = list.addr("listening=")?.to_string();
-        Ok(text(&[
-            "--id",
-            id,
-            "--zone",
-            "a",
-            "--log-address",
-            &log,
-            "--instances-address",
-            &list,
-        ]))
-    };
-    let mut args = common("m1")?;
+    let mut args = settings("m1", &log, &list)?;
     args.extend(text(&[
         "--service",
         "llm",
@@ -145,7 +70,7 @@
         &backend.to_string(),
     ]));
     let sidecar = Process::start("chivebend-sidecar", &args)?;
-    let entry = Process::start("chivebend-entry", &common("e1")?)?;
+    let entry = Process::start("chivebend-entry", &settings("e1", &log, &list)?)?;
     let fleet = Fleet {
         engine: backend,
         callers: entry.addr("callers=")?,
@@ -156,27 +81,6 @@
     Ok(fleet)
 }
 
-fn publish(log: net::SocketAddr, window: &str) -> Result<(), Error> {
-    let hash = catalogue::digest(KEY);
-    let hash: String = hash
-        .iter()
-        .fold(String::new(), |hex, byte| hex + &format!("{byte:02x}"));
-    let toml = format!(
-        "[class.standard]\nweight = 1.0\n\n[[customer]]\nname = \"load\"\nowner = \"load\"\n\
-         class = \"standard\"\nkey_hashes = [\"{hash}\"]\n\n[[service]]\nname = \"llm\"\n\
-         owner = \"load\"\nkind = \"model\"\nmodels = [\"default\"]\nwindow = {window}\n"
-    );
-    let request = cmd::publish::Request {
-        change_id: "load".to_owned(),
-        base: None,
-        over_gap: false,
-        author: "load".to_owned(),
-        toml,
-    };
-    cmd::publish::publish(&platform::log::open(log), &request, PATIENCE)?;
-    Ok(())
-}
-
 async fn connect(to: net::SocketAddr) -> Result<Sender, Error> {
     let stream = tokio::net::TcpStream::connect(to).await?;
     stream.set_nodelay(true)?;
@@ -395,7 +299,8 @@
         "latency" => runtime.block_on(latency())?,
         "streams" => runtime.block_on(streams())?,
         "throughput" => runtime.block_on(throughput())?,
-        _ => return Err("usage: load latency|streams|throughput".into()),
+        "idle" => idle::run()?,
+        _ => return Err("usage: load latency|streams|throughput|idle".into()),
     };
     println!("{line}");
     Ok(())
--- a/src/control/backend/keyed.rs
+++ b/src/control/backend/keyed.rs
@@ -11,9 +11,13 @@
 use crate::platform::instances;
 use crate::{code, settings, wire};
 
-/// Time between two questions to the same sidecar.
+/// Time between the first two questions to the same sidecar, doubled for each further one. While a
+/// whole service starts anew nobody knows the past, and hundreds would ask hundreds.
 const ASK_AGAIN: time::Duration = time::Duration::from_millis(500);
 
+/// Longest time between two questions to the same sidecar.
+const ASK_CAP: time::Duration = time::Duration::from_secs(30);
+
 /// Largest answer that is handed over with its key; longer ones are rare for calls with a key.
 const HANDED_ANSWER: u64 = 64 << 10;
 
@@ -27,7 +31,8 @@
     /// Where sidecars of the service listen, of all that were ever listed or have asked: a few
     /// hundred bytes for each of the few replaced in a day.
     addresses: collections::HashMap<String, net::SocketAddr>,
-    asked: collections::HashMap<sync::Arc<str>, time::Duration>,
+    /// When each sidecar is to be asked next, and after which time once more.
+    asked: collections::HashMap<sync::Arc<str>, (time::Duration, time::Duration)>,
     /// Calls with a key that run.
     running: u32,
     /// Members that are still to be given the keys, once this sidecar leaves.
@@ -329,12 +334,17 @@
         let keyed = &mut self.keyed;
         keyed.answers.expire(now.saturating_sub(keyed.retention));
         for ask in keyed.home.asks() {
-            let asked = keyed.asked.get(&ask.id);
-            let due = asked.is_none_or(|at| now >= *at + ASK_AGAIN);
+            let (next, wait) = keyed
+                .asked
+                .get(&ask.id)
+                .copied()
+                .unwrap_or((now, ASK_AGAIN));
+            let due = now >= next;
             let Some(address) = keyed.addresses.get(&*ask.id).filter(|_| due) else {
                 continue;
             };
-            keyed.asked.insert(sync::Arc::clone(&ask.id), now);
+            let later = (now + wait, (wait * 2).min(ASK_CAP));
+            keyed.asked.insert(sync::Arc::clone(&ask.id), later);
             let request = wire::HandoverRequest {
                 process: Some(self.setup.process.clone()),
                 join: true,
