Check all settings of a process together at its start

Cause: the mains parsed their settings without the checks, so an empty secret started and faults came one at a time; a drain by the operators' port left no event.

--- a/examples/load/process.rs
+++ b/examples/load/process.rs
@@ -29,7 +29,7 @@
         program.push(name);
         let mut child = process::Command::new(&program)
             .args(args)
-            .env("CHIVEBEND_SECRET", "a secret for loopback")
+            .env("CHIVEBEND_SECRET", "a-secret-for-loopback")
             .env("CHIVEBEND_LOG_LEVEL", "error")
             .stdout(process::Stdio::piped())
             .spawn()
--- a/src/bin/chivebend-sidecar.rs
+++ b/src/bin/chivebend-sidecar.rs
@@ -1,24 +1,19 @@
-//! The sidecar process.
+//! The sidecar process: runs until SIGTERM or SIGINT.
 
+use std::env;
 use std::process::ExitCode;
 
 use chivebend::{error, logging, process, settings, sidecar};
-use clap::Parser;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
 
-/// Starts a chivebend sidecar and runs it until SIGTERM or SIGINT.
-#[derive(Parser)]
-#[command(version)]
-struct Args {
-    #[command(flatten)]
-    settings: settings::Sidecar,
-}
-
 fn main() -> ExitCode {
-    let args = Args::parse();
-    process::exit(&run(&args.settings))
+    let args: Vec<_> = env::args_os().collect();
+    match settings::sidecar(&args, settings::Secret::from_environment()) {
+        Ok(settings) => process::exit(&run(&settings)),
+        Err(stop) => stop.report(),
+    }
 }
 
 fn run(settings: &settings::Sidecar) -> error::Result<bool> {
--- a/src/control/backend/mod.rs
+++ b/src/control/backend/mod.rs
@@ -331,6 +331,7 @@
             return;
         }
         self.leaving = true;
+        self.setup.ring.note(event::Kind::ProcessLeaving).send();
         self.leave_keys();
         self.void_tickets();
         // Entries learn at once, not with the next heartbeat.
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -107,7 +107,9 @@
 
     /// Becomes unready.
     pub fn drain(&self) {
-        self.leaving.store(true, atomic::Ordering::Relaxed);
+        if !self.leaving.swap(true, atomic::Ordering::Relaxed) {
+            self.ring.note(event::Kind::ProcessLeaving).send();
+        }
     }
 
     /// Accepts no more connections, and ends each after the request it has.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -212,7 +212,6 @@
             .state = instances::State::Leaving;
         self.exchange.leave();
         self.shared.drain();
-        self.ring.note(event::Kind::ProcessLeaving).send();
     }
 
     /// Leaves: unready first, then no new connections, then ends when every request in progress has
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -219,7 +219,6 @@
             .state = instances::State::Leaving;
         self.exchange.leave();
         drop(self.tx.send(backend::Message::Drain));
-        self.ring.note(event::Kind::ProcessLeaving).send();
     }
 
     /// Leaves: finishes what runs, within the limit, and ends. True if nothing was cut.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -19,7 +19,7 @@
 pub const KEY: &str = "alpha-key";
 
 /// The secret that the fleet's processes share.
-pub const SECRET: &str = "test-secret";
+pub const SECRET: &str = "a-secret-for-tests";
 
 /// Waits until something is true.
 pub fn until(what: &str, mut test: impl FnMut() -> bool) {
