Ask for work when a slot becomes free, and feed the metrics that stood empty

Cause: a sidecar without a ticket waited for its next heartbeat (0.5 s) to be fed, where the measured fleet asks at once; /status showed 0 for the pace of backend servers; control traffic, dropped frames and the time between tokens were in the table of metrics and never counted. Change: Want to four links after a slot became free for which no ticket waits; smoothed pace on heartbeats; frames of links counted by kind at both ends; dropped frames by reason.

--- a/src/control/backend/claim.rs
+++ b/src/control/backend/claim.rs
@@ -11,6 +11,9 @@
 /// enough that a silent entry costs a slot a second at most.
 const CLAIM_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Entries asked for work at once; each that has some answers, and the heartbeat reaches the others.
+const WANT_FANOUT: usize = 4;
+
 /// A claimed ticket whose request has not arrived yet.
 #[derive(Debug)]
 pub struct Claim {
@@ -58,6 +61,7 @@
         let place = (link, void.request);
         self.remove_ticket(place);
         if let Some(claim) = self.claims.remove(&place) {
+            self.freed = true;
             self.shares.release(claim.reservation);
         }
     }
@@ -66,6 +70,7 @@
     pub(super) fn fill(&mut self, now: time::Duration) {
         while self.has_place() {
             let Some((_, ticket)) = self.queue.pick(now, &mut self.shares) else {
+                self.want();
                 return;
             };
             let place = (ticket.link, ticket.request);
@@ -88,6 +93,24 @@
         }
     }
 
+    /// Asks some entries for work after a slot became free for which no ticket waits, so that it does
+    /// not idle until the next heartbeat. An idle fleet ends nothing and sends nothing.
+    fn want(&mut self) {
+        if !std::mem::take(&mut self.freed) {
+            return;
+        }
+        let want = wire::Want {
+            slots: self.places() - (self.running + self.claims.len() as u32),
+            models: self.models.clone(),
+        };
+        self.asked = self.asked.wrapping_add(WANT_FANOUT);
+        let from = self.asked % self.links.len().max(1);
+        let links = self.links.values().cycle().skip(from);
+        for link in links.take(WANT_FANOUT.min(self.links.len())) {
+            link.send(frame::Sidecar::Want(want.clone()));
+        }
+    }
+
     /// Gives slots back whose claims were not answered in time. A request that arrives later is
     /// refused as not started.
     pub(super) fn expire_claims(&mut self, now: time::Duration) {
--- a/src/control/backend/mod.rs
+++ b/src/control/backend/mod.rs
@@ -7,6 +7,7 @@
 mod claim;
 mod keyed;
 mod link;
+mod pace;
 mod run;
 mod start;
 mod status;
@@ -161,6 +162,12 @@
     runs: SlotMap<key::Run, run::Run>,
     keyed: keyed::Keyed,
     running: u32,
+    /// A slot became free since work was last asked for.
+    freed: bool,
+    /// Links asked for work so far; the next ones take their turn.
+    asked: usize,
+    /// Recent times to the first token and between two tokens.
+    pace: pace::Pace,
     window: window::Window,
     /// The catalogue's figure, 0 before the first catalogue.
     catalogue_window: u32,
@@ -171,7 +178,6 @@
     last_beat: time::Duration,
     last_report: time::Duration,
     beats: u64,
-    stale: u64,
 }
 
 impl Backend {
@@ -196,6 +202,9 @@
             claims: collections::HashMap::new(),
             runs: SlotMap::with_key(),
             running: 0,
+            freed: false,
+            asked: 0,
+            pace: pace::Pace::default(),
             window: window::Window::new(1),
             catalogue_window: 0,
             models: Vec::new(),
@@ -204,7 +213,6 @@
             last_beat: time::Duration::ZERO,
             last_report: time::Duration::ZERO,
             beats: 0,
-            stale: 0,
         })
     }
 
@@ -295,7 +303,7 @@
             frame::Entry::Beat(beat) => {
                 self.setup.ring.observe(event::Stamp(beat.stamp));
             }
-            frame::Entry::Hello(_) => self.stale += 1,
+            frame::Entry::Hello(_) => self.meter.frame_dropped("unexpected"),
         }
     }
 
@@ -317,8 +325,8 @@
             leaving: self.leaving,
             catalogue_revision: self.setup.gauges.revision.load(atomic::Ordering::Relaxed),
             virtual_time: self.shares.virtual_time(),
-            first_token_ms: 0,
-            between_tokens_us: 0,
+            first_token_ms: self.pace.first_token().as_millis() as u64,
+            between_tokens_us: self.pace.between_tokens().as_micros() as u64,
             stamp: self.setup.ring.stamp().0,
         };
         for link in self.links.values() {
--- a/src/control/backend/run.rs
+++ b/src/control/backend/run.rs
@@ -233,7 +233,9 @@
                 if run.first.is_none() {
                     run.first = Some(now);
                     if !self.models.is_empty() {
-                        self.window.first_token(now.saturating_sub(run.started));
+                        let took = now.saturating_sub(run.started);
+                        self.window.first_token(took);
+                        self.pace.began(took);
                     }
                 }
                 // Of a call whose caller has left only the answer to a key is wanted.
@@ -274,6 +276,7 @@
 
     fn end(&mut self, now: time::Duration, key: key::Run) {
         self.running -= 1;
+        self.freed = true;
         let run = &mut self.runs[key];
         run.ended = Some(now);
         run.task = None;
@@ -305,7 +308,10 @@
             && !self.models.is_empty()
         {
             let gaps = (run.cost - 1).min(u64::from(u32::MAX)) as u32;
-            self.window.between_tokens(now.saturating_sub(first) / gaps);
+            let took = now.saturating_sub(first) / gaps;
+            self.window.between_tokens(took);
+            self.pace.ended(took);
+            self.meter.between_tokens(took);
         }
         let rendered = run.cost;
         run.cost = match run.meter.finish() {
--- a/src/control/backend/start.rs
+++ b/src/control/backend/start.rs
@@ -28,7 +28,7 @@
             .get(&run.request)
             .and_then(|key| self.runs.get(*key));
         if known.is_some_and(|known| run.attempt <= known.attempt) {
-            self.stale += 1;
+            self.meter.frame_dropped("old_attempt");
             return;
         }
         if voided && let Some(claim) = claim {
--- a/src/control/dispatch/frames.rs
+++ b/src/control/dispatch/frames.rs
@@ -26,7 +26,7 @@
             return;
         };
         if !self.sidecars[sidecar].is_current(link) {
-            self.stale += 1;
+            self.meter.frame_dropped("old_link");
             return;
         }
         match kind {
@@ -38,7 +38,7 @@
             frame::Sidecar::Failed(failed) => self.failed(now, sidecar, &failed),
             frame::Sidecar::Beat(beat) => self.heard(now, sidecar, &beat),
             frame::Sidecar::Want(want) => self.wanted(now, sidecar, want.slots),
-            frame::Sidecar::Welcome(_) => self.stale += 1,
+            frame::Sidecar::Welcome(_) => self.meter.frame_dropped("unexpected"),
         }
     }
 
@@ -176,7 +176,7 @@
             return;
         }
         if held.current(sidecar, voided.attempt).is_none() {
-            self.stale += 1;
+            self.meter.frame_dropped("old_attempt");
             return;
         }
         if voided.not_started {
@@ -214,7 +214,7 @@
             return;
         };
         if held.current(sidecar, frame.attempt).is_none() {
-            self.stale += 1;
+            self.meter.frame_dropped("old_attempt");
             return;
         }
         if !held.passed && held.head.is_none() {
@@ -228,7 +228,7 @@
             return;
         };
         let Some(attempt) = held.current(sidecar, chunk.attempt) else {
-            self.stale += 1;
+            self.meter.frame_dropped("old_attempt");
             return;
         };
         let since = attempt.since;
@@ -247,7 +247,7 @@
                 held.pass_head();
                 held.send(Reply::Data(data));
             }
-            answer::Step::Duplicate => self.stale += 1,
+            answer::Step::Duplicate => self.meter.frame_dropped("duplicate"),
             answer::Step::Gap(offset) => self.ask_again(sidecar, key, offset),
         }
     }
@@ -258,7 +258,7 @@
             return;
         };
         let Some(attempt) = held.current(sidecar, end.attempt) else {
-            self.stale += 1;
+            self.meter.frame_dropped("old_attempt");
             return;
         };
         let attempt_since = attempt.since;
@@ -308,7 +308,7 @@
             return;
         };
         if held.current(sidecar, failed.attempt).is_none() {
-            self.stale += 1;
+            self.meter.frame_dropped("old_attempt");
             return;
         }
         self.attempt_failed(now, key, failed);
@@ -320,6 +320,10 @@
         known.running = beat.running;
         known.waiting = beat.waiting;
         known.reported = now;
+        known.pace = (
+            time::Duration::from_millis(beat.first_token_ms),
+            time::Duration::from_micros(beat.between_tokens_us),
+        );
         let was_open = known.signs.open(now);
         known.signs.hear(now, drain::Source::Own, beat.leaving);
         let began_leaving = was_open && beat.leaving;
@@ -362,7 +366,7 @@
     }
 
     fn ask_again(&mut self, sidecar: key::Sidecar, request: key::Request, offset: u64) {
-        self.stale += 1;
+        self.meter.frame_dropped("gap");
         let resume = wire::Resume {
             request: number(request),
             attempt: self.requests[request].attempt,
--- a/src/control/dispatch/sidecar.rs
+++ b/src/control/dispatch/sidecar.rs
@@ -34,6 +34,8 @@
     pub running: u32,
     /// Tickets waiting there when it last said so.
     pub waiting: u32,
+    /// Its recent times to the first token and between two tokens.
+    pub pace: (time::Duration, time::Duration),
     /// When it last said so.
     pub reported: time::Duration,
     /// True while the platform's list has it.
@@ -69,6 +71,7 @@
             window: 0,
             running: 0,
             waiting: 0,
+            pace: (time::Duration::ZERO, time::Duration::ZERO),
             reported: time::Duration::ZERO,
             listed: false,
             signs: drain::Signs::default(),
--- a/src/control/dispatch/status.rs
+++ b/src/control/dispatch/status.rs
@@ -68,6 +68,7 @@
         waiting: u64::from(known.waiting),
         running: u64::from(known.running),
         window: u64::from(known.window),
-        ..report::Sidecar::default()
+        first_token_ms: known.pace.0.as_millis() as u64,
+        between_tokens_us: known.pace.1.as_micros() as u64,
     }
 }
--- a/src/control/link.rs
+++ b/src/control/link.rs
@@ -14,7 +14,7 @@
 use crate::control::dispatch;
 use crate::decide::random;
 use crate::wire::{self, frame, secret};
-use crate::{error, settings};
+use crate::{error, metric, settings};
 
 /// A link without a frame for this long is dropped: six heartbeats, so that a short pause of the
 /// other process costs nothing.
@@ -45,6 +45,7 @@
 /// The links of an entry.
 #[derive(Debug)]
 pub struct Links {
+    meter: metric::Meter,
     hello: wire::Process,
     secret: settings::Secret,
     tx: channel::Sender<dispatch::Message>,
@@ -60,6 +61,7 @@
         tx: channel::Sender<dispatch::Message>,
     ) -> Self {
         Self {
+            meter: metric::Meter::open(&hello.id),
             hello,
             secret,
             tx,
@@ -83,6 +85,7 @@
         for target in targets {
             if !self.tasks.contains_key(&target.id) {
                 let task = Keeper {
+                    meter: self.meter.clone(),
                     target: target.clone(),
                     hello: self.hello.clone(),
                     secret: self.secret.clone(),
@@ -107,6 +110,7 @@
 
 #[derive(Debug)]
 struct Keeper {
+    meter: metric::Meter,
     target: Target,
     hello: wire::Process,
     secret: settings::Secret,
@@ -155,7 +159,13 @@
             process: Some(self.hello.clone()),
         };
         drop(tx.send(frame::entry(frame::Entry::Hello(hello))));
-        let mut request = tonic::Request::new(UnboundedReceiverStream::new(rx));
+        let meter = self.meter.clone();
+        let sent = UnboundedReceiverStream::new(rx).map(move |frame: wire::EntryFrame| {
+            let control = frame.kind.as_ref().and_then(frame::entry_control);
+            meter.frame(metric::Direction::Out, control);
+            frame
+        });
+        let mut request = tonic::Request::new(sent);
         secret::sign(&self.secret, &mut request);
         let opened = tokio::time::timeout(SILENCE, client.link(request)).await;
         let mut frames = opened.map_err(silent)??.into_inner();
@@ -168,6 +178,8 @@
                 return Ok(());
             };
             let Some(kind) = frame.kind else { continue };
+            let control = frame::sidecar_control(&kind);
+            self.meter.frame(metric::Direction::In, control);
             let id = self.target.id.clone();
             let message = match (kind, tx.take()) {
                 (frame::Sidecar::Welcome(welcome), Some(tx)) => dispatch::Message::Up {
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -176,6 +176,13 @@
         metrics::counter!(CONTROL_MESSAGES, labels.iter()).increment(1);
     }
 
+    /// The same of a frame that may not be control.
+    pub fn frame(&self, direction: Direction, control: Option<(&'static str, usize)>) {
+        if let Some((kind, bytes)) = control {
+            self.control(direction, kind, bytes as u64);
+        }
+    }
+
     /// A frame was dropped for a reason, never a value from outside.
     pub fn frame_dropped(&self, reason: &'static str) {
         metrics::counter!(FRAMES_DROPPED, "instance" => self.instance(), "reason" => reason)
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -13,7 +13,7 @@
 use crate::ops::report;
 use crate::platform::instances;
 use crate::wire::{self, peer_server, sidecar_server};
-use crate::{catalogue, core, error, event, ops, process, settings};
+use crate::{catalogue, core, error, event, metric, ops, process, settings};
 
 /// Time between two looks at whether a shutdown is done.
 const POLL: time::Duration = time::Duration::from_millis(20);
@@ -133,6 +133,7 @@
     let server = server::Server {
         tx: tx.clone(),
         secret: settings.process.secret.clone(),
+        meter: metric::Meter::open(&settings.process.id),
         links: sync::Arc::default(),
     };
     let router = tonic::transport::Server::builder()
--- a/src/sidecar/server.rs
+++ b/src/sidecar/server.rs
@@ -11,7 +11,7 @@
 
 use crate::control::{backend, link};
 use crate::wire::{self, frame, secret, sidecar_server};
-use crate::{code, settings};
+use crate::{code, metric, settings};
 
 /// The service.
 #[derive(Debug)]
@@ -20,6 +20,8 @@
     pub tx: channel::Sender<backend::Message>,
     /// Secrets that entries must prove.
     pub secret: settings::Secret,
+    /// Counts control traffic.
+    pub meter: metric::Meter,
     /// Number of the newest link.
     pub links: sync::Arc<atomic::AtomicU64>,
 }
@@ -54,8 +56,26 @@
         self.tx
             .send(open)
             .map_err(|_stopped| Status::unavailable("stopped"))?;
-        tokio::spawn(read(frames, number, self.tx.clone(), tx));
-        Ok(Response::new(Box::pin(UnboundedReceiverStream::new(rx))))
+        tokio::spawn(read(
+            frames,
+            number,
+            self.tx.clone(),
+            tx,
+            self.meter.clone(),
+        ));
+        let meter = self.meter.clone();
+        let sent = UnboundedReceiverStream::new(rx).map(move |frame| {
+            let kind = frame
+                .as_ref()
+                .ok()
+                .and_then(|frame: &wire::SidecarFrame| frame.kind.as_ref());
+            meter.frame(
+                metric::Direction::Out,
+                kind.and_then(frame::sidecar_control),
+            );
+            frame
+        });
+        Ok(Response::new(Box::pin(sent)))
     }
 
     async fn handover(
@@ -77,6 +97,7 @@
     link: u64,
     core: channel::Sender<backend::Message>,
     tx: backend::Sender,
+    meter: metric::Meter,
 ) {
     loop {
         let frame = tokio::select! {
@@ -86,6 +107,7 @@
         };
         let Ok(Some(Ok(frame))) = frame else { break };
         let Some(kind) = frame.kind else { continue };
+        meter.frame(metric::Direction::In, frame::entry_control(&kind));
         if core.send(backend::Message::Frame { link, kind }).is_err() {
             break;
         }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -197,3 +197,19 @@
         assert!(header("chivebend-request-id").is_some(), "{}", case.name);
     }
 }
+
+#[test]
+fn a_sidecar_asks_for_work_when_a_slot_becomes_free() {
+    let mut fleet = Fleet::open();
+    let sidecar = fleet.model("m1", 1);
+    let entry = fleet.entry("e1");
+    until("ready", || entry.is_ready());
+    let answer = call(&entry, "/v1/completions", &[], &completion("p", 3, true));
+    assert_eq!(answer.status, 200, "{answer:?}");
+    until("it asks", || {
+        let metrics = sidecar.ops("/metrics").unwrap_or_default();
+        metrics.lines().any(|line| {
+            line.starts_with("chivebend_control_messages_total") && line.contains("kind=\"want\"")
+        })
+    });
+}
