Show that a raised limit holds for waiting requests, and drop fields nobody reads

Cause: no test changed a limit under load; two fields of the protocol were written and never read. Change: a case in tests/limits.rs; Void.acknowledge and Run.deadline_ms are reserved now.

--- a/src/control/dispatch/frames.rs
+++ b/src/control/dispatch/frames.rs
@@ -49,7 +49,6 @@
             let void = wire::Void {
                 request: number(claimed),
                 attempt: 0,
-                acknowledge: false,
             };
             self.sidecars[sidecar].send(frame::Entry::Void(void));
             return;
@@ -139,7 +138,6 @@
             body: held.ask.body.clone(),
             idempotent: held.ask.idempotent,
             idempotency_key: held.ask.key.clone(),
-            deadline_ms: 0,
             customer: held.ask.customer.clone(),
             request_id: held.ask.id.clone(),
             claimed: number(claimed),
--- a/src/control/dispatch/place.rs
+++ b/src/control/dispatch/place.rs
@@ -113,7 +113,6 @@
                 let void = wire::Void {
                     request: number(request),
                     attempt: 0,
-                    acknowledge: false,
                 };
                 sidecar.send(frame::Entry::Void(void));
             }
--- a/src/wire/chivebend.v1.rs
+++ b/src/wire/chivebend.v1.rs
@@ -120,16 +120,13 @@
     #[prost(uint64, tag = "10")]
     pub body_bytes: u64,
 }
-/// Void if not started. Answered by Voided or, if the request has started, by nothing but its frames.
+/// Takes a ticket back, or gives the slot of a claim back.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Void {
     #[prost(uint64, tag = "1")]
     pub request: u64,
     #[prost(uint32, tag = "2")]
     pub attempt: u32,
-    /// The entry wants a Voided frame back and waits for it.
-    #[prost(bool, tag = "3")]
-    pub acknowledge: bool,
 }
 /// The sidecar has room and wants the request.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -171,8 +168,6 @@
     pub idempotent: bool,
     #[prost(string, tag = "8")]
     pub idempotency_key: ::prost::alloc::string::String,
-    #[prost(uint64, tag = "9")]
-    pub deadline_ms: u64,
     #[prost(string, tag = "10")]
     pub customer: ::prost::alloc::string::String,
     /// The customer and request as callers see them, for logs.
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -285,11 +285,7 @@
                 incarnation: u64::MAX,
             }));
             frames.push(frame::Entry::Cancel(wire::Cancel { request, attempt }));
-            frames.push(frame::Entry::Void(wire::Void {
-                request,
-                attempt,
-                acknowledge: true,
-            }));
+            frames.push(frame::Entry::Void(wire::Void { request, attempt }));
         }
     }
     let total = |service| wire::Total {
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -2,7 +2,8 @@
 
 mod support;
 
-use std::thread;
+use std::sync::atomic::Ordering;
+use std::{sync, thread};
 
 use support::{Fleet, Received, call, completion, publish, until};
 
@@ -73,7 +74,7 @@
             assert_eq!(answer.ran.as_deref(), Some("no"), "{}", case.name);
         }
         let started = &fleet.engines[0].counters.started;
-        let started = started.load(std::sync::atomic::Ordering::Relaxed);
+        let started = started.load(Ordering::Relaxed);
         assert_eq!(started, served as u64, "{}: refused is not run", case.name);
     }
 }
@@ -91,7 +92,7 @@
         "{answers:?}"
     );
     let most = &fleet.engines[0].counters.most_running;
-    assert!(most.load(std::sync::atomic::Ordering::Relaxed) <= 2);
+    assert!(most.load(Ordering::Relaxed) <= 2);
 }
 
 #[test]
@@ -114,3 +115,24 @@
         call(&entry, "/v1/completions", &[], &completion("p", 1, true)).code == Some(102)
     });
 }
+
+#[test]
+fn a_raised_limit_holds_for_requests_that_wait() {
+    let mut fleet = Fleet::open();
+    publish(&fleet.log, &limited("concurrency = 1"));
+    let _sidecar = fleet.model("m1", 10);
+    let entry = fleet.entry("e1");
+    until("ready", || entry.is_ready());
+    let counters = sync::Arc::clone(&fleet.engines[0].counters);
+    let most = || counters.most_running.load(Ordering::Relaxed);
+    let finished = || counters.finished.load(Ordering::Relaxed);
+    thread::scope(|scope| {
+        let callers = scope.spawn(|| burst(&entry, 40, 20));
+        until("some have run", || finished() >= 3);
+        assert_eq!(most(), 1, "one at a time");
+        publish(&fleet.log, &limited("concurrency = 4"));
+        until("several run at once", || most() > 1);
+        let answers = callers.join().expect("called");
+        assert!(answers.iter().all(|answer| answer.status == 200));
+    });
+}
