Keep of a finished run only that it was started

Cause: seen while reading: a sidecar kept the whole record of each run for 300 s, without bound on its rate, and walked all of them twenty times a second; a customer at its limit at the head of the queue kept an idle sidecar's slots from those behind it. Change: once an entry has an answer, only request and attempt stay (two hash entries and a line of the order of expiry); asked about such a run a sidecar says that it started, never that it did not. An idle sidecar is offered requests past those without room. run.rs and keyed.rs are split: run, runs, keyed, handover. Memory at a high rate was not measured; at 15 requests/s a sidecar keeps 4,600 such lines instead of records.

--- a/src/control/backend/link.rs
+++ b/src/control/backend/link.rs
@@ -37,8 +37,65 @@
     pub link: Option<key::Link>,
     /// Runs by request number.
     pub runs: collections::HashMap<u64, key::Run>,
-    /// Attempts that must never start, by request number, and when that was promised.
-    pub voided: collections::HashMap<u64, (u32, time::Duration)>,
+    /// Attempts that were started and are over, by request number.
+    started: collections::HashMap<u64, (u32, time::Duration)>,
+    /// Attempts that must never start, by request number.
+    voided: collections::HashMap<u64, (u32, time::Duration)>,
+    /// When each of them was entered, oldest first.
+    order: collections::VecDeque<(time::Duration, u64)>,
+}
+
+/// How long a started request is remembered after its end. An entry believes "not started" for a
+/// minute after the hand-over; this is five times that.
+const MEMORY: time::Duration = time::Duration::from_secs(300);
+
+impl Memory {
+    /// An attempt is over; it is known to have been started.
+    pub fn remember(&mut self, now: time::Duration, request: u64, attempt: u32) {
+        self.started.insert(request, (attempt, now));
+        self.order.push_back((now, request));
+    }
+
+    /// Promises that an attempt never starts.
+    pub fn promise(&mut self, now: time::Duration, request: u64, attempt: u32) {
+        self.voided.insert(request, (attempt, now));
+        self.order.push_back((now, request));
+    }
+
+    /// True if the attempt, or a later one, was started and is over.
+    pub fn was_started(&self, request: u64, attempt: u32) -> bool {
+        self.started
+            .get(&request)
+            .is_some_and(|(to, _)| attempt <= *to)
+    }
+
+    /// True if the attempt was promised never to start.
+    pub fn is_voided(&self, request: u64, attempt: u32) -> bool {
+        self.voided
+            .get(&request)
+            .is_some_and(|(to, _)| attempt <= *to)
+    }
+
+    /// Forgets what no entry may ask for any more.
+    pub fn expire(&mut self, now: time::Duration) {
+        while let Some((at, request)) = self.order.front().copied() {
+            if now <= at + MEMORY {
+                return;
+            }
+            self.order.pop_front();
+            // A later attempt has a line of its own.
+            for map in [&mut self.started, &mut self.voided] {
+                if map.get(&request).is_some_and(|(_, since)| *since == at) {
+                    map.remove(&request);
+                }
+            }
+        }
+    }
+
+    /// True if nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty() && self.order.is_empty()
+    }
 }
 
 impl Link {
--- a/src/control/backend/mod.rs
+++ b/src/control/backend/mod.rs
@@ -5,10 +5,12 @@
 //! may still ask.
 
 mod claim;
+mod handover;
 mod keyed;
 mod link;
 mod pace;
 mod run;
+mod runs;
 mod start;
 mod status;
 
--- a/src/control/backend/start.rs
+++ b/src/control/backend/start.rs
@@ -19,25 +19,20 @@
         let claim = self.claims.remove(&(link, run.claimed));
         let origin = self.links[link].origin.clone();
         let memory = self.origins.entry(origin.clone()).or_default();
-        let voided = memory
-            .voided
-            .get(&run.request)
-            .is_some_and(|(to, _)| run.attempt <= *to);
-        let known = memory
-            .runs
-            .get(&run.request)
-            .and_then(|key| self.runs.get(*key));
-        if known.is_some_and(|known| run.attempt <= known.attempt) {
+        let runs = memory.runs.get(&run.request);
+        let known = runs.and_then(|key| self.runs.get(*key));
+        let started = known.is_some_and(|known| run.attempt <= known.attempt)
+            || memory.was_started(run.request, run.attempt);
+        if started || memory.is_voided(run.request, run.attempt) {
             self.meter.frame_dropped("old_attempt");
-            return;
-        }
-        if voided && let Some(claim) = claim {
-            self.shares.release(claim.reservation);
+            if let Some(claim) = claim {
+                self.shares.release(claim.reservation);
+            }
             return;
         }
         let Some(claim) = claim else {
             // Promise that it never starts here, also if this frame comes twice.
-            memory.voided.insert(run.request, (run.attempt, now));
+            memory.promise(now, run.request, run.attempt);
             self.not_started(link, &run, code::Code::Shed, time::Duration::ZERO);
             return;
         };
@@ -132,7 +127,7 @@
     ) {
         let origin = self.links[link].origin.clone();
         let memory = self.origins.entry(origin).or_default();
-        memory.voided.insert(run.request, (run.attempt, now));
+        memory.promise(now, run.request, run.attempt);
         self.note(event::Kind::KeyConflict, run).code(code).send();
         let changes_hands = matches!(code, code::Code::KeyHomeUnreachable | code::Code::Leaving);
         if changes_hands {
@@ -179,13 +174,16 @@
             }
             return;
         }
-        // Nothing of it has started, and after this promise nothing will.
-        memory.voided.insert(resume.request, (resume.attempt, now));
+        let started = memory.was_started(resume.request, resume.attempt);
+        if !started {
+            // After this promise it never will be.
+            memory.promise(now, resume.request, resume.attempt);
+        }
         let voided = wire::Voided {
             request: resume.request,
             attempt: resume.attempt,
             code: u32::from(code::Code::Shed.number()),
-            not_started: true,
+            not_started: !started,
             retry_after_ms: 0,
         };
         self.links[link].send(frame::Sidecar::Voided(voided));
--- a/src/control/dispatch/place.rs
+++ b/src/control/dispatch/place.rs
@@ -12,6 +12,9 @@
 /// takes to restart and be linked again.
 const NO_SERVER_LIMIT: time::Duration = time::Duration::from_secs(10);
 
+/// Waiting requests that are looked at for an idle sidecar: several windows of one.
+const LOOKED_AT: usize = 64;
+
 impl Dispatch {
     /// Places tickets for a request that has none, or leaves it for the next tick.
     pub(super) fn place(&mut self, now: time::Duration, request: key::Request) {
@@ -92,15 +95,18 @@
                 && !held.trail.tried().contains(&sidecar)
                 && known.open(now, &held.ask.service, &held.ask.model)
         };
-        let chosen: SmallVec<[key::Request; 16]> = self
+        let chosen: SmallVec<[key::Request; LOOKED_AT]> = self
             .waiting
             .service(&known.service)
             .filter(fits)
-            .take(slots as usize)
+            .take(LOOKED_AT)
             .collect();
+        let mut left = slots;
         for request in chosen {
-            if self.has_room(now, request) {
+            // A customer at its limit must not keep the slots from those behind it.
+            if left > 0 && self.has_room(now, request) {
                 self.offer(now, request, sidecar);
+                left -= 1;
             }
         }
     }
