--- /dev/null
+++ b/src/decide/place.rs
@@ -0,0 +1,494 @@
+//! Which backend server gets a request that no sidecar queues, when, and who is turned away.
+//!
+//! Load pattern: engines keep the prompt parts that they have read, admit in order of arrival and
+//! give nothing back. Without homes for parts every engine reads every part again; without a bound
+//! on what is handed over a burst stands in the engines' queues, where nobody's order counts and
+//! everybody is late; without an early refusal requests wait for an answer that comes too late.
+//!
+//! A request goes to the home of its last shared part, the backend server with the greatest hash of
+//! part and id (rendezvous hashing: Thaler and Ravishankar, 1998), so entries agree without talking
+//! and a lost backend server moves only its own parts. It is handed over while the prompt tokens
+//! that the engine has yet to read stay under [`UNREAD`]; else it waits here, by customer in fair
+//! order. It goes to a second home if the first can't be in time and the second can. If nobody can,
+//! it is refused at once. Time is the duration since the process started.
+
+use std::{collections, time};
+
+use slotmap::SlotMap;
+use smallvec::SmallVec;
+use xxhash_rust::xxh3;
+
+use super::{queue, random, share};
+use crate::{code, key};
+
+/// Prompt tokens that an engine reads in a millisecond while it also generates, until measured.
+/// Published rates are 38 to 57 without other work; a chunk of 1,024 beside 30 streams takes 22 ms.
+pub const PACE: f64 = 40.0;
+
+/// Time's worth of prompts handed over and not yet read by an engine, in milliseconds. One step
+/// with a full chunk takes 25 ms and news between entries 100 ms: with less an engine idles between
+/// two, with more the order of arrival at the engine replaces ours.
+pub const UNREAD: f64 = 250.0;
+
+/// Time from the end of a prompt's reading to the first event, in milliseconds: an event holds
+/// three to five tokens, each a step of about 25 ms while others are read.
+pub const FIRST_EVENT: f64 = 120.0;
+
+/// Requests beyond its slots that a plain backend server is given: it starts the next while our
+/// answer travels.
+const SPARE: u32 = 1;
+
+/// Longest time for a request to wait for a plain backend server, in objectives; such requests are
+/// short and their late answers still count.
+const PLAIN_PATIENCE: f64 = 3.0;
+
+/// Most a believed part stays believed without use: engines yield the least recently used.
+const BELIEF: time::Duration = time::Duration::from_secs(60);
+
+/// Least time to come back after a refusal.
+const COME_BACK: time::Duration = time::Duration::from_millis(400);
+
+/// A part of a prompt: its hash covers all parts before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Hash of this part and those before it.
+    pub chain: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// What is to be placed.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Number of its service.
+    pub service: u32,
+    /// Whose it is.
+    pub customer: key::Customer,
+    /// Its prompt's parts, the last its own.
+    pub parts: SmallVec<[Part; 4]>,
+    /// Tokens that it is charged with.
+    pub cost: u64,
+    /// When its answer, or first event, is due.
+    pub due: time::Duration,
+    /// Its latency objective.
+    pub objective: time::Duration,
+    /// Backend servers that it must not go to again.
+    pub avoid: SmallVec<[key::Sidecar; 2]>,
+}
+
+impl Job {
+    // The deepest part that others share: all but the last, which is the request's own.
+    fn home_part(&self) -> Option<u64> {
+        let at = self.parts.len().checked_sub(2).unwrap_or_default();
+        self.parts.get(at).map(|part| part.chain)
+    }
+
+    fn tokens(&self) -> f64 {
+        self.parts.iter().map(|part| f64::from(part.tokens)).sum()
+    }
+}
+
+/// A request that a backend server was given: hand it back with [`Fleet::ended`].
+#[derive(Debug)]
+pub struct Placed {
+    /// The backend server.
+    pub server: key::Sidecar,
+    /// Prompt tokens that it is believed to read.
+    pub tokens: f64,
+    /// Milliseconds of prompts that stood before it.
+    pub ahead_ms: f64,
+    reading: bool,
+    reservation: share::Reservation,
+}
+
+/// What to do with a request.
+#[derive(Debug)]
+pub enum Verdict {
+    /// Send it now.
+    Go(Placed),
+    /// It waits under this ticket, until [`Fleet::next`] yields it or this time comes.
+    Wait(Ticket, time::Duration),
+    /// It can't be served; when to come back.
+    Refuse(code::Code, time::Duration),
+}
+
+/// Where a request waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Ticket {
+    server: key::Sidecar,
+    ticket: key::Ticket,
+}
+
+/// Load that other entries have put on a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests in progress.
+    pub running: u32,
+    /// Prompt tokens handed over and not yet read.
+    pub unread: f64,
+}
+
+#[derive(Debug)]
+struct Server {
+    service: u32,
+    hash: u64,
+    slots: u32,
+    engine: bool,
+    near: bool,
+    usable: bool,
+    own: Load,
+    others: Load,
+    pace: f64,
+    queue: queue::Queue,
+    waiting: collections::HashMap<u64, Waiting>,
+    // Parts believed to be kept, with their last use.
+    kept: collections::HashMap<u64, time::Duration>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    job: Job,
+    tokens: f64,
+}
+
+/// What is listed of a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed<'a> {
+    /// Its id.
+    pub id: &'a str,
+    /// Number of its service.
+    pub service: u32,
+    /// Requests it runs at once.
+    pub slots: u32,
+    /// Whether it is a model engine.
+    pub engine: bool,
+    /// Whether it is in the entry's own availability zone.
+    pub near: bool,
+}
+
+/// The backend servers as one entry sees them.
+#[derive(Debug)]
+pub struct Fleet {
+    servers: SlotMap<key::Sidecar, Server>,
+    shares: share::Table,
+    rng: random::Random,
+}
+
+impl Server {
+    fn running(&self) -> u32 {
+        self.own.running + self.others.running
+    }
+
+    fn unread(&self) -> f64 {
+        self.own.unread + self.others.unread
+    }
+
+    fn has_room(&self, tokens: f64) -> bool {
+        if !self.engine {
+            return self.running() < self.slots + SPARE;
+        }
+        let room = self.unread() + tokens <= UNREAD * self.pace || self.unread() < 1.0;
+        room && self.running() < self.slots
+    }
+
+    // Tokens of the job that the engine would have to read.
+    fn fresh(&self, now: time::Duration, job: &Job) -> f64 {
+        let mut kept = true;
+        let mut tokens = 0.0;
+        for part in &job.parts {
+            kept = kept && self.keeps(now, part.chain);
+            if !kept {
+                tokens += f64::from(part.tokens);
+            }
+        }
+        tokens
+    }
+
+    fn keeps(&self, now: time::Duration, chain: u64) -> bool {
+        self.kept.get(&chain).is_some_and(|at| now < *at + BELIEF)
+    }
+
+    // Milliseconds until a job with so many tokens would give its first event, behind the waiting
+    // requests of customers that are not after it.
+    fn first_event_ms(&self, tokens: f64, job: &Job, shares: &share::Table) -> f64 {
+        let tag = shares.tag(job.customer);
+        let before = |w: &&Waiting| {
+            w.job.customer == job.customer || shares.tag(w.job.customer) <= tag
+        };
+        let waiting: f64 = self.waiting.values().filter(before).map(|w| w.tokens).sum();
+        (self.unread() + waiting + tokens) / self.pace + FIRST_EVENT
+    }
+}
+
+impl Fleet {
+    /// A fleet without backend servers.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            servers: SlotMap::with_key(),
+            // Entries that share totals do it ten times a second.
+            shares: share::Table::new(time::Duration::from_millis(200)),
+            rng: random::Random::new(seed),
+        }
+    }
+
+    /// Adds a backend server.
+    pub fn add(&mut self, listed: Listed<'_>) -> key::Sidecar {
+        self.servers.insert(Server {
+            service: listed.service,
+            hash: xxh3::xxh3_64(listed.id.as_bytes()),
+            slots: listed.slots.max(1),
+            engine: listed.engine,
+            near: listed.near,
+            usable: true,
+            own: Load::default(),
+            others: Load::default(),
+            pace: PACE,
+            queue: queue::Queue::new(queue::Limit::default()),
+            waiting: collections::HashMap::new(),
+            kept: collections::HashMap::new(),
+        })
+    }
+
+    /// Forgets a backend server and returns the requests that waited for it.
+    pub fn remove(&mut self, server: key::Sidecar) -> Vec<u64> {
+        let gone = self.servers.remove(server);
+        gone.map_or_else(Vec::new, |s| s.waiting.into_keys().collect())
+    }
+
+    /// Whether a backend server may get new work; returns the requests to place again if not.
+    pub fn set_usable(&mut self, server: key::Sidecar, usable: bool) -> Vec<u64> {
+        let Some(known) = self.servers.get_mut(server) else {
+            return Vec::new();
+        };
+        known.usable = usable;
+        if usable {
+            return Vec::new();
+        }
+        known.queue = queue::Queue::new(queue::Limit::default());
+        known.waiting.drain().map(|(request, _)| request).collect()
+    }
+
+    /// Load of this entry on a backend server.
+    pub fn own(&self, server: key::Sidecar) -> Load {
+        self.servers.get(server).map_or(Load::default(), |s| s.own)
+    }
+
+    /// Takes in the load that all other entries together put on a backend server.
+    pub fn set_others(&mut self, server: key::Sidecar, load: Load) {
+        if let Some(known) = self.servers.get_mut(server) {
+            known.others = load;
+        }
+    }
+
+    /// Requests that wait for a backend server.
+    pub fn waiting(&self) -> usize {
+        self.servers.values().map(|s| s.waiting.len()).sum()
+    }
+
+    /// The customers' service.
+    pub fn shares(&mut self) -> &mut share::Table {
+        &mut self.shares
+    }
+
+    /// Decides about a request.
+    pub fn place(&mut self, now: time::Duration, request: u64, job: &Job) -> Verdict {
+        self.shares.activate(job.customer);
+        let order = self.order(job);
+        let Some(&first) = order.first() else {
+            return Verdict::Refuse(code::Code::NoBackendServer, COME_BACK);
+        };
+        if !self.servers[first].engine {
+            return self.place_plain(now, request, job, &order);
+        }
+        let due_ms = job.due.saturating_sub(now).as_secs_f64() * 1e3;
+        let mut soonest = f64::INFINITY;
+        // The first that is in time; homes come first, then any: a part read again costs less
+        // than a late answer, and only once.
+        for &at in &order {
+            let server = &self.servers[at];
+            let tokens = server.fresh(now, job);
+            let ms = server.first_event_ms(tokens, job, &self.shares);
+            if ms <= due_ms {
+                return self.put(now, request, job, at, tokens);
+            }
+            soonest = soonest.min(ms);
+        }
+        let idle = order.iter().find(|at| {
+            let server = &self.servers[**at];
+            server.waiting.is_empty() && server.has_room(server.fresh(now, job))
+        });
+        if let Some(&at) = idle {
+            let tokens = self.servers[at].fresh(now, job);
+            return self.put(now, request, job, at, tokens);
+        }
+        let objective = job.objective.as_secs_f64() * 1e3;
+        let after = (soonest - objective).max(0.0) * (1.0 + self.rng.unit());
+        let after = time::Duration::from_secs_f64(after / 1e3);
+        Verdict::Refuse(code::Code::DeadlineUnreachable, after.max(COME_BACK))
+    }
+
+    // Usable backend servers in order of preference.
+    fn order(&mut self, job: &Job) -> SmallVec<[key::Sidecar; 32]> {
+        let part = job.home_part();
+        let mut ranked: SmallVec<[(u64, key::Sidecar); 32]> = SmallVec::new();
+        for (at, server) in &self.servers {
+            if server.service != job.service || !server.usable || job.avoid.contains(&at) {
+                continue;
+            }
+            let rank = match part {
+                Some(part) => !random::Random::new(part ^ server.hash).bits(),
+                // Least load first; ties by zone, then by chance.
+                None => {
+                    let load = u64::from(server.running()) + server.waiting.len() as u64;
+                    let far = u64::from(!server.near);
+                    ((load * 2 + far) << 32) | (self.rng.bits() >> 32)
+                }
+            };
+            ranked.push((rank, at));
+        }
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, at)| at).collect()
+    }
+
+    fn place_plain(
+        &mut self,
+        now: time::Duration,
+        request: u64,
+        job: &Job,
+        order: &[key::Sidecar],
+    ) -> Verdict {
+        let room = order.iter().find(|at| self.servers[**at].has_room(0.0));
+        let at = room.copied().unwrap_or(order[0]);
+        self.put(now, request, job, at, 0.0)
+    }
+
+    // Hands the job over if there is room and nobody waits, else lets it wait.
+    fn put(
+        &mut self,
+        now: time::Duration,
+        request: u64,
+        job: &Job,
+        at: key::Sidecar,
+        tokens: f64,
+    ) -> Verdict {
+        let server = &mut self.servers[at];
+        if server.waiting.is_empty() && server.has_room(tokens) {
+            return Verdict::Go(self.hand_over(now, at, job, tokens));
+        }
+        let until = start_by(job, server, tokens);
+        let ticket = queue::Ticket {
+            customer: job.customer,
+            link: key::Link::default(),
+            request,
+            model: 0,
+            cost_hint: job.cost,
+            prefix_hash: 0,
+            deadline: Some(until),
+            offered: now,
+        };
+        let ticket = match server.queue.offer(ticket, &self.shares) {
+            Ok(ticket) => ticket,
+            Err(code) => return Verdict::Refuse(code, COME_BACK),
+        };
+        let waiting = Waiting {
+            job: job.clone(),
+            tokens,
+        };
+        server.waiting.insert(request, waiting);
+        Verdict::Wait(Ticket { server: at, ticket }, until)
+    }
+
+    fn hand_over(
+        &mut self,
+        now: time::Duration,
+        at: key::Sidecar,
+        job: &Job,
+        tokens: f64,
+    ) -> Placed {
+        let server = &mut self.servers[at];
+        let ahead_ms = server.unread() / server.pace;
+        server.own.running += 1;
+        server.own.unread += tokens;
+        for part in &job.parts {
+            server.kept.insert(part.chain, now);
+        }
+        Placed {
+            server: at,
+            tokens,
+            ahead_ms,
+            reading: true,
+            reservation: self.shares.reserve(job.customer),
+        }
+    }
+
+    /// The next waiting request that a backend server has room for.
+    pub fn next(&mut self, now: time::Duration, at: key::Sidecar) -> Option<(u64, Placed)> {
+        loop {
+            let server = self.servers.get_mut(at)?;
+            if !server.usable || !server.has_room(0.0) {
+                return None;
+            }
+            let (_, ticket) = server.queue.pick(now, &mut self.shares)?;
+            // One whose time has come leaves by itself.
+            if let Some(waiting) = server.waiting.remove(&ticket.request) {
+                let tokens = server.fresh(now, &waiting.job);
+                let placed = self.hand_over(now, at, &waiting.job, tokens);
+                return Some((ticket.request, placed));
+            }
+        }
+    }
+
+    /// A waiting request gave up.
+    pub fn leave(&mut self, request: u64, ticket: Ticket) {
+        if let Some(server) = self.servers.get_mut(ticket.server) {
+            server.waiting.remove(&request);
+            server.queue.void(ticket.ticket);
+        }
+    }
+
+    /// The first event of a request came: its prompt is read.
+    pub fn began(&mut self, placed: &mut Placed) {
+        if !std::mem::take(&mut placed.reading) {
+            return;
+        }
+        if let Some(server) = self.servers.get_mut(placed.server) {
+            server.own.unread = (server.own.unread - placed.tokens).max(0.0);
+        }
+    }
+
+    /// A request ended; `served` is whether it ran, and its parts are kept if so.
+    pub fn ended(&mut self, mut placed: Placed, cost: u64, served: bool) {
+        self.began(&mut placed);
+        if let Some(server) = self.servers.get_mut(placed.server) {
+            server.own.running = server.own.running.saturating_sub(1);
+        }
+        if served {
+            self.shares.settle(placed.reservation, cost);
+        } else {
+            self.shares.release(placed.reservation);
+        }
+    }
+
+    /// Forgets what a backend server is believed to keep.
+    pub fn forget_parts(&mut self, at: key::Sidecar) {
+        if let Some(server) = self.servers.get_mut(at) {
+            server.kept.clear();
+        }
+    }
+
+    /// Drops beliefs that nobody used for long. Call it every few seconds.
+    pub fn sweep(&mut self, now: time::Duration) {
+        for server in self.servers.values_mut() {
+            server.kept.retain(|_, at| now < *at + BELIEF);
+        }
+    }
+}
+
+// Until when a job may wait for its start.
+fn start_by(job: &Job, server: &Server, tokens: f64) -> time::Duration {
+    if !server.engine {
+        return job.due + job.objective.mul_f64(PLAIN_PATIENCE - 1.0);
+    }
+    let needs = (tokens.min(job.tokens()) / server.pace + FIRST_EVENT) / 1e3;
+    job.due.saturating_sub(time::Duration::from_secs_f64(needs))
+}
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -6,7 +6,7 @@
 //! plus a small floor, jitter spreads the attempts, and another backend server is tried first. Only
 //! entries retry, so budgets of several layers don't multiply.
 
-use std::time;
+use std::{collections, time};
 
 use smallvec::SmallVec;
 
@@ -59,6 +59,71 @@
     }
 }
 
+/// Repeats of one service at one entry within a sliding window: at most a ratio of the requests of
+/// that window and a fixed number beside.
+#[derive(Clone, Debug, Default)]
+pub struct Window {
+    requests: collections::VecDeque<(u64, u32)>,
+    repeats: collections::VecDeque<(u64, u32)>,
+}
+
+/// Length of the slices that a window counts in.
+const SLICE: time::Duration = time::Duration::from_millis(500);
+
+/// Slices kept: a minute and more, several windows.
+const SLICES: usize = 128;
+
+impl Window {
+    /// A request was received.
+    pub fn request(&mut self, now: time::Duration) {
+        count(&mut self.requests, now);
+    }
+
+    /// Takes one repeat if `ratio` of the requests within `window` and `slack` beside allow it.
+    pub fn take(
+        &mut self,
+        now: time::Duration,
+        window: time::Duration,
+        ratio: f64,
+        slack: f64,
+    ) -> bool {
+        let requests = sum(&mut self.requests, now, window);
+        // One slice more, so that no window of this length holds more than is allowed.
+        let repeats = sum(&mut self.repeats, now, window + SLICE);
+        if f64::from(repeats) + 1.0 > f64::from(requests) * ratio + slack {
+            return false;
+        }
+        count(&mut self.repeats, now);
+        true
+    }
+}
+
+fn slice(at: time::Duration) -> u64 {
+    (at.as_millis() / SLICE.as_millis()) as u64
+}
+
+fn count(slices: &mut collections::VecDeque<(u64, u32)>, now: time::Duration) {
+    match slices.back_mut() {
+        Some((at, n)) if *at == slice(now) => *n += 1,
+        _ => slices.push_back((slice(now), 1)),
+    }
+    if slices.len() > SLICES {
+        slices.pop_front();
+    }
+}
+
+fn sum(
+    slices: &mut collections::VecDeque<(u64, u32)>,
+    now: time::Duration,
+    window: time::Duration,
+) -> u32 {
+    let oldest = slice(now.saturating_sub(window));
+    while slices.front().is_some_and(|(at, _)| *at < oldest) {
+        slices.pop_front();
+    }
+    slices.iter().map(|(_, n)| n).sum()
+}
+
 /// Growing delays with full jitter (Brooker, AWS Architecture Blog, 2015): of the jittered kinds it
 /// spreads best for the same number of attempts.
 #[derive(Clone, Copy, Debug)]
--- /dev/null
+++ b/src/direct/answer.rs
@@ -0,0 +1,213 @@
+//! Answers that are streams of events: whole events only, resumed where that is allowed.
+
+use std::{io, time};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+
+use super::{body, conn, forward, refusal};
+use crate::code;
+
+/// Most bytes of one event.
+const EVENT_BYTES: usize = 1024 * 1024;
+
+/// End of an event.
+const END: &[u8] = b"\n\n";
+
+/// A stream on its way to the caller.
+struct Stream {
+    run: forward::Run,
+    slot: forward::Slot,
+    conn: Option<conn::Conn>,
+    rest: Incoming,
+    // Bytes of events that are not whole yet.
+    partial: BytesMut,
+    // Id of the last event passed on.
+    last: Option<String>,
+    // Events passed on.
+    events: u64,
+    closes: bool,
+    status: u16,
+    over: bool,
+}
+
+/// Passes a stream on.
+pub fn stream(run: forward::Run, begun: forward::Begun) -> http::Response<body::Body> {
+    let forward::Begun {
+        mut head,
+        rest,
+        conn,
+        slot,
+    } = begun;
+    let state = Stream {
+        run,
+        slot,
+        conn: Some(conn),
+        rest,
+        partial: BytesMut::new(),
+        last: None,
+        events: 0,
+        closes: forward::closes(&head.headers),
+        status: head.status.as_u16(),
+        over: false,
+    };
+    forward::strip(&mut head.headers);
+    let chunks = stream::unfold(state, step);
+    http::Response::from_parts(head, Box::pin(StreamBody::new(chunks)))
+}
+
+async fn step(mut stream: Stream) -> Option<(io::Result<Frame<Bytes>>, Stream)> {
+    if stream.over {
+        return None;
+    }
+    let run = &stream.run;
+    let until = tokio::time::Instant::from_std(run.entry.started + run.req.deadline);
+    match tokio::time::timeout_at(until, stream.next()).await {
+        Ok(Ok(Some(events))) => Some((Ok(Frame::data(events)), stream)),
+        Ok(Ok(None)) => None,
+        Ok(Err(refusal)) => Some((Err(stream.give_up(refusal)), stream)),
+        Err(_elapsed) => {
+            let refusal = refusal::Refusal::new(code::Code::BackendSilent);
+            Some((Err(stream.give_up(refusal)), stream))
+        }
+    }
+}
+
+impl Stream {
+    // The next whole events; `None` after the last.
+    async fn next(&mut self) -> Result<Option<Bytes>, refusal::Refusal> {
+        loop {
+            if let Some(events) = self.whole_events() {
+                return Ok(Some(events));
+            }
+            match self.rest.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        self.partial.extend_from_slice(&data);
+                    }
+                    if self.partial.len() > EVENT_BYTES {
+                        return Err(refusal::Refusal::new(code::Code::AnswerTooLarge));
+                    }
+                }
+                None if self.partial.is_empty() => {
+                    self.complete();
+                    return Ok(None);
+                }
+                None => self.resume("cut").await?,
+                Some(Err(err)) => self.resume(&err.to_string()).await?,
+            }
+        }
+    }
+
+    // Takes the whole events out of what has come, without those that were passed on before.
+    fn whole_events(&mut self) -> Option<Bytes> {
+        let mut out = BytesMut::new();
+        while let Some(at) = find_end(&self.partial) {
+            let event = self.partial.split_to(at + END.len());
+            let id = event_id(&event);
+            if self.events > 0 && id.is_some() && is_old(id, self.last.as_deref()) {
+                continue;
+            }
+            if let Some(id) = id {
+                self.last = Some(id.to_owned());
+            }
+            if self.events == 0 {
+                self.first();
+            }
+            self.events += 1;
+            if out.is_empty() {
+                out = event;
+            } else {
+                out.extend_from_slice(&event);
+            }
+        }
+        (!out.is_empty()).then(|| out.freeze())
+    }
+
+    fn first(&mut self) {
+        self.slot.began();
+        let entry = &self.run.entry;
+        let now = entry.now();
+        let took = now.saturating_sub(self.slot.since);
+        entry.meter.time("first_event_at_backend", took);
+        let since = now.saturating_sub(self.run.req.received);
+        entry.meter.time("first_event", since);
+    }
+
+    fn complete(&mut self) {
+        self.over = true;
+        let took = self.run.entry.now().saturating_sub(self.slot.since);
+        let pace = took / (self.events.max(1) as u32);
+        self.run.entry.judge_result(self.slot.server, true, pace);
+        self.run.done(&self.slot, self.status, "stream");
+        if !self.closes
+            && let Some(conn) = self.conn.take()
+        {
+            self.run.entry.keep(self.slot.server, conn);
+        }
+    }
+
+    // Goes on at another backend server, or ends the answer broken.
+    async fn resume(&mut self, cause: &str) -> Result<(), refusal::Refusal> {
+        let entry = std::rc::Rc::clone(&self.run.entry);
+        // Closing the connection makes the backend server stop.
+        self.conn = None;
+        self.partial.clear();
+        entry.judge_result(self.slot.server, false, time::Duration::ZERO);
+        let kind = self.run.req.route.kind;
+        let may = kind.repeatable() && self.run.may_repeat();
+        entry
+            .log
+            .line("stream_broken")
+            .with("id", self.run.req.head.id.to_str().unwrap_or("?"))
+            .with("backend", self.run.backend(self.slot.server))
+            .with("error", cause)
+            .with("events", self.events)
+            .with("last", self.last.as_deref().unwrap_or("-"))
+            .with("resumed", may);
+        if !may {
+            return Err(refusal::Refusal::new(code::Code::AnswerBroken));
+        }
+        let begun = self.run.begin(self.last.as_deref()).await?;
+        if !begun.head.status.is_success() {
+            return Err(refusal::Refusal::new(code::Code::AnswerBroken));
+        }
+        self.closes = forward::closes(&begun.head.headers);
+        self.conn = Some(begun.conn);
+        self.rest = begun.rest;
+        self.slot = begun.slot;
+        if self.events > 0 {
+            self.slot.began();
+        }
+        Ok(())
+    }
+
+    fn give_up(&mut self, refusal: refusal::Refusal) -> io::Error {
+        self.over = true;
+        self.conn = None;
+        self.run.tell(refusal);
+        io::Error::other(refusal.code.to_string())
+    }
+}
+
+fn find_end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(END.len()).position(|w| w == END)
+}
+
+/// The id of an event, if it has one.
+pub fn event_id(event: &[u8]) -> Option<&str> {
+    let text = std::str::from_utf8(event).ok()?;
+    let value = text.lines().find_map(|line| line.strip_prefix("id:"))?;
+    Some(value.strip_prefix(' ').unwrap_or(value))
+}
+
+// Whether an event was passed on before: ids are numbers that rise.
+fn is_old(id: Option<&str>, last: Option<&str>) -> bool {
+    let number = |id: Option<&str>| id.and_then(|id| id.parse::<u64>().ok());
+    match (number(id), number(last)) {
+        (Some(id), Some(last)) => id <= last,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/src/direct/refusal.rs
@@ -0,0 +1,58 @@
+//! Answers that the entry gives itself.
+
+use std::time;
+
+use bytes::Bytes;
+use http::header;
+
+use super::{body, dialect};
+use crate::code;
+
+/// A final answer of the entry's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The numbered code; its status goes to the caller.
+    pub code: code::Code,
+    /// When to come back, for requests that have not run.
+    pub after: Option<time::Duration>,
+}
+
+impl Refusal {
+    /// A refusal without a time to come back.
+    pub fn new(code: code::Code) -> Self {
+        Self { code, after: None }
+    }
+
+    /// A refusal of a request that has not run, with the time to come back.
+    pub fn later(code: code::Code, after: time::Duration) -> Self {
+        Self {
+            code,
+            after: Some(after),
+        }
+    }
+
+    /// The response.
+    pub fn response(
+        self,
+        id: Option<&http::HeaderValue>,
+        dialect: &dialect::Dialect,
+    ) -> http::Response<body::Body> {
+        let row = self.code.row();
+        let text = format!("{} {}: {}\n", row.number, row.name, row.text);
+        let mut res = http::Response::new(body::whole(Bytes::from(text)));
+        let status = http::StatusCode::from_u16(row.status);
+        *res.status_mut() = status.unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = res.headers_mut();
+        let kind = http::HeaderValue::from_static("text/plain");
+        headers.insert(header::CONTENT_TYPE, kind);
+        if let Some(id) = id {
+            headers.insert(&dialect.request_id, id.clone());
+        }
+        if let Some(after) = self.after
+            && let Ok(value) = http::HeaderValue::from_str(&format!("{:.2}", after.as_secs_f64()))
+        {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+        res
+    }
+}
--- /dev/null
+++ b/src/direct/serve.rs
@@ -0,0 +1,244 @@
+//! Listeners: callers, readiness and figures.
+
+use std::{convert, io, net, rc, time};
+
+use http::{HeaderValue, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{net as tokio_net, task};
+
+use super::{body, conn, forward, refusal, request, state};
+use crate::code;
+
+/// Most buffered bytes of one connection beside bodies: the largest head that is let in.
+const BUFFER: usize = 16 * 1024;
+
+/// Connections that wait to be accepted: a burst of callers within one turn of the thread.
+const BACKLOG: u32 = 1_024;
+
+/// Time that readiness questions may take to arrive.
+const READY_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+/// Time to come back while the process knows no configuration: about a start.
+const UNKNOWN: time::Duration = time::Duration::from_secs(1);
+
+/// How often [`run`] looks whether all requests have ended.
+const LOOK: time::Duration = time::Duration::from_millis(50);
+
+/// Time before the kill at which the process ends at the latest.
+const KILL_MARGIN: time::Duration = time::Duration::from_millis(300);
+
+/// Where callers' connections are kept open at least while shutting down, so that requests that
+/// cross the signal are answered on them.
+const LINGER: time::Duration = time::Duration::from_secs(3);
+
+/// Accepts callers on this address until the process ends.
+pub async fn callers(entry: rc::Rc<state::Entry>, address: net::SocketAddr) -> io::Result<()> {
+    let listener = listen(address)?;
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                // Out of descriptors, most likely: the connections that end make room.
+                entry.log.line("accept_failed").with("error", err);
+                tokio::time::sleep(LOOK).await;
+                continue;
+            }
+        };
+        if let Err(err) = conn::tune(&stream) {
+            entry.log.line("accept_failed").with("error", err);
+            continue;
+        }
+        entry.meter.count("connections", "caller");
+        task::spawn_local(caller(rc::Rc::clone(&entry), stream));
+    }
+}
+
+fn listen(address: net::SocketAddr) -> io::Result<tokio_net::TcpListener> {
+    let socket = tokio_net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn caller(entry: rc::Rc<state::Entry>, stream: tokio_net::TcpStream) {
+    let limits = entry.plan().map(|p| p.limits).unwrap_or_default();
+    let serve = service::service_fn(|req| {
+        let entry = rc::Rc::clone(&entry);
+        async move { Ok::<_, convert::Infallible>(handle(entry, req).await) }
+    });
+    let result = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library counts a connection's idle time as part of the head's.
+        .header_read_timeout(limits.idle_timeout + limits.head_timeout)
+        .max_buf_size(BUFFER.max(limits.head_bytes))
+        .serve_connection(TokioIo::new(stream), serve)
+        .await;
+    if let Err(err) = result {
+        entry.meter.count("caller_connections_broken", "any");
+        log::debug!(event = "caller_connection", error:% = err; "");
+    }
+}
+
+struct Active(rc::Rc<state::Entry>);
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+    }
+}
+
+async fn handle(
+    entry: rc::Rc<state::Entry>,
+    req: http::Request<Incoming>,
+) -> http::Response<body::Body> {
+    entry.active.set(entry.active.get() + 1);
+    let active = Active(rc::Rc::clone(&entry));
+    let received = entry.now();
+    let (parts, incoming) = req.into_parts();
+    let head = request::read(&parts, &entry.dialect);
+    let chunked = head.as_ref().map_or(true, |h| h.chunked);
+    let id = parts.headers.get(&entry.dialect.request_id);
+    let outcome = match head {
+        Ok(head) => prepare(&entry, head, incoming, received).await,
+        Err(code) => Err(refusal::Refusal::new(code)),
+    };
+    let mut response = match outcome {
+        Ok(req) => forward::run(rc::Rc::clone(&entry), req).await,
+        Err(refusal) => {
+            refused(&entry, id, refusal);
+            refusal.response(id, &entry.dialect)
+        }
+    };
+    // A chunked request may hide a second one behind a contradicting length, which the library has
+    // removed: nothing behind it on this connection is read.
+    if chunked || entry.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    // The request is in progress until the last byte of its answer.
+    response.map(|body| {
+        let body = body.map_frame(move |frame| {
+            let _held = &active;
+            frame
+        });
+        Box::pin(body) as body::Body
+    })
+}
+
+fn refused(entry: &state::Entry, id: Option<&HeaderValue>, refusal: refusal::Refusal) {
+    entry.meter.count("refusals", refusal.code.row().name);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
+    entry
+        .log
+        .line("refused")
+        .with("id", id)
+        .with("code", refusal.code)
+        .with("ran", "no")
+        .with("configuration", entry.plan().map_or(0, |p| p.version));
+}
+
+// Finds route and customer and reads the body.
+async fn prepare(
+    entry: &rc::Rc<state::Entry>,
+    head: request::Head,
+    incoming: Incoming,
+    received: time::Duration,
+) -> Result<request::Request, refusal::Refusal> {
+    let unknown = refusal::Refusal::later(code::Code::NoCatalogue, UNKNOWN);
+    let plan = entry.plan().ok_or(unknown)?;
+    let route = plan.route(&head.host, head.target.path());
+    let route = rc::Rc::clone(route.map_err(refusal::Refusal::new)?);
+    let customer = plan.customer(&route, &head.key);
+    let customer = customer.map_err(refusal::Refusal::new)?;
+    let customer = customer.map(|c| rc::Rc::clone(&c.name));
+    let draw = entry.rng.borrow_mut().unit();
+    let service = route.service(draw).cloned();
+    let none = refusal::Refusal::later(code::Code::NoBackendServer, UNKNOWN);
+    let service = service.ok_or(none)?;
+    let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = received + patience;
+    let until = tokio::time::Instant::from_std(entry.started + deadline);
+    let read = body::read(incoming, plan.limits.body_bytes);
+    let body = match tokio::time::timeout_at(until, read).await {
+        Ok(body) => body.map_err(refusal::Refusal::new)?,
+        Err(_elapsed) => return Err(refusal::Refusal::new(code::Code::SlowCaller)),
+    };
+    Ok(request::Request {
+        head,
+        body,
+        route,
+        service,
+        customer,
+        received,
+        deadline,
+    })
+}
+
+/// Answers readiness questions, and figures under `/metrics`, on this address.
+pub async fn readiness(entry: rc::Rc<state::Entry>, address: net::SocketAddr) -> io::Result<()> {
+    let listener = listen(address)?;
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                entry.log.line("accept_failed").with("error", err);
+                tokio::time::sleep(LOOK).await;
+                continue;
+            }
+        };
+        let entry = rc::Rc::clone(&entry);
+        task::spawn_local(async move {
+            let serve = service::service_fn(|req: http::Request<Incoming>| {
+                let response = answer_operator(&entry, req.uri().path());
+                async move { Ok::<_, convert::Infallible>(response) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(READY_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), serve)
+                .await;
+            if let Err(err) = served {
+                log::debug!(event = "readiness_connection", error:% = err; "");
+            }
+        });
+    }
+}
+
+fn answer_operator(entry: &state::Entry, path: &str) -> http::Response<Full<bytes::Bytes>> {
+    if path.ends_with("/metrics") {
+        entry.meter.set("active", entry.active.get() as u64);
+        let waiting = entry.fleet.borrow().waiting() as u64;
+        entry.meter.set("waiting", waiting);
+        return http::Response::new(Full::new(entry.meter.text().into()));
+    }
+    let mut response = http::Response::new(Full::default());
+    if !entry.is_ready() {
+        *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+/// Begins to shut down and returns when all requests have ended, or shortly before the kill.
+pub async fn leave(entry: &state::Entry) {
+    let begun = entry.now();
+    entry.leave();
+    let last = begun + entry.settings.grace.saturating_sub(KILL_MARGIN);
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let now = entry.now();
+        let quiet = entry.active.get() == 0 && now > begun + LINGER;
+        if quiet || now > last {
+            break;
+        }
+    }
+    entry
+        .log
+        .line("stopped")
+        .with("cut", entry.active.get())
+        .ms("after_ms", entry.now().saturating_sub(begun));
+    entry.log.flush();
+}
--- /dev/null
+++ b/src/direct/state.rs
@@ -0,0 +1,453 @@
+//! What a direct entry knows and holds, shared by all its tasks on one thread.
+
+use std::{cell, collections, rc, time};
+
+use slotmap::SlotMap;
+use tokio::sync::oneshot;
+
+use super::{conn, dialect, line, meter, plan};
+use crate::decide::{health, place, random, retry};
+use crate::key;
+
+/// Idle connections kept for one backend server; more are closed when they come back.
+const IDLE: usize = 64;
+
+/// Time that a backend server leaves an idle connection open if it doesn't say.
+const KEEP: time::Duration = time::Duration::from_secs(4);
+
+/// Margin to the end of an idle connection: several ways to the backend server and back.
+const KEEP_MARGIN: time::Duration = time::Duration::from_millis(400);
+
+/// Longest idle time of a connection that gets a request which may run once at most: a backend
+/// server that closes it meanwhile leaves the outcome unknown.
+const UNSAFE_IDLE: time::Duration = time::Duration::from_millis(1_500);
+
+/// What a process is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Its name, for logs.
+    pub instance: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Repeats allowed for each request, of the whole fleet.
+    pub repeat_ratio: f64,
+    /// Repeats allowed beside, of one entry, within [`Settings::repeat_window`].
+    pub repeat_slack: f64,
+    /// Window in which repeats are counted.
+    pub repeat_window: time::Duration,
+    /// Time between the signal to end and the kill.
+    pub grace: time::Duration,
+}
+
+/// A backend server and the connections to it.
+#[derive(Debug)]
+pub struct Backend {
+    /// Its list entry.
+    pub server: plan::Server,
+    idle: Vec<conn::Conn>,
+}
+
+/// A waiting request's way to hear of its turn; `None` says that it is to be placed anew.
+pub type Turn = oneshot::Sender<Option<place::Placed>>;
+
+/// Everything a direct entry knows.
+#[derive(Debug)]
+pub struct Entry {
+    /// When the process started; all times count from here.
+    pub started: time::Instant,
+    /// Header names.
+    pub dialect: dialect::Dialect,
+    /// Settings.
+    pub settings: Settings,
+    /// Log.
+    pub log: line::Log,
+    /// Figures.
+    pub meter: meter::Meter,
+    plan: cell::RefCell<Option<rc::Rc<plan::Plan>>>,
+    listed: cell::RefCell<collections::HashMap<String, plan::Server>>,
+    list_known: cell::Cell<bool>,
+    keys: cell::RefCell<collections::HashMap<String, key::Sidecar>>,
+    /// Backend servers.
+    pub backends: cell::RefCell<slotmap::SecondaryMap<key::Sidecar, Backend>>,
+    /// Where work goes.
+    pub fleet: cell::RefCell<place::Fleet>,
+    /// Which backend servers are fit.
+    pub health: cell::RefCell<health::Table>,
+    services: cell::RefCell<collections::HashMap<rc::Rc<str>, u32>>,
+    customers: cell::RefCell<SlotMap<key::Customer, rc::Rc<str>>>,
+    customer_keys: cell::RefCell<collections::HashMap<rc::Rc<str>, key::Customer>>,
+    turns: cell::RefCell<collections::HashMap<u64, Turn>>,
+    budgets: cell::RefCell<collections::HashMap<u32, retry::Window>>,
+    next_request: cell::Cell<u64>,
+    /// Source of chance.
+    pub rng: cell::RefCell<random::Random>,
+    /// Requests in progress.
+    pub active: cell::Cell<usize>,
+    leaving: cell::Cell<bool>,
+}
+
+impl Entry {
+    /// An entry that knows nothing yet.
+    pub fn new(
+        started: time::Instant,
+        settings: Settings,
+        dialect: dialect::Dialect,
+        log: line::Log,
+        seed: u64,
+    ) -> Self {
+        Self {
+            started,
+            dialect,
+            settings,
+            log,
+            meter: meter::Meter::default(),
+            plan: cell::RefCell::default(),
+            listed: cell::RefCell::default(),
+            list_known: cell::Cell::default(),
+            keys: cell::RefCell::default(),
+            backends: cell::RefCell::default(),
+            fleet: cell::RefCell::new(place::Fleet::new(seed)),
+            health: cell::RefCell::default(),
+            services: cell::RefCell::default(),
+            customers: cell::RefCell::default(),
+            customer_keys: cell::RefCell::default(),
+            turns: cell::RefCell::default(),
+            budgets: cell::RefCell::default(),
+            next_request: cell::Cell::default(),
+            rng: cell::RefCell::new(random::Random::new(seed)),
+            active: cell::Cell::default(),
+            leaving: cell::Cell::default(),
+        }
+    }
+
+    /// Time since the process started.
+    pub fn now(&self) -> time::Duration {
+        self.started.elapsed()
+    }
+
+    /// The configuration in force.
+    pub fn plan(&self) -> Option<rc::Rc<plan::Plan>> {
+        self.plan.borrow().clone()
+    }
+
+    /// Whether the process takes new connections.
+    pub fn is_ready(&self) -> bool {
+        !self.leaving.get() && self.plan.borrow().is_some() && self.list_known.get()
+    }
+
+    /// Whether the process is shutting down.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// Begins to shut down.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+        self.log
+            .line("leaving")
+            .with("active", self.active.get())
+            .with("waiting", self.fleet.borrow().waiting());
+    }
+
+    /// Puts a configuration into force, unless a newer one is.
+    pub fn set_plan(&self, plan: plan::Plan) {
+        let old = self.plan.borrow().as_ref().map(|p| p.version);
+        let version = plan.version;
+        if old.is_some_and(|old| old >= version) {
+            if old != Some(version) {
+                self.log
+                    .line("configuration_older")
+                    .with("version", version)
+                    .with("in_force", old.unwrap_or_default());
+            }
+            return;
+        }
+        self.log
+            .line("configuration")
+            .with("version", version)
+            .with("before", old.unwrap_or_default())
+            .with("routes", plan.routes())
+            .with("services", plan.services.len());
+        self.meter.set("configuration_version", version);
+        *self.plan.borrow_mut() = Some(rc::Rc::new(plan));
+        self.sync();
+    }
+
+    /// Takes in news about backend servers.
+    pub fn take(&self, news: plan::News) {
+        match news {
+            plan::News::Listed(server) => {
+                let mut listed = self.listed.borrow_mut();
+                let same = listed.get(&server.id) == Some(&server);
+                listed.insert(server.id.clone(), server);
+                drop(listed);
+                if same {
+                    return;
+                }
+            }
+            plan::News::Gone(id) => {
+                self.listed.borrow_mut().remove(&id);
+            }
+            plan::News::All(servers) => {
+                let all = servers.into_iter().map(|s| (s.id.clone(), s)).collect();
+                *self.listed.borrow_mut() = all;
+                self.list_known.set(true);
+            }
+        }
+        self.sync();
+    }
+
+    /// The health table took nothing in for a while: the list says who lives.
+    pub fn refresh(&self) {
+        let now = self.now();
+        let mut health = self.health.borrow_mut();
+        for server in self.backends.borrow().keys() {
+            health.add(now, server);
+        }
+        health.compare();
+        drop(health);
+        self.fleet.borrow_mut().sweep(now);
+        self.judge();
+    }
+
+    // Brings the backends in line with list and configuration.
+    fn sync(&self) {
+        let Some(plan) = self.plan() else { return };
+        let gone: Vec<String> = {
+            let listed = self.listed.borrow();
+            let keys = self.keys.borrow();
+            keys.keys().filter(|id| !listed.contains_key(*id)).cloned().collect()
+        };
+        for id in gone {
+            self.remove(&id);
+        }
+        let listed: Vec<plan::Server> = self.listed.borrow().values().cloned().collect();
+        for server in listed {
+            self.put(&plan, server);
+        }
+        self.judge();
+    }
+
+    fn put(&self, plan: &plan::Plan, server: plan::Server) {
+        let known = self.keys.borrow().get(&server.id).copied();
+        if let Some(key) = known {
+            if let Some(backend) = self.backends.borrow_mut().get_mut(key) {
+                if backend.server.leaving != server.leaving {
+                    self.log
+                        .line("backend_leaving")
+                        .with("backend", &server.id)
+                        .with("leaving", server.leaving);
+                }
+                backend.server = server;
+            }
+            return;
+        }
+        let Some(service) = plan.services.get(server.service.as_str()) else {
+            return;
+        };
+        let number = self.service(&server.service);
+        let key = self.fleet.borrow_mut().add(place::Listed {
+            id: &server.id,
+            service: number,
+            slots: server.slots,
+            engine: service.engine,
+            near: server.zone == self.settings.zone,
+        });
+        self.health.borrow_mut().add(self.now(), key);
+        self.log
+            .line("backend_new")
+            .with("backend", &server.id)
+            .with("address", server.address)
+            .with("service", &server.service)
+            .with("leaving", server.leaving);
+        self.keys.borrow_mut().insert(server.id.clone(), key);
+        let idle = Vec::new();
+        self.backends.borrow_mut().insert(key, Backend { server, idle });
+    }
+
+    fn remove(&self, id: &str) {
+        let Some(key) = self.keys.borrow_mut().remove(id) else {
+            return;
+        };
+        self.log.line("backend_gone").with("backend", id);
+        self.backends.borrow_mut().remove(key);
+        self.health.borrow_mut().remove(key);
+        let waiting = self.fleet.borrow_mut().remove(key);
+        self.place_anew(waiting);
+    }
+
+    /// A backend server said that another instance has its address now.
+    pub fn replaced(&self, server: key::Sidecar) {
+        let id = self.backends.borrow().get(server).map(|b| b.server.id.clone());
+        if let Some(id) = id {
+            self.listed.borrow_mut().remove(&id);
+            self.remove(&id);
+        }
+    }
+
+    // Tells the placing which backend servers may get work.
+    fn judge(&self) {
+        let now = self.now();
+        let states: Vec<(key::Sidecar, bool)> = {
+            let health = self.health.borrow();
+            let backends = self.backends.borrow();
+            let usable = |(key, b): (key::Sidecar, &Backend)| {
+                (key, !b.server.leaving && health.state(now, key).usable())
+            };
+            backends.iter().map(usable).collect()
+        };
+        for (key, usable) in states {
+            let moved = self.fleet.borrow_mut().set_usable(key, usable);
+            self.place_anew(moved);
+        }
+    }
+
+    fn place_anew(&self, requests: Vec<u64>) {
+        for request in requests {
+            if let Some(turn) = self.turns.borrow_mut().remove(&request) {
+                // One that left in this moment needs no turn.
+                let _left = turn.send(None);
+            }
+        }
+    }
+
+    /// Number of a service.
+    pub fn service(&self, name: &str) -> u32 {
+        let mut services = self.services.borrow_mut();
+        if let Some(number) = services.get(name) {
+            return *number;
+        }
+        let number = services.len() as u32;
+        services.insert(name.into(), number);
+        number
+    }
+
+    /// Key of a customer.
+    pub fn customer(&self, name: &str) -> key::Customer {
+        if let Some(key) = self.customer_keys.borrow().get(name) {
+            return *key;
+        }
+        let name: rc::Rc<str> = name.into();
+        let key = self.customers.borrow_mut().insert(name.clone());
+        self.fleet.borrow_mut().shares().set_weight(key, 1.0);
+        self.customer_keys.borrow_mut().insert(name, key);
+        key
+    }
+
+    /// A number for a request that may wait.
+    pub fn number(&self) -> u64 {
+        let number = self.next_request.get();
+        self.next_request.set(number + 1);
+        number
+    }
+
+    /// A waiting request listens for its turn.
+    pub fn wait(&self, request: u64) -> oneshot::Receiver<Option<place::Placed>> {
+        let (turn, heard) = oneshot::channel();
+        self.turns.borrow_mut().insert(request, turn);
+        heard
+    }
+
+    /// A waiting request gave up.
+    pub fn stop_waiting(&self, request: u64, ticket: place::Ticket) {
+        self.turns.borrow_mut().remove(&request);
+        self.fleet.borrow_mut().leave(request, ticket);
+    }
+
+    /// Hands waiting requests over to a backend server that has room.
+    pub fn pump(&self, server: key::Sidecar) {
+        let now = self.now();
+        loop {
+            let next = self.fleet.borrow_mut().next(now, server);
+            let Some((request, placed)) = next else { return };
+            let turn = self.turns.borrow_mut().remove(&request);
+            let unheard = match turn {
+                Some(turn) => turn.send(Some(placed)).err().flatten(),
+                None => Some(placed),
+            };
+            if let Some(placed) = unheard {
+                self.fleet.borrow_mut().ended(placed, 0, false);
+            }
+        }
+    }
+
+    /// A request of a service came: repeats are allowed in proportion.
+    pub fn earn_repeat(&self, service: u32) {
+        let (now, mut budgets) = (self.now(), self.budgets.borrow_mut());
+        budgets.entry(service).or_default().request(now);
+    }
+
+    /// Whether a request of this service may be sent once more; counts it if so.
+    pub fn take_repeat(&self, service: u32) -> bool {
+        let (now, mut budgets) = (self.now(), self.budgets.borrow_mut());
+        let settings = &self.settings;
+        let (ratio, slack) = (settings.repeat_ratio, settings.repeat_slack);
+        let window = settings.repeat_window;
+        let budget = budgets.entry(service).or_default();
+        budget.take(now, window, ratio, slack)
+    }
+
+    /// A connection to a backend server, kept or new.
+    pub async fn connect(
+        &self,
+        server: key::Sidecar,
+        once: bool,
+    ) -> std::io::Result<(conn::Conn, bool)> {
+        if let Some(kept) = self.kept(server, once) {
+            return Ok((kept, true));
+        }
+        let address = self.backends.borrow().get(server).map(|b| b.server.address);
+        let address = address.ok_or(std::io::ErrorKind::NotFound)?;
+        self.meter.count("connections", "backend");
+        conn::open(address).await.map(|conn| (conn, false))
+    }
+
+    fn kept(&self, server: key::Sidecar, once: bool) -> Option<conn::Conn> {
+        let now = self.now();
+        let mut backends = self.backends.borrow_mut();
+        let idle = &mut backends.get_mut(server)?.idle;
+        idle.retain(|c| c.is_open() && now < c.used + c.keep.unwrap_or(KEEP));
+        if once {
+            let newest = idle.last()?;
+            if now > newest.used + UNSAFE_IDLE {
+                return None;
+            }
+        }
+        idle.pop()
+    }
+
+    /// Keeps a connection whose answer is complete.
+    pub fn keep(&self, server: key::Sidecar, mut conn: conn::Conn) {
+        conn.used = self.now();
+        conn.keep = conn.keep.map(|keep| keep.saturating_sub(KEEP_MARGIN));
+        if let Some(backend) = self.backends.borrow_mut().get_mut(server)
+            && backend.idle.len() < IDLE
+        {
+            backend.idle.push(conn);
+        }
+    }
+
+    /// How a request at a backend server went.
+    pub fn judge_result(&self, server: key::Sidecar, well: bool, took: time::Duration) {
+        let now = self.now();
+        let mut health = self.health.borrow_mut();
+        let before = health.state(now, server).usable();
+        if well {
+            if let Some(peer) = health.get_mut(server) {
+                peer.succeeded(now, took);
+            }
+        } else {
+            health.failed(now, server, &mut self.rng.borrow_mut());
+        }
+        let after = health.state(now, server).usable();
+        drop(health);
+        if before != after {
+            let id = self.backends.borrow().get(server).map(|b| b.server.id.clone());
+            self.log
+                .line("backend_health")
+                .with("backend", id.unwrap_or_default())
+                .with("usable", after);
+            self.judge();
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod core;
 pub mod decide;
+pub mod direct;
 pub mod entry;
 pub mod error;
 pub mod event;
