Keep one home for each prompt part, tell other entries load and service, order by recent service

Cause: with several homes in turn a loaded fleet read shared parts again at every engine, which ate the capacity that was short; each entry bounded only its own work at an engine; customers got up to 33 times another's service. Change: one home; beats between entries carry load and service of the last seconds; waiting requests go by least recent service; a request too large to be in time waits as long as others. Broken still: requests on kept connections long after the signal to end.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,6 +17,7 @@
 pub mod queue;
 pub mod random;
 pub mod reach;
+pub mod recent;
 pub mod retry;
 pub mod route;
 pub mod share;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -18,7 +18,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3;
 
-use super::{queue, random, share};
+use super::{random, recent};
 use crate::{code, key};
 
 /// Prompt tokens that an engine reads in a millisecond while it also generates, until measured.
@@ -34,6 +34,12 @@
 /// three to five tokens, each a step of about 25 ms while others are read.
 pub const FIRST_EVENT: f64 = 120.0;
 
+/// Share of its objective that every request may wait.
+const LEAST_PATIENCE: f64 = 0.5;
+
+/// Homes of a part. A second one reads everything again; measured, it costs more than it gives.
+const HOMES: usize = 1;
+
 /// Requests beyond its slots that a plain backend server is given: it starts the next while our
 /// answer travels.
 const SPARE: u32 = 1;
@@ -45,6 +51,9 @@
 /// Most a believed part stays believed without use: engines yield the least recently used.
 const BELIEF: time::Duration = time::Duration::from_secs(60);
 
+/// Most requests that wait for one backend server: more than it reads in the longest objective.
+const WAITING: usize = 256;
+
 /// Least time to come back after a refusal.
 const COME_BACK: time::Duration = time::Duration::from_millis(400);
 
@@ -83,9 +92,6 @@
         self.parts.get(at).map(|part| part.chain)
     }
 
-    fn tokens(&self) -> f64 {
-        self.parts.iter().map(|part| f64::from(part.tokens)).sum()
-    }
 }
 
 /// A request that a backend server was given: hand it back with [`Fleet::ended`].
@@ -97,8 +103,9 @@
     pub tokens: f64,
     /// Milliseconds of prompts that stood before it.
     pub ahead_ms: f64,
+    customer: key::Customer,
+    cost: f64,
     reading: bool,
-    reservation: share::Reservation,
 }
 
 /// What to do with a request.
@@ -116,7 +123,6 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Ticket {
     server: key::Sidecar,
-    ticket: key::Ticket,
 }
 
 /// Load that other entries have put on a backend server.
@@ -139,15 +145,17 @@
     own: Load,
     others: Load,
     pace: f64,
-    queue: queue::Queue,
-    waiting: collections::HashMap<u64, Waiting>,
+    // In order of arrival.
+    waiting: Vec<Waiting>,
     // Parts believed to be kept, with their last use.
     kept: collections::HashMap<u64, time::Duration>,
 }
 
 #[derive(Debug)]
 struct Waiting {
+    request: u64,
     job: Job,
+    until: time::Duration,
     tokens: f64,
 }
 
@@ -170,7 +178,7 @@
 #[derive(Debug)]
 pub struct Fleet {
     servers: SlotMap<key::Sidecar, Server>,
-    shares: share::Table,
+    recent: recent::Table,
     rng: random::Random,
 }
 
@@ -208,15 +216,15 @@
         self.kept.get(&chain).is_some_and(|at| now < *at + BELIEF)
     }
 
-    // Milliseconds until a job with so many tokens would give its first event, behind the waiting
-    // requests of customers that are not after it.
-    fn first_event_ms(&self, tokens: f64, job: &Job, shares: &share::Table) -> f64 {
-        let tag = shares.tag(job.customer);
+    // Milliseconds until a job's prompt would be read, behind the waiting requests of customers that
+    // are not after it.
+    fn wait_ms(&self, now: time::Duration, job: &Job, recent: &recent::Table) -> f64 {
+        let served = recent.all(now, job.customer);
         let before = |w: &&Waiting| {
-            w.job.customer == job.customer || shares.tag(w.job.customer) <= tag
+            w.job.customer == job.customer || recent.all(now, w.job.customer) <= served
         };
-        let waiting: f64 = self.waiting.values().filter(before).map(|w| w.tokens).sum();
-        (self.unread() + waiting + tokens) / self.pace + FIRST_EVENT
+        let waiting: f64 = self.waiting.iter().filter(before).map(|w| w.tokens).sum();
+        (self.unread() + waiting) / self.pace
     }
 }
 
@@ -225,8 +233,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             servers: SlotMap::with_key(),
-            // Entries that share totals do it ten times a second.
-            shares: share::Table::new(time::Duration::from_millis(200)),
+            recent: recent::Table::default(),
             rng: random::Random::new(seed),
         }
     }
@@ -243,8 +250,7 @@
             own: Load::default(),
             others: Load::default(),
             pace: PACE,
-            queue: queue::Queue::new(queue::Limit::default()),
-            waiting: collections::HashMap::new(),
+            waiting: Vec::new(),
             kept: collections::HashMap::new(),
         })
     }
@@ -252,7 +258,7 @@
     /// Forgets a backend server and returns the requests that waited for it.
     pub fn remove(&mut self, server: key::Sidecar) -> Vec<u64> {
         let gone = self.servers.remove(server);
-        gone.map_or_else(Vec::new, |s| s.waiting.into_keys().collect())
+        gone.map_or_else(Vec::new, |s| s.waiting.into_iter().map(|w| w.request).collect())
     }
 
     /// Whether a backend server may get new work; returns the requests to place again if not.
@@ -264,8 +270,7 @@
         if usable {
             return Vec::new();
         }
-        known.queue = queue::Queue::new(queue::Limit::default());
-        known.waiting.drain().map(|(request, _)| request).collect()
+        known.waiting.drain(..).map(|w| w.request).collect()
     }
 
     /// Load of this entry on a backend server.
@@ -285,14 +290,24 @@
         self.servers.values().map(|s| s.waiting.len()).sum()
     }
 
-    /// The customers' service.
-    pub fn shares(&mut self) -> &mut share::Table {
-        &mut self.shares
+    /// The customers' recent service.
+    pub fn recent(&mut self) -> &mut recent::Table {
+        &mut self.recent
+    }
+
+    /// What this entry served a customer of late.
+    pub fn served(&self, now: time::Duration, customer: key::Customer) -> f64 {
+        self.recent.own(now, customer)
+    }
+
+    /// Backend servers with waiting requests.
+    pub fn with_waiting(&self) -> SmallVec<[key::Sidecar; 32]> {
+        let waits = |(at, s): (key::Sidecar, &Server)| (!s.waiting.is_empty()).then_some(at);
+        self.servers.iter().filter_map(waits).collect()
     }
 
     /// Decides about a request.
     pub fn place(&mut self, now: time::Duration, request: u64, job: &Job) -> Verdict {
-        self.shares.activate(job.customer);
         let order = self.order(job);
         let Some(&first) = order.first() else {
             return Verdict::Refuse(code::Code::NoBackendServer, COME_BACK);
@@ -300,29 +315,18 @@
         if !self.servers[first].engine {
             return self.place_plain(now, request, job, &order);
         }
-        let due_ms = job.due.saturating_sub(now).as_secs_f64() * 1e3;
         let mut soonest = f64::INFINITY;
-        // The first that is in time; homes come first, then any: a part read again costs less
-        // than a late answer, and only once.
-        for &at in &order {
+        for &at in order.iter().take(HOMES) {
             let server = &self.servers[at];
             let tokens = server.fresh(now, job);
-            let ms = server.first_event_ms(tokens, job, &self.shares);
-            if ms <= due_ms {
+            let ms = server.wait_ms(now, job, &self.recent);
+            let patience = patience(now, job, tokens / server.pace);
+            if ms <= patience || (server.waiting.is_empty() && server.has_room(tokens)) {
                 return self.put(now, request, job, at, tokens);
             }
-            soonest = soonest.min(ms);
+            soonest = soonest.min(ms - patience);
         }
-        let idle = order.iter().find(|at| {
-            let server = &self.servers[**at];
-            server.waiting.is_empty() && server.has_room(server.fresh(now, job))
-        });
-        if let Some(&at) = idle {
-            let tokens = self.servers[at].fresh(now, job);
-            return self.put(now, request, job, at, tokens);
-        }
-        let objective = job.objective.as_secs_f64() * 1e3;
-        let after = (soonest - objective).max(0.0) * (1.0 + self.rng.unit());
+        let after = soonest * (1.0 + self.rng.unit());
         let after = time::Duration::from_secs_f64(after / 1e3);
         Verdict::Refuse(code::Code::DeadlineUnreachable, after.max(COME_BACK))
     }
@@ -375,27 +379,17 @@
         if server.waiting.is_empty() && server.has_room(tokens) {
             return Verdict::Go(self.hand_over(now, at, job, tokens));
         }
-        let until = start_by(job, server, tokens);
-        let ticket = queue::Ticket {
-            customer: job.customer,
-            link: key::Link::default(),
+        let until = start_by(now, job, server, tokens);
+        if server.waiting.len() >= WAITING {
+            return Verdict::Refuse(code::Code::QueueFull, COME_BACK);
+        }
+        server.waiting.push(Waiting {
             request,
-            model: 0,
-            cost_hint: job.cost,
-            prefix_hash: 0,
-            deadline: Some(until),
-            offered: now,
-        };
-        let ticket = match server.queue.offer(ticket, &self.shares) {
-            Ok(ticket) => ticket,
-            Err(code) => return Verdict::Refuse(code, COME_BACK),
-        };
-        let waiting = Waiting {
             job: job.clone(),
+            until,
             tokens,
-        };
-        server.waiting.insert(request, waiting);
-        Verdict::Wait(Ticket { server: at, ticket }, until)
+        });
+        Verdict::Wait(Ticket { server: at }, until)
     }
 
     fn hand_over(
@@ -412,37 +406,40 @@
         for part in &job.parts {
             server.kept.insert(part.chain, now);
         }
+        let cost = job.cost as f64;
+        self.recent.add(now, job.customer, cost);
         Placed {
             server: at,
             tokens,
             ahead_ms,
+            customer: job.customer,
+            cost,
             reading: true,
-            reservation: self.shares.reserve(job.customer),
         }
     }
 
-    /// The next waiting request that a backend server has room for.
+    /// The next waiting request that a backend server has room for: the oldest of the customer that
+    /// was served least of late.
     pub fn next(&mut self, now: time::Duration, at: key::Sidecar) -> Option<(u64, Placed)> {
-        loop {
-            let server = self.servers.get_mut(at)?;
-            if !server.usable || !server.has_room(0.0) {
-                return None;
-            }
-            let (_, ticket) = server.queue.pick(now, &mut self.shares)?;
-            // One whose time has come leaves by itself.
-            if let Some(waiting) = server.waiting.remove(&ticket.request) {
-                let tokens = server.fresh(now, &waiting.job);
-                let placed = self.hand_over(now, at, &waiting.job, tokens);
-                return Some((ticket.request, placed));
-            }
+        let server = self.servers.get_mut(at)?;
+        if !server.usable || !server.has_room(0.0) {
+            return None;
         }
+        // One whose time has come leaves by itself.
+        let due = server.waiting.iter().enumerate().filter(|(_, w)| now < w.until);
+        let served = |w: &Waiting| self.recent.all(now, w.job.customer);
+        let least = due.min_by(|(_, a), (_, b)| served(a).total_cmp(&served(b)));
+        let (index, _) = least?;
+        let waiting = server.waiting.remove(index);
+        let tokens = server.fresh(now, &waiting.job);
+        let placed = self.hand_over(now, at, &waiting.job, tokens);
+        Some((waiting.request, placed))
     }
 
     /// A waiting request gave up.
     pub fn leave(&mut self, request: u64, ticket: Ticket) {
         if let Some(server) = self.servers.get_mut(ticket.server) {
-            server.waiting.remove(&request);
-            server.queue.void(ticket.ticket);
+            server.waiting.retain(|w| w.request != request);
         }
     }
 
@@ -456,16 +453,14 @@
         }
     }
 
-    /// A request ended; `served` is whether it ran, and its parts are kept if so.
-    pub fn ended(&mut self, mut placed: Placed, cost: u64, served: bool) {
+    /// A request ended; `served` is whether it ran: if not, its customer owes nothing for it.
+    pub fn ended(&mut self, now: time::Duration, mut placed: Placed, served: bool) {
         self.began(&mut placed);
         if let Some(server) = self.servers.get_mut(placed.server) {
             server.own.running = server.own.running.saturating_sub(1);
         }
-        if served {
-            self.shares.settle(placed.reservation, cost);
-        } else {
-            self.shares.release(placed.reservation);
+        if !served {
+            self.recent.add(now, placed.customer, -placed.cost);
         }
     }
 
@@ -484,11 +479,20 @@
     }
 }
 
+// Milliseconds that a job may wait before its prompt of so many milliseconds is read. One that is
+// late however soon it starts waits as long as a small one would: late answers count for less, not
+// nothing, and else the largest requests were never served.
+fn patience(now: time::Duration, job: &Job, reading_ms: f64) -> f64 {
+    let objective = job.objective.as_secs_f64() * 1e3;
+    let due = job.due.as_secs_f64() * 1e3 - now.as_secs_f64() * 1e3;
+    (due - reading_ms - FIRST_EVENT).max(due - objective * (1.0 - LEAST_PATIENCE))
+}
+
 // Until when a job may wait for its start.
-fn start_by(job: &Job, server: &Server, tokens: f64) -> time::Duration {
+fn start_by(now: time::Duration, job: &Job, server: &Server, tokens: f64) -> time::Duration {
     if !server.engine {
         return job.due + job.objective.mul_f64(PLAIN_PATIENCE - 1.0);
     }
-    let needs = (tokens.min(job.tokens()) / server.pace + FIRST_EVENT) / 1e3;
-    job.due.saturating_sub(time::Duration::from_secs_f64(needs))
+    let patience = patience(now, job, tokens / server.pace).max(0.0);
+    now + time::Duration::from_secs_f64(patience / 1e3)
 }
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -29,7 +29,6 @@
 pub struct Slot {
     entry: rc::Rc<state::Entry>,
     placed: Option<place::Placed>,
-    cost: u64,
     served: bool,
     /// The backend server.
     pub server: key::Sidecar,
@@ -40,14 +39,13 @@
 }
 
 impl Slot {
-    fn new(entry: rc::Rc<state::Entry>, placed: place::Placed, cost: u64) -> Self {
+    fn new(entry: rc::Rc<state::Entry>, placed: place::Placed) -> Self {
         Self {
             server: placed.server,
             since: entry.now(),
             ahead_ms: placed.ahead_ms,
             entry,
             placed: Some(placed),
-            cost,
             served: false,
         }
     }
@@ -66,7 +64,7 @@
     fn drop(&mut self) {
         if let Some(placed) = self.placed.take() {
             let mut fleet = self.entry.fleet.borrow_mut();
-            fleet.ended(placed, self.cost, self.served);
+            fleet.ended(self.entry.now(), placed, self.served);
             drop(fleet);
             self.entry.pump(self.server);
         }
@@ -273,7 +271,7 @@
             };
             self.waited += entry.now().saturating_sub(begun);
             if let Some(placed) = placed {
-                return Ok(Slot::new(entry, placed, self.req.head.cost));
+                return Ok(Slot::new(entry, placed));
             }
         }
     }
@@ -445,8 +443,9 @@
             mut head,
             rest,
             conn,
-            slot,
+            mut slot,
         } = begun;
+        slot.began();
         let read = Limited::new(rest, ANSWER_BYTES).collect().await;
         let whole = match read {
             Ok(whole) => whole.to_bytes(),
@@ -529,7 +528,8 @@
         // A place that was handed over in this very moment goes back.
         if let Ok(Some(placed)) = self.heard.try_recv() {
             let server = placed.server;
-            self.entry.fleet.borrow_mut().ended(placed, 0, false);
+            let now = self.entry.now();
+            self.entry.fleet.borrow_mut().ended(now, placed, false);
             self.entry.pump(server);
         }
     }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -10,6 +10,7 @@
 pub mod conn;
 pub mod dialect;
 pub mod forward;
+pub mod gossip;
 pub mod line;
 pub mod meter;
 pub mod plan;
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -1,11 +1,12 @@
 //! What a direct entry knows and holds, shared by all its tasks on one thread.
 
-use std::{cell, collections, rc, time};
+use std::{cell, collections, net, rc, time};
 
 use slotmap::SlotMap;
 use tokio::sync::oneshot;
+use xxhash_rust::xxh3;
 
-use super::{conn, dialect, line, meter, plan};
+use super::{conn, dialect, gossip, line, meter, plan};
 use crate::decide::{health, place, random, retry};
 use crate::key;
 
@@ -31,8 +32,10 @@
     pub zone: String,
     /// Repeats allowed for each request, of the whole fleet.
     pub repeat_ratio: f64,
-    /// Repeats allowed beside, of one entry, within [`Settings::repeat_window`].
+    /// Repeats allowed beside, of the whole fleet, within [`Settings::repeat_window`].
     pub repeat_slack: f64,
+    /// Entries that share them at least, until others are heard.
+    pub least_entries: usize,
     /// Window in which repeats are counted.
     pub repeat_window: time::Duration,
     /// Time between the signal to end and the kill.
@@ -44,6 +47,8 @@
 pub struct Backend {
     /// Its list entry.
     pub server: plan::Server,
+    // Of its id, by which entries name it to each other.
+    hash: u64,
     idle: Vec<conn::Conn>,
 }
 
@@ -67,6 +72,10 @@
     listed: cell::RefCell<collections::HashMap<String, plan::Server>>,
     list_known: cell::Cell<bool>,
     keys: cell::RefCell<collections::HashMap<String, key::Sidecar>>,
+    /// Number of this start, by which other entries tell it from an earlier one.
+    pub start_number: u64,
+    /// The other entries.
+    pub peers: cell::RefCell<gossip::Peers>,
     /// Backend servers.
     pub backends: cell::RefCell<slotmap::SecondaryMap<key::Sidecar, Backend>>,
     /// Where work goes.
@@ -74,7 +83,8 @@
     /// Which backend servers are fit.
     pub health: cell::RefCell<health::Table>,
     services: cell::RefCell<collections::HashMap<rc::Rc<str>, u32>>,
-    customers: cell::RefCell<SlotMap<key::Customer, rc::Rc<str>>>,
+    customers: cell::RefCell<SlotMap<key::Customer, u64>>,
+    customer_hashes: cell::RefCell<collections::HashMap<u64, key::Customer>>,
     customer_keys: cell::RefCell<collections::HashMap<rc::Rc<str>, key::Customer>>,
     turns: cell::RefCell<collections::HashMap<u64, Turn>>,
     budgets: cell::RefCell<collections::HashMap<u32, retry::Window>>,
@@ -94,6 +104,7 @@
         dialect: dialect::Dialect,
         log: line::Log,
         seed: u64,
+        seeds: Vec<net::Ipv4Addr>,
     ) -> Self {
         Self {
             started,
@@ -105,11 +116,14 @@
             listed: cell::RefCell::default(),
             list_known: cell::Cell::default(),
             keys: cell::RefCell::default(),
+            start_number: seed,
+            peers: cell::RefCell::new(gossip::Peers::new(seeds)),
             backends: cell::RefCell::default(),
             fleet: cell::RefCell::new(place::Fleet::new(seed)),
             health: cell::RefCell::default(),
             services: cell::RefCell::default(),
             customers: cell::RefCell::default(),
+            customer_hashes: cell::RefCell::default(),
             customer_keys: cell::RefCell::default(),
             turns: cell::RefCell::default(),
             budgets: cell::RefCell::default(),
@@ -207,6 +221,7 @@
         health.compare();
         drop(health);
         self.fleet.borrow_mut().sweep(now);
+        gossip::expire(self);
         self.judge();
     }
 
@@ -261,8 +276,12 @@
             .with("service", &server.service)
             .with("leaving", server.leaving);
         self.keys.borrow_mut().insert(server.id.clone(), key);
-        let idle = Vec::new();
-        self.backends.borrow_mut().insert(key, Backend { server, idle });
+        let backend = Backend {
+            hash: xxh3::xxh3_64(server.id.as_bytes()),
+            server,
+            idle: Vec::new(),
+        };
+        self.backends.borrow_mut().insert(key, backend);
     }
 
     fn remove(&self, id: &str) {
@@ -327,13 +346,28 @@
         if let Some(key) = self.customer_keys.borrow().get(name) {
             return *key;
         }
-        let name: rc::Rc<str> = name.into();
-        let key = self.customers.borrow_mut().insert(name.clone());
-        self.fleet.borrow_mut().shares().set_weight(key, 1.0);
-        self.customer_keys.borrow_mut().insert(name, key);
+        let hash = xxh3::xxh3_64(name.as_bytes());
+        let key = self.customers.borrow_mut().insert(hash);
+        self.customer_hashes.borrow_mut().insert(hash, key);
+        self.customer_keys.borrow_mut().insert(name.into(), key);
         key
     }
 
+    /// The customer with this hash of its name, if it is known here.
+    pub fn customer_by_hash(&self, hash: u64) -> Option<key::Customer> {
+        self.customer_hashes.borrow().get(&hash).copied()
+    }
+
+    /// All known customers with the hashes of their names.
+    pub fn customer_hashes(&self) -> Vec<(key::Customer, u64)> {
+        self.customers.borrow().iter().map(|(key, hash)| (key, *hash)).collect()
+    }
+
+    /// All backend servers with the hashes of their ids.
+    pub fn server_hashes(&self) -> Vec<(key::Sidecar, u64)> {
+        self.backends.borrow().iter().map(|(key, b)| (key, b.hash)).collect()
+    }
+
     /// A number for a request that may wait.
     pub fn number(&self) -> u64 {
         let number = self.next_request.get();
@@ -366,7 +400,7 @@
                 None => Some(placed),
             };
             if let Some(placed) = unheard {
-                self.fleet.borrow_mut().ended(placed, 0, false);
+                self.fleet.borrow_mut().ended(now, placed, false);
             }
         }
     }
@@ -381,7 +415,8 @@
     pub fn take_repeat(&self, service: u32) -> bool {
         let (now, mut budgets) = (self.now(), self.budgets.borrow_mut());
         let settings = &self.settings;
-        let (ratio, slack) = (settings.repeat_ratio, settings.repeat_slack);
+        let entries = self.peers.borrow().entries().max(settings.least_entries) as f64;
+        let (ratio, slack) = (settings.repeat_ratio, settings.repeat_slack / entries);
         let window = settings.repeat_window;
         let budget = budgets.entry(service).or_default();
         budget.take(now, window, ratio, slack)
