Close callers' idle connections 3 s after the signal to end

Cause: a process that was told to end kept connections open until its last moment, so requests that came late on them were cut. Change: new connections and idle ones end 3 s after the signal; before that each answer tells the caller to close.

--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -1,6 +1,6 @@
 //! Listeners: callers, readiness and figures.
 
-use std::{convert, io, net, rc, time};
+use std::{convert, io, net, pin, rc, time};
 
 use http::{HeaderValue, header};
 use http_body_util::{BodyExt, Full};
@@ -31,15 +31,20 @@
 /// Time before the kill at which the process ends at the latest.
 const KILL_MARGIN: time::Duration = time::Duration::from_millis(300);
 
-/// Where callers' connections are kept open at least while shutting down, so that requests that
-/// cross the signal are answered on them.
+/// Time after the signal to end in which requests are still taken, each answer telling the caller to
+/// close; then idle connections end. The platform sends no new ones after two missed questions, 2 s.
 const LINGER: time::Duration = time::Duration::from_secs(3);
 
-/// Accepts callers on this address until the process ends.
+/// Accepts callers on this address until the process closes its connections.
 pub async fn callers(entry: rc::Rc<state::Entry>, address: net::SocketAddr) -> io::Result<()> {
     let listener = listen(address)?;
+    let mut closing = entry.closing.subscribe();
     loop {
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _closing = closing.wait_for(|closing| *closing) => return Ok(()),
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(err) => {
                 // Out of descriptors, most likely: the connections that end make room.
@@ -70,13 +75,21 @@
         let entry = rc::Rc::clone(&entry);
         async move { Ok::<_, convert::Infallible>(handle(entry, req).await) }
     });
-    let result = http1::Builder::new()
+    let served = http1::Builder::new()
         .timer(TokioTimer::new())
         // The library counts a connection's idle time as part of the head's.
         .header_read_timeout(limits.idle_timeout + limits.head_timeout)
         .max_buf_size(BUFFER.max(limits.head_bytes))
-        .serve_connection(TokioIo::new(stream), serve)
-        .await;
+        .serve_connection(TokioIo::new(stream), serve);
+    let mut served = pin::pin!(served);
+    let mut closing = entry.closing.subscribe();
+    let result = tokio::select! {
+        result = served.as_mut() => result,
+        _closing = closing.wait_for(|closing| *closing) => {
+            served.as_mut().graceful_shutdown();
+            served.await
+        }
+    };
     if let Err(err) = result {
         entry.meter.count("caller_connections_broken", "any");
         log::debug!(event = "caller_connection", error:% = err; "");
@@ -227,13 +240,11 @@
     let begun = entry.now();
     entry.leave();
     let last = begun + entry.settings.grace.saturating_sub(KILL_MARGIN);
-    loop {
+    tokio::time::sleep(LINGER).await;
+    entry.closing.send_replace(true);
+    entry.log.line("closing").with("active", entry.active.get());
+    while entry.now() < last && entry.active.get() > 0 {
         tokio::time::sleep(LOOK).await;
-        let now = entry.now();
-        let quiet = entry.active.get() == 0 && now > begun + LINGER;
-        if quiet || now > last {
-            break;
-        }
     }
     entry
         .log
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -3,7 +3,7 @@
 use std::{cell, collections, net, rc, time};
 
 use slotmap::SlotMap;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use xxhash_rust::xxh3;
 
 use super::{conn, dialect, gossip, line, meter, plan};
@@ -94,6 +94,8 @@
     /// Requests in progress.
     pub active: cell::Cell<usize>,
     leaving: cell::Cell<bool>,
+    /// Whether connections of callers end as soon as they are idle.
+    pub closing: watch::Sender<bool>,
 }
 
 impl Entry {
@@ -131,6 +133,7 @@
             rng: cell::RefCell::new(random::Random::new(seed)),
             active: cell::Cell::default(),
             leaving: cell::Cell::default(),
+            closing: watch::Sender::default(),
         }
     }
 
