Leave room at an engine for another entry's request that goes first

Cause: each entry gave free room at an engine to its own waiting requests, so the busiest entry took nearly all of it and a customer that came through a quiet one got a third of what it asked. Change: beats tell the least recent service that waits for each engine; an entry whose own request comes after it uses three fifths of the room.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -34,6 +34,10 @@
 /// three to five tokens, each a step of about 25 ms while others are read.
 pub const FIRST_EVENT: f64 = 120.0;
 
+/// Share of the room that an entry uses while another holds a request that goes first: enough for
+/// the engine until the other entry's turn comes, one beat later.
+const SECOND: f64 = 0.6;
+
 /// Share of its objective that every request may wait.
 const LEAST_PATIENCE: f64 = 0.5;
 
@@ -132,6 +136,8 @@
     pub running: u32,
     /// Prompt tokens handed over and not yet read.
     pub unread: f64,
+    /// Recent service of the customer with the least that waits here, if any does.
+    pub least: Option<f64>,
 }
 
 #[derive(Debug)]
@@ -191,14 +197,26 @@
         self.own.unread + self.others.unread
     }
 
-    fn has_room(&self, tokens: f64) -> bool {
+    // Whether a request of a customer with so much recent service may be handed over.
+    fn has_room(&self, tokens: f64, served: f64) -> bool {
         if !self.engine {
             return self.running() < self.slots + SPARE;
         }
-        let room = self.unread() + tokens <= UNREAD * self.pace || self.unread() < 1.0;
+        // Another entry holds a request that goes first: leave it room.
+        let second = self.others.least.is_some_and(|least| least < served);
+        let share = if second { SECOND } else { 1.0 };
+        let room = self.unread() + tokens <= share * UNREAD * self.pace || self.unread() < 1.0;
         room && self.running() < self.slots
     }
 
+    // The waiting request that goes first: the oldest of the customer that was served least. One
+    // whose time has come leaves by itself.
+    fn first(&self, now: time::Duration, recent: &recent::Table) -> Option<(usize, f64)> {
+        let due = self.waiting.iter().enumerate().filter(|(_, w)| now < w.until);
+        let served = due.map(|(at, w)| (at, recent.all(now, w.job.customer)));
+        served.min_by(|(_, a), (_, b)| a.total_cmp(b))
+    }
+
     // Tokens of the job that the engine would have to read.
     fn fresh(&self, now: time::Duration, job: &Job) -> f64 {
         let mut kept = true;
@@ -274,8 +292,12 @@
     }
 
     /// Load of this entry on a backend server.
-    pub fn own(&self, server: key::Sidecar) -> Load {
-        self.servers.get(server).map_or(Load::default(), |s| s.own)
+    pub fn own(&self, now: time::Duration, server: key::Sidecar) -> Load {
+        let Some(known) = self.servers.get(server) else {
+            return Load::default();
+        };
+        let least = known.first(now, &self.recent).map(|(_, served)| served);
+        Load { least, ..known.own }
     }
 
     /// Takes in the load that all other entries together put on a backend server.
@@ -316,12 +338,13 @@
             return self.place_plain(now, request, job, &order);
         }
         let mut soonest = f64::INFINITY;
+        let served = self.recent.all(now, job.customer);
         for &at in order.iter().take(HOMES) {
             let server = &self.servers[at];
             let tokens = server.fresh(now, job);
             let ms = server.wait_ms(now, job, &self.recent);
             let patience = patience(now, job, tokens / server.pace);
-            if ms <= patience || (server.waiting.is_empty() && server.has_room(tokens)) {
+            if ms <= patience || (server.waiting.is_empty() && server.has_room(tokens, served)) {
                 return self.put(now, request, job, at, tokens);
             }
             soonest = soonest.min(ms - patience);
@@ -361,7 +384,7 @@
         job: &Job,
         order: &[key::Sidecar],
     ) -> Verdict {
-        let room = order.iter().find(|at| self.servers[**at].has_room(0.0));
+        let room = order.iter().find(|at| self.servers[**at].has_room(0.0, 0.0));
         let at = room.copied().unwrap_or(order[0]);
         self.put(now, request, job, at, 0.0)
     }
@@ -376,7 +399,8 @@
         tokens: f64,
     ) -> Verdict {
         let server = &mut self.servers[at];
-        if server.waiting.is_empty() && server.has_room(tokens) {
+        let served = self.recent.all(now, job.customer);
+        if server.waiting.is_empty() && server.has_room(tokens, served) {
             return Verdict::Go(self.hand_over(now, at, job, tokens));
         }
         let until = start_by(now, job, server, tokens);
@@ -422,14 +446,10 @@
     /// was served least of late.
     pub fn next(&mut self, now: time::Duration, at: key::Sidecar) -> Option<(u64, Placed)> {
         let server = self.servers.get_mut(at)?;
-        if !server.usable || !server.has_room(0.0) {
+        let (index, served) = server.first(now, &self.recent)?;
+        if !server.usable || !server.has_room(0.0, served) {
             return None;
         }
-        // One whose time has come leaves by itself.
-        let due = server.waiting.iter().enumerate().filter(|(_, w)| now < w.until);
-        let served = |w: &Waiting| self.recent.all(now, w.job.customer);
-        let least = due.min_by(|(_, a), (_, b)| served(a).total_cmp(&served(b)));
-        let (index, _) = least?;
         let waiting = server.waiting.remove(index);
         let tokens = server.fresh(now, &waiting.job);
         let placed = self.hand_over(now, at, &waiting.job, tokens);
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -70,6 +70,9 @@
     /// Prompt tokens handed over and not yet read.
     #[prost(uint32, tag = "3")]
     pub unread: u32,
+    /// Recent service of the customer with the least that waits, if any does.
+    #[prost(float, optional, tag = "4")]
+    pub least: Option<f32>,
 }
 
 /// Recent service of one customer.
@@ -166,6 +169,9 @@
             let sum = sums.entry(load.server).or_default();
             sum.running += load.running;
             sum.unread += f64::from(load.unread);
+            let least = load.least.map(f64::from).unwrap_or(f64::INFINITY);
+            let known = sum.least.unwrap_or(f64::INFINITY);
+            sum.least = Some(known.min(least)).filter(|l| l.is_finite());
         }
         sums
     }
@@ -273,8 +279,9 @@
     let now = entry.now();
     let fleet = entry.fleet.borrow();
     let load = |(server, hash): (key::Sidecar, u64)| {
-        let load = fleet.own(server);
-        (load.running > 0).then_some(Load {
+        let load = fleet.own(now, server);
+        (load.running > 0 || load.least.is_some()).then_some(Load {
+            least: load.least.map(|least| least as f32),
             server: hash,
             running: load.running,
             unread: load.unread as u32,
