--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -92,10 +92,9 @@
 impl Job {
     // The deepest part that others share: all but the last, which is the request's own.
     fn home_part(&self) -> Option<u64> {
-        let at = self.parts.len().checked_sub(2).unwrap_or_default();
+        let at = self.parts.len().saturating_sub(2);
         self.parts.get(at).map(|part| part.chain)
     }
-
 }
 
 /// A request that a backend server was given: hand it back with [`Fleet::ended`].
@@ -212,7 +211,11 @@
     // The waiting request that goes first: the oldest of the customer that was served least. One
     // whose time has come leaves by itself.
     fn first(&self, now: time::Duration, recent: &recent::Table) -> Option<(usize, f64)> {
-        let due = self.waiting.iter().enumerate().filter(|(_, w)| now < w.until);
+        let due = self
+            .waiting
+            .iter()
+            .enumerate()
+            .filter(|(_, w)| now < w.until);
         let served = due.map(|(at, w)| (at, recent.all(now, w.job.customer)));
         served.min_by(|(_, a), (_, b)| a.total_cmp(b))
     }
@@ -276,7 +279,9 @@
     /// Forgets a backend server and returns the requests that waited for it.
     pub fn remove(&mut self, server: key::Sidecar) -> Vec<u64> {
         let gone = self.servers.remove(server);
-        gone.map_or_else(Vec::new, |s| s.waiting.into_iter().map(|w| w.request).collect())
+        gone.map_or_else(Vec::new, |s| {
+            s.waiting.into_iter().map(|w| w.request).collect()
+        })
     }
 
     /// Whether a backend server may get new work; returns the requests to place again if not.
@@ -338,13 +343,13 @@
             return self.place_plain(now, request, job, &order);
         }
         let mut soonest = f64::INFINITY;
-        let served = self.recent.all(now, job.customer);
+        let recent = self.recent.all(now, job.customer);
         for &at in order.iter().take(HOMES) {
             let server = &self.servers[at];
             let tokens = server.fresh(now, job);
             let ms = server.wait_ms(now, job, &self.recent);
             let patience = patience(now, job, tokens / server.pace);
-            if ms <= patience || (server.waiting.is_empty() && server.has_room(tokens, served)) {
+            if ms <= patience || (server.waiting.is_empty() && server.has_room(tokens, recent)) {
                 return self.put(now, request, job, at, tokens);
             }
             soonest = soonest.min(ms - patience);
@@ -362,14 +367,13 @@
             if server.service != job.service || !server.usable || job.avoid.contains(&at) {
                 continue;
             }
-            let rank = match part {
-                Some(part) => !random::Random::new(part ^ server.hash).bits(),
+            let rank = if let Some(part) = part {
+                !random::Random::new(part ^ server.hash).bits()
+            } else {
                 // Least load first; ties by zone, then by chance.
-                None => {
-                    let load = u64::from(server.running()) + server.waiting.len() as u64;
-                    let far = u64::from(!server.near);
-                    ((load * 2 + far) << 32) | (self.rng.bits() >> 32)
-                }
+                let load = u64::from(server.running()) + server.waiting.len() as u64;
+                let far = u64::from(!server.near);
+                ((load * 2 + far) << 32) | (self.rng.bits() >> 32)
             };
             ranked.push((rank, at));
         }
@@ -384,7 +388,9 @@
         job: &Job,
         order: &[key::Sidecar],
     ) -> Verdict {
-        let room = order.iter().find(|at| self.servers[**at].has_room(0.0, 0.0));
+        let room = order
+            .iter()
+            .find(|at| self.servers[**at].has_room(0.0, 0.0));
         let at = room.copied().unwrap_or(order[0]);
         self.put(now, request, job, at, 0.0)
     }
@@ -399,8 +405,8 @@
         tokens: f64,
     ) -> Verdict {
         let server = &mut self.servers[at];
-        let served = self.recent.all(now, job.customer);
-        if server.waiting.is_empty() && server.has_room(tokens, served) {
+        let recent = self.recent.all(now, job.customer);
+        if server.waiting.is_empty() && server.has_room(tokens, recent) {
             return Verdict::Go(self.hand_over(now, at, job, tokens));
         }
         let until = start_by(now, job, server, tokens);
@@ -446,8 +452,8 @@
     /// was served least of late.
     pub fn next(&mut self, now: time::Duration, at: key::Sidecar) -> Option<(u64, Placed)> {
         let server = self.servers.get_mut(at)?;
-        let (index, served) = server.first(now, &self.recent)?;
-        if !server.usable || !server.has_room(0.0, served) {
+        let (index, recent) = server.first(now, &self.recent)?;
+        if !server.usable || !server.has_room(0.0, recent) {
             return None;
         }
         let waiting = server.waiting.remove(index);
--- a/src/decide/recent.rs
+++ b/src/decide/recent.rs
@@ -75,7 +75,8 @@
 
     /// What all entries served.
     pub fn all(&self, now: time::Duration, customer: key::Customer) -> f64 {
-        let heard = |table: &SecondaryMap<_, Faded>| table.get(customer).map_or(0.0, |f| f.now(now));
+        let heard =
+            |table: &SecondaryMap<_, Faded>| table.get(customer).map_or(0.0, |f| f.now(now));
         self.own(now, customer) + self.others.values().map(heard).sum::<f64>()
     }
 }
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -104,7 +104,7 @@
 #[derive(Debug)]
 enum Outcome {
     /// The backend server answers.
-    Begun(Begun),
+    Begun(Box<Begun>),
     /// It did not run, and the backend server said so.
     NotRun,
     /// Another instance has the address.
@@ -180,7 +180,7 @@
             self.check_plan()?;
             let server = slot.server;
             let cause = match self.attempt(slot, after).await {
-                Outcome::Begun(begun) => return Ok(begun),
+                Outcome::Begun(begun) => return Ok(*begun),
                 Outcome::NotSent => {
                     self.unsent += 1;
                     if self.unsent > UNSENT {
@@ -235,7 +235,9 @@
     /// Id of a backend server, for logs.
     pub fn backend(&self, server: key::Sidecar) -> String {
         let backends = self.entry.backends.borrow();
-        backends.get(server).map_or_else(String::new, |b| b.server.id.clone())
+        backends
+            .get(server)
+            .map_or_else(String::new, |b| b.server.id.clone())
     }
 
     // The configuration may have changed while the request waited.
@@ -349,7 +351,11 @@
                     self.tried.retain(|s| *s != server);
                 }
                 Err(conn::Failure::NotSent(err)) => {
-                    entry.log.line("not_sent").with("id", self.id()).with("error", err);
+                    entry
+                        .log
+                        .line("not_sent")
+                        .with("id", self.id())
+                        .with("error", err);
                     return Outcome::NotSent;
                 }
                 Err(conn::Failure::Lost(err)) => {
@@ -367,7 +373,11 @@
         }
     }
 
-    fn outgoing(&self, server: key::Sidecar, after: Option<&str>) -> Option<http::Request<Full<Bytes>>> {
+    fn outgoing(
+        &self,
+        server: key::Sidecar,
+        after: Option<&str>,
+    ) -> Option<http::Request<Full<Bytes>>> {
         let names = &self.entry.dialect;
         let head = &self.req.head;
         let mut req = http::Request::new(Full::new(self.req.body.clone()));
@@ -381,7 +391,11 @@
         if let Some(customer) = &self.req.customer {
             headers.insert(&names.customer, HeaderValue::from_str(customer).ok()?);
         }
-        let left = self.req.deadline.saturating_sub(self.entry.now()).as_millis() as u64;
+        let left = self
+            .req
+            .deadline
+            .saturating_sub(self.entry.now())
+            .as_millis() as u64;
         headers.insert(&names.deadline, HeaderValue::from(left.max(1)));
         if let Some(after) = after {
             headers.insert(&names.last_event, HeaderValue::from_str(after).ok()?);
@@ -408,12 +422,12 @@
         let status = head.status;
         let spoilt = !ours || encoded || (status.is_success() && !stamped);
         if !spoilt && !not_run && status != http::StatusCode::MISDIRECTED_REQUEST {
-            return Outcome::Begun(Begun {
+            return Outcome::Begun(Box::new(Begun {
                 head,
                 rest,
                 conn,
                 slot,
-            });
+            }));
         }
         self.entry
             .log
@@ -428,12 +442,17 @@
             let instance = head.headers.get(&names.instance);
             let expected = self.backend(slot.server);
             let other = instance.is_some_and(|i| i.as_bytes() != expected.as_bytes());
-            return if other { Outcome::Replaced } else { Outcome::NotRun };
+            return if other {
+                Outcome::Replaced
+            } else {
+                Outcome::NotRun
+            };
         }
         if ours && not_run {
             return Outcome::NotRun;
         }
-        self.entry.judge_result(slot.server, false, time::Duration::ZERO);
+        self.entry
+            .judge_result(slot.server, false, time::Duration::ZERO);
         Outcome::Unknown
     }
 
@@ -456,7 +475,8 @@
                     .with("id", self.id())
                     .with("backend", self.backend(slot.server))
                     .with("error", err);
-                self.entry.judge_result(slot.server, false, time::Duration::ZERO);
+                self.entry
+                    .judge_result(slot.server, false, time::Duration::ZERO);
                 return Err(());
             }
         };
@@ -538,7 +558,9 @@
 // How long the backend server keeps the connection open; `None` if it doesn't say.
 fn keep_time(headers: &http::HeaderMap) -> Option<time::Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
-    let timeout = value.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
+    let timeout = value
+        .split(',')
+        .find_map(|p| p.trim().strip_prefix("timeout="))?;
     timeout.parse().ok().map(time::Duration::from_secs)
 }
 
@@ -547,14 +569,24 @@
     let values = headers.get_all(header::CONNECTION);
     let named = |value: &HeaderValue| {
         let value = value.to_str().unwrap_or("");
-        value.split(',').any(|v| v.trim().eq_ignore_ascii_case("close"))
+        value
+            .split(',')
+            .any(|v| v.trim().eq_ignore_ascii_case("close"))
     };
     values.iter().any(named)
 }
 
 /// Drops the headers that concern the connection to the backend server only.
 pub fn strip(headers: &mut http::HeaderMap) {
-    for name in ["connection", "keep-alive", "transfer-encoding", "content-length", "proxy-connection", "upgrade", "trailer"] {
+    for name in [
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+        "proxy-connection",
+        "upgrade",
+        "trailer",
+    ] {
         headers.remove(name);
     }
 }
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -99,7 +99,7 @@
 /// The other entries, as one entry hears them.
 #[derive(Debug, Default)]
 pub struct Peers {
-    peers: collections::HashMap<net::Ipv4Addr, Peer>,
+    alive: collections::HashMap<net::Ipv4Addr, Peer>,
     // Addresses to write to, with when something was last heard of them.
     known: collections::HashMap<net::Ipv4Addr, time::Duration>,
     seeds: Vec<net::Ipv4Addr>,
@@ -118,7 +118,7 @@
     pub fn hear(&mut self, now: time::Duration, beat: &Beat) -> bool {
         let address = net::Ipv4Addr::from_bits(beat.address);
         let old = |p: &Peer| p.sender == beat.sender && p.sequence >= beat.sequence;
-        if self.peers.get(&address).is_some_and(old) {
+        if self.alive.get(&address).is_some_and(old) {
             return false;
         }
         self.known.insert(address, now);
@@ -133,7 +133,7 @@
             loads: beat.loads.clone(),
             leaving: beat.leaving,
         };
-        self.peers.insert(address, peer);
+        self.alive.insert(address, peer);
         true
     }
 
@@ -141,18 +141,18 @@
     pub fn expire(&mut self, now: time::Duration) -> Vec<u64> {
         self.known.retain(|_, heard| now < *heard + FORGOTTEN);
         let gone: Vec<net::Ipv4Addr> = self
-            .peers
+            .alive
             .iter()
             .filter(|(_, p)| now >= p.heard + SILENT)
             .map(|(address, _)| *address)
             .collect();
-        let peers = gone.iter().filter_map(|a| self.peers.remove(a));
+        let peers = gone.iter().filter_map(|a| self.alive.remove(a));
         peers.map(|p| p.sender).collect()
     }
 
     /// Entries that take requests, this one included.
     pub fn entries(&self) -> usize {
-        1 + self.peers.values().filter(|p| !p.leaving).count()
+        1 + self.alive.values().filter(|p| !p.leaving).count()
     }
 
     /// Addresses to write to, but for one's own.
@@ -165,11 +165,11 @@
     /// Load that all others put on each backend server, by the hash of its id.
     pub fn loads(&self) -> collections::HashMap<u64, place::Load> {
         let mut sums: collections::HashMap<u64, place::Load> = collections::HashMap::new();
-        for load in self.peers.values().flat_map(|p| &p.loads) {
+        for load in self.alive.values().flat_map(|p| &p.loads) {
             let sum = sums.entry(load.server).or_default();
             sum.running += load.running;
             sum.unread += f64::from(load.unread);
-            let least = load.least.map(f64::from).unwrap_or(f64::INFINITY);
+            let least = load.least.map_or(f64::INFINITY, f64::from);
             let known = sum.least.unwrap_or(f64::INFINITY);
             sum.least = Some(known.min(least)).filter(|l| l.is_finite());
         }
@@ -243,7 +243,11 @@
     spread_loads(entry);
     let after = entry.peers.borrow().entries();
     if before != after {
-        entry.log.line("entries").with("before", before).with("now", after);
+        entry
+            .log
+            .line("entries")
+            .with("before", before)
+            .with("now", after);
     }
 }
 
@@ -259,7 +263,11 @@
     }
     spread_loads(entry);
     let after = entry.peers.borrow().entries();
-    entry.log.line("entries").with("before", before).with("now", after);
+    entry
+        .log
+        .line("entries")
+        .with("before", before)
+        .with("now", after);
 }
 
 // Tells the placing what others do, and hands over what has room now.
@@ -300,7 +308,17 @@
         sequence,
         leaving: entry.is_leaving(),
         loads: entry.server_hashes().into_iter().filter_map(load).collect(),
-        served: entry.customer_hashes().into_iter().filter_map(served).collect(),
-        heard: entry.peers.borrow().peers.keys().map(|a| a.to_bits()).collect(),
+        served: entry
+            .customer_hashes()
+            .into_iter()
+            .filter_map(served)
+            .collect(),
+        heard: entry
+            .peers
+            .borrow()
+            .alive
+            .keys()
+            .map(|a| a.to_bits())
+            .collect(),
     }
 }
--- a/src/direct/line.rs
+++ b/src/direct/line.rs
@@ -109,6 +109,10 @@
     }
 }
 
+#[expect(
+    clippy::return_self_not_must_use,
+    reason = "a line is written when dropped"
+)]
 impl Line<'_> {
     /// Adds a pair.
     pub fn with(mut self, key: &str, value: impl fmt::Display) -> Self {
--- a/src/direct/meter.rs
+++ b/src/direct/meter.rs
@@ -53,7 +53,11 @@
     pub fn text(&self) -> String {
         let mut out = String::new();
         for ((name, value), n) in &*self.counters.borrow() {
-            line(&mut out, &format!("chivebend_{name}_total{{kind=\"{value}\"}}"), *n);
+            line(
+                &mut out,
+                &format!("chivebend_{name}_total{{kind=\"{value}\"}}"),
+                *n,
+            );
         }
         for (name, n) in &*self.gauges.borrow() {
             line(&mut out, &format!("chivebend_{name}"), *n);
@@ -66,7 +70,11 @@
                 let key = format!("chivebend_{name}_ms_bucket{{le=\"{bound}\"}}");
                 line(&mut out, &key, below);
             }
-            line(&mut out, &format!("chivebend_{name}_ms_sum"), histogram.sum_ms);
+            line(
+                &mut out,
+                &format!("chivebend_{name}_ms_sum"),
+                histogram.sum_ms,
+            );
             line(&mut out, &format!("chivebend_{name}_ms_count"), below);
         }
         out
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod answer;
 pub mod body;
+pub mod callers;
 pub mod conn;
 pub mod dialect;
 pub mod forward;
--- a/src/direct/request.rs
+++ b/src/direct/request.rs
@@ -78,13 +78,11 @@
 }
 
 /// Reads and checks a head.
-pub fn read(
-    parts: &http::request::Parts,
-    names: &dialect::Dialect,
-) -> Result<Head, code::Code> {
+pub fn read(parts: &http::request::Parts, names: &dialect::Dialect) -> Result<Head, code::Code> {
     let headers = &parts.headers;
     let id = single(headers, &names.request_id)?.ok_or(code::Code::BadRequest)?;
-    if headers.contains_key(header::TRANSFER_ENCODING) && headers.contains_key(header::CONTENT_LENGTH)
+    if headers.contains_key(header::TRANSFER_ENCODING)
+        && headers.contains_key(header::CONTENT_LENGTH)
     {
         return Err(code::Code::BadRequest);
     }
@@ -101,7 +99,9 @@
         Some(value) => Some(millis(value)?),
         None => None,
     };
-    let key = single(headers, &names.api_key)?.map_or(Ok(""), text)?.to_owned();
+    let key = single(headers, &names.api_key)?
+        .map_or(Ok(""), text)?
+        .to_owned();
     let prefix = single(headers, &names.prefix)?.map_or(Ok(""), text)?;
     let usage = single(headers, &names.usage)?.map_or(Ok(""), text)?;
     let hint = single(headers, &names.length_hint)?.map_or(Ok(""), text)?;
@@ -172,16 +172,26 @@
 
 fn forwarded(headers: &HeaderMap, names: &dialect::Dialect) -> HeaderMap {
     let listed = listed(headers);
-    let ours = [&names.api_key, &names.customer, &names.expected_instance, &names.deadline];
-    let kept = [&names.request_id, &names.usage, &names.prefix, &names.last_event];
+    let ours = [
+        &names.api_key,
+        &names.customer,
+        &names.expected_instance,
+        &names.deadline,
+    ];
+    let kept = [
+        &names.request_id,
+        &names.usage,
+        &names.prefix,
+        &names.last_event,
+    ];
     let mut out = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
         let hop = HOP.contains(name) || HOP_NAMES.contains(&name.as_str());
         let drop = ours.contains(&name) || names.reserved.contains(name);
-        let named = listed.iter().any(|l| l.eq_ignore_ascii_case(name.as_str()));
+        let asked = listed.iter().any(|l| l.eq_ignore_ascii_case(name.as_str()));
         // A caller can't have what the backend server needs removed on the way.
-        let named = named && !kept.contains(&name) && !names.keep_always(name);
-        if !(hop || drop || named) {
+        let needed = kept.contains(&name) || names.keep_always(name);
+        if !(hop || drop || (asked && !needed)) {
             out.append(name.clone(), value.clone());
         }
     }
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -8,9 +8,10 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::sync::Notify;
 use tokio::{net as tokio_net, task};
 
-use super::{body, conn, forward, refusal, request, state};
+use super::{body, callers, conn, forward, refusal, request, state};
 use crate::code;
 
 /// Most buffered bytes of one connection beside bodies: the largest head that is let in.
@@ -25,7 +26,10 @@
 /// Time to come back while the process knows no configuration: about a start.
 const UNKNOWN: time::Duration = time::Duration::from_secs(1);
 
-/// How often [`run`] looks whether all requests have ended.
+/// Pause for connections to end when there are too many.
+const ROOM: time::Duration = time::Duration::from_millis(5);
+
+/// How often [`leave`] looks whether all requests have ended.
 const LOOK: time::Duration = time::Duration::from_millis(50);
 
 /// Time before the kill at which the process ends at the latest.
@@ -40,6 +44,11 @@
     let listener = listen(address)?;
     let mut closing = entry.closing.subscribe();
     loop {
+        if !entry.callers.has_room() {
+            let ended = entry.callers.make_room();
+            entry.log.line("callers_full").with("ended", ended);
+            tokio::time::sleep(ROOM).await;
+        }
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _closing = closing.wait_for(|closing| *closing) => return Ok(()),
@@ -70,10 +79,21 @@
 }
 
 async fn caller(entry: rc::Rc<state::Entry>, stream: tokio_net::TcpStream) {
+    let (key, end) = entry.callers.add(entry.now());
+    serve_caller(&entry, stream, key, &end).await;
+    entry.callers.remove(key);
+}
+
+async fn serve_caller(
+    entry: &rc::Rc<state::Entry>,
+    stream: tokio_net::TcpStream,
+    key: callers::Key,
+    end: &Notify,
+) {
     let limits = entry.plan().map(|p| p.limits).unwrap_or_default();
     let serve = service::service_fn(|req| {
-        let entry = rc::Rc::clone(&entry);
-        async move { Ok::<_, convert::Infallible>(handle(entry, req).await) }
+        let entry = rc::Rc::clone(entry);
+        async move { Ok::<_, convert::Infallible>(handle(entry, key, req).await) }
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -83,9 +103,16 @@
         .serve_connection(TokioIo::new(stream), serve);
     let mut served = pin::pin!(served);
     let mut closing = entry.closing.subscribe();
+    let ends = async {
+        tokio::select! {
+            () = end.notified() => (),
+            // It fails only after the sender is gone, with the process.
+            _closing = closing.wait_for(|closing| *closing) => (),
+        }
+    };
     let result = tokio::select! {
         result = served.as_mut() => result,
-        _closing = closing.wait_for(|closing| *closing) => {
+        () = ends => {
             served.as_mut().graceful_shutdown();
             served.await
         }
@@ -96,20 +123,29 @@
     }
 }
 
-struct Active(rc::Rc<state::Entry>);
+struct Active {
+    entry: rc::Rc<state::Entry>,
+    caller: callers::Key,
+}
 
 impl Drop for Active {
     fn drop(&mut self) {
-        self.0.active.set(self.0.active.get() - 1);
+        self.entry.active.set(self.entry.active.get() - 1);
+        self.entry.callers.rest(self.caller, self.entry.now());
     }
 }
 
 async fn handle(
     entry: rc::Rc<state::Entry>,
+    caller: callers::Key,
     req: http::Request<Incoming>,
 ) -> http::Response<body::Body> {
     entry.active.set(entry.active.get() + 1);
-    let active = Active(rc::Rc::clone(&entry));
+    entry.callers.begin(caller);
+    let active = Active {
+        entry: rc::Rc::clone(&entry),
+        caller,
+    };
     let received = entry.now();
     let (parts, incoming) = req.into_parts();
     let head = request::read(&parts, &entry.dialect);
@@ -128,7 +164,7 @@
     };
     // A chunked request may hide a second one behind a contradicting length, which the library has
     // removed: nothing behind it on this connection is read.
-    if chunked || entry.is_leaving() {
+    if chunked || entry.is_leaving() || entry.callers.is_tight() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -6,12 +6,16 @@
 use tokio::sync::{oneshot, watch};
 use xxhash_rust::xxh3;
 
-use super::{conn, dialect, gossip, line, meter, plan};
+use super::{callers, conn, dialect, gossip, line, meter, plan};
 use crate::decide::{health, place, random, retry};
 use crate::key;
 
-/// Idle connections kept for one backend server; more are closed when they come back.
-const IDLE: usize = 64;
+/// Idle connections kept for one backend server; more are closed when they come back. A burst
+/// leaves one for each request that it had in progress.
+const IDLE: usize = 32;
+
+/// Share of the sockets that callers may take; the rest is for backend servers.
+const CALLERS: f64 = 0.6;
 
 /// Time that a backend server leaves an idle connection open if it doesn't say.
 const KEEP: time::Duration = time::Duration::from_secs(4);
@@ -38,6 +42,8 @@
     pub least_entries: usize,
     /// Window in which repeats are counted.
     pub repeat_window: time::Duration,
+    /// Sockets that the process may have open.
+    pub sockets: usize,
     /// Time between the signal to end and the kill.
     pub grace: time::Duration,
 }
@@ -91,6 +97,8 @@
     next_request: cell::Cell<u64>,
     /// Source of chance.
     pub rng: cell::RefCell<random::Random>,
+    /// Connections of callers.
+    pub callers: callers::Table,
     /// Requests in progress.
     pub active: cell::Cell<usize>,
     leaving: cell::Cell<bool>,
@@ -108,6 +116,7 @@
         seed: u64,
         seeds: Vec<net::Ipv4Addr>,
     ) -> Self {
+        let limit = (settings.sockets as f64 * CALLERS) as usize;
         Self {
             started,
             dialect,
@@ -131,6 +140,7 @@
             budgets: cell::RefCell::default(),
             next_request: cell::Cell::default(),
             rng: cell::RefCell::new(random::Random::new(seed)),
+            callers: callers::Table::new(limit),
             active: cell::Cell::default(),
             leaving: cell::Cell::default(),
             closing: watch::Sender::default(),
@@ -234,7 +244,10 @@
         let gone: Vec<String> = {
             let listed = self.listed.borrow();
             let keys = self.keys.borrow();
-            keys.keys().filter(|id| !listed.contains_key(*id)).cloned().collect()
+            keys.keys()
+                .filter(|id| !listed.contains_key(*id))
+                .cloned()
+                .collect()
         };
         for id in gone {
             self.remove(&id);
@@ -300,7 +313,11 @@
 
     /// A backend server said that another instance has its address now.
     pub fn replaced(&self, server: key::Sidecar) {
-        let id = self.backends.borrow().get(server).map(|b| b.server.id.clone());
+        let id = self
+            .backends
+            .borrow()
+            .get(server)
+            .map(|b| b.server.id.clone());
         if let Some(id) = id {
             self.listed.borrow_mut().remove(&id);
             self.remove(&id);
@@ -363,12 +380,20 @@
 
     /// All known customers with the hashes of their names.
     pub fn customer_hashes(&self) -> Vec<(key::Customer, u64)> {
-        self.customers.borrow().iter().map(|(key, hash)| (key, *hash)).collect()
+        self.customers
+            .borrow()
+            .iter()
+            .map(|(key, hash)| (key, *hash))
+            .collect()
     }
 
     /// All backend servers with the hashes of their ids.
     pub fn server_hashes(&self) -> Vec<(key::Sidecar, u64)> {
-        self.backends.borrow().iter().map(|(key, b)| (key, b.hash)).collect()
+        self.backends
+            .borrow()
+            .iter()
+            .map(|(key, b)| (key, b.hash))
+            .collect()
     }
 
     /// A number for a request that may wait.
@@ -396,7 +421,9 @@
         let now = self.now();
         loop {
             let next = self.fleet.borrow_mut().next(now, server);
-            let Some((request, placed)) = next else { return };
+            let Some((request, placed)) = next else {
+                return;
+            };
             let turn = self.turns.borrow_mut().remove(&request);
             let unheard = match turn {
                 Some(turn) => turn.send(Some(placed)).err().flatten(),
@@ -480,7 +507,11 @@
         let after = health.state(now, server).usable();
         drop(health);
         if before != after {
-            let id = self.backends.borrow().get(server).map(|b| b.server.id.clone());
+            let id = self
+                .backends
+                .borrow()
+                .get(server)
+                .map(|b| b.server.id.clone());
             self.log
                 .line("backend_health")
                 .with("backend", id.unwrap_or_default())
--- /dev/null
+++ b/tests/direct.rs
@@ -0,0 +1,312 @@
+//! The parts of a direct entry that need no network.
+
+use std::time;
+
+use chivebend::decide::retry;
+use chivebend::direct::{answer, callers, dialect, gossip, plan, request};
+use http::{HeaderName, HeaderValue};
+use proptest::prelude::*;
+use smallvec::smallvec;
+
+fn ms(n: u64) -> time::Duration {
+    time::Duration::from_millis(n)
+}
+
+fn names() -> dialect::Dialect {
+    let name = HeaderName::from_static;
+    dialect::Dialect {
+        request_id: name("id"),
+        deadline: name("wait"),
+        api_key: name("key"),
+        customer: name("customer"),
+        expected_instance: name("expected"),
+        instance: name("instance"),
+        not_run: name("not-run"),
+        last_event: name("last-event"),
+        usage: name("usage"),
+        length_hint: name("hint"),
+        prefix: name("prefix"),
+        signature: name("signature"),
+        needed: vec![name("model")],
+        reserved: vec![name("pin")],
+    }
+}
+
+fn parts(uri: &str, headers: &[(&str, &str)]) -> http::request::Parts {
+    let mut req = http::Request::builder().method("POST").uri(uri);
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    req.body(()).expect("a request").into_parts().0
+}
+
+#[test]
+fn heads_that_contradict_themselves_are_refused() {
+    struct Case {
+        name: &'static str,
+        uri: &'static str,
+        headers: &'static [(&'static str, &'static str)],
+    }
+    let cases = [
+        Case {
+            name: "no id",
+            uri: "/a/b",
+            headers: &[("host", "h")],
+        },
+        Case {
+            name: "two ids",
+            uri: "/a/b",
+            headers: &[("host", "h"), ("id", "1"), ("id", "2")],
+        },
+        Case {
+            name: "two hosts",
+            uri: "/a/b",
+            headers: &[("host", "h"), ("host", "i"), ("id", "1")],
+        },
+        Case {
+            name: "no host",
+            uri: "/a/b",
+            headers: &[("id", "1")],
+        },
+        Case {
+            name: "length and chunks",
+            uri: "/a/b",
+            headers: &[
+                ("host", "h"),
+                ("id", "1"),
+                ("content-length", "3"),
+                ("transfer-encoding", "chunked"),
+            ],
+        },
+        Case {
+            name: "two keys",
+            uri: "/a/b",
+            headers: &[("host", "h"), ("id", "1"), ("key", "a"), ("key", "b")],
+        },
+        Case {
+            name: "a deadline that is no number",
+            uri: "/a/b",
+            headers: &[("host", "h"), ("id", "1"), ("wait", "soon")],
+        },
+        Case {
+            name: "a negative deadline",
+            uri: "/a/b",
+            headers: &[("host", "h"), ("id", "1"), ("wait", "-5")],
+        },
+        Case {
+            name: "no path",
+            uri: "*",
+            headers: &[("host", "h"), ("id", "1")],
+        },
+    ];
+    for case in cases {
+        let read = request::read(&parts(case.uri, case.headers), &names());
+        assert!(read.is_err(), "{}", case.name);
+    }
+}
+
+#[test]
+fn the_fleets_own_headers_never_come_from_a_caller() {
+    let headers = [
+        ("host", "h"),
+        ("id", "1"),
+        ("customer", "other"),
+        ("expected", "i-1"),
+        ("pin", "4000"),
+        ("key", "secret"),
+        ("model", "m"),
+        ("x-own", "kept"),
+        ("connection", "id, model, x-hop"),
+        ("x-hop", "dropped"),
+        ("keep-alive", "timeout=5"),
+    ];
+    let head = request::read(&parts("/a/b?c=%2e%2e", &headers), &names()).expect("a good head");
+    let has = |name: &str| head.headers.contains_key(name);
+    for name in [
+        "customer",
+        "expected",
+        "pin",
+        "key",
+        "connection",
+        "x-hop",
+        "keep-alive",
+    ] {
+        assert!(!has(name), "{name}");
+    }
+    for name in ["id", "model", "x-own", "host"] {
+        assert!(has(name), "{name}");
+    }
+    assert_eq!(head.target.as_str(), "/a/b?c=%2e%2e");
+    assert_eq!(head.key, "secret");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_prefix_and_usage_are_read(prefix in ".{0,200}", usage in ".{0,40}", hint in ".{0,20}") {
+        let parts = request::read_parts(&prefix);
+        prop_assert!(parts.len() <= 16);
+        prop_assert!(request::read_cost(&usage, &hint) >= 1);
+    }
+
+    #[test]
+    fn any_event_is_searched_for_its_id(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        // It must neither fail nor find an id in what is no text.
+        let found = answer::event_id(&bytes).is_some();
+        prop_assert!(!found || std::str::from_utf8(&bytes).is_ok());
+    }
+
+    #[test]
+    fn any_datagram_is_a_beat_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        use prost::Message as _;
+        let mut peers = gossip::Peers::default();
+        if let Ok(beat) = gossip::Beat::decode(bytes.as_slice()) {
+            peers.hear(ms(0), &beat);
+        }
+        prop_assert!(peers.entries() <= 2);
+    }
+
+    #[test]
+    fn repeats_stay_within_ratio_and_slack(steps in prop::collection::vec((0_u64..400, any::<bool>()), 1..400)) {
+        let mut window = retry::Window::default();
+        let (mut now, mut requests, mut repeats) = (0, Vec::new(), Vec::new());
+        for (gap, request) in steps {
+            now += gap;
+            if request {
+                window.request(ms(now));
+                requests.push(now);
+            } else if window.take(ms(now), ms(10_000), 0.2, 5.0) {
+                repeats.push(now);
+            }
+            // In the span that ends with a repeat, beside the requests of it and one slice. Requests
+            // that have left the span since don't make repeats of then too many.
+            if repeats.last() == Some(&now) {
+                let within = |times: &[u64], span| times.iter().filter(|t| **t + span > now).count();
+                let allowed = within(&requests, 11_000) as f64 * 0.2 + 5.0;
+                prop_assert!(within(&repeats, 10_000) as f64 <= allowed);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_parts_hash_covers_all_parts_before_it() {
+    let one = request::read_parts("aa:10,bb:20,cc:5");
+    let other = request::read_parts("ab:10,bb:20,cc:5");
+    assert_eq!(one.len(), 3);
+    assert_ne!(one[1].chain, other[1].chain);
+    assert_eq!(one[..2], request::read_parts("aa:10,bb:20,dd:5")[..2]);
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_is_the_route() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        route: Option<&'static str>,
+    }
+    let route = |name: &str, prefix: &str| plan::Route {
+        name: name.into(),
+        host: "h.example".into(),
+        prefix: prefix.into(),
+        kind: plan::Kind::Safe,
+        timeout: ms(1_000),
+        objective: ms(100),
+        attempts: 2,
+        shares: smallvec![plan::Share {
+            service: "s".into(),
+            weight: 1,
+        }],
+        anonymous: false,
+        affinity: false,
+    };
+    let plan = plan::Plan::new(1, vec![route("short", "/a/"), route("long", "/a/b/")]);
+    let cases = [
+        Case {
+            host: "h.example",
+            path: "/a/b/c",
+            route: Some("long"),
+        },
+        Case {
+            host: "H.Example:80",
+            path: "/a/c",
+            route: Some("short"),
+        },
+        Case {
+            host: "h.example",
+            path: "/a/../a/b/",
+            route: Some("short"),
+        },
+        Case {
+            host: "h.example",
+            path: "/a",
+            route: None,
+        },
+        Case {
+            host: "other",
+            path: "/a/b/",
+            route: None,
+        },
+    ];
+    for case in cases {
+        let found = plan.route(case.host, case.path).ok();
+        let name = found.map(|r| r.name.as_str());
+        assert_eq!(name, case.route, "{} {}", case.host, case.path);
+    }
+}
+
+#[test]
+fn the_longest_idle_connections_make_room() {
+    let table = callers::Table::new(3);
+    let (busy, _busy_end) = table.add(ms(0));
+    table.begin(busy);
+    let (old, old_end) = table.add(ms(1));
+    table.rest(old, ms(5));
+    assert!(table.has_room());
+    let (_new, _new_end) = table.add(ms(10));
+    assert!(!table.has_room());
+    assert!(table.is_tight());
+    assert_eq!(table.make_room(), 2);
+    // The permit is kept for the connection's task.
+    let ended = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()
+        .expect("a runtime")
+        .block_on(async { tokio::time::timeout(ms(1_000), old_end.notified()).await });
+    ended.expect("it was told to end");
+    table.remove(old);
+    assert!(table.has_room());
+}
+
+#[test]
+fn entries_are_counted_while_they_are_heard() {
+    let beat = |sender, address, sequence| gossip::Beat {
+        sender,
+        address,
+        sequence,
+        ..gossip::Beat::default()
+    };
+    let mut peers = gossip::Peers::default();
+    assert!(peers.hear(ms(0), &beat(1, 10, 5)));
+    assert!(!peers.hear(ms(1), &beat(1, 10, 4)), "an older beat");
+    assert!(peers.hear(ms(2), &beat(2, 10, 1)), "a new start");
+    assert!(peers.hear(ms(3), &beat(3, 11, 1)));
+    assert_eq!(peers.entries(), 3);
+    assert_eq!(peers.expire(ms(2) + gossip::SILENT), [2]);
+    assert_eq!(peers.entries(), 2);
+}
+
+#[test]
+fn an_id_of_any_bytes_is_kept() {
+    // Ids that are no text are forwarded as they are.
+    let value = HeaderValue::from_bytes(&[0xfa, 0xfb]).expect("opaque bytes are allowed");
+    let mut head = parts("/a/", &[("host", "h")]);
+    head.headers.insert("id", value.clone());
+    let read = request::read(&head, &names()).expect("a good head");
+    assert_eq!(read.id, value);
+}
--- /dev/null
+++ b/tests/place.rs
@@ -0,0 +1,259 @@
+//! Where requests go without sidecars, who waits and who is refused.
+
+use std::time;
+
+use chivebend::decide::place;
+use chivebend::{code, key};
+use slotmap::SlotMap;
+use smallvec::SmallVec;
+
+const SERVICE: u32 = 0;
+
+fn ms(n: u64) -> time::Duration {
+    time::Duration::from_millis(n)
+}
+
+struct World {
+    fleet: place::Fleet,
+    servers: Vec<key::Sidecar>,
+    customers: Vec<key::Customer>,
+    next: u64,
+}
+
+fn world(engines: usize, customers: usize, engine: bool) -> World {
+    let mut fleet = place::Fleet::new(7);
+    let id = |n| format!("server-{n}");
+    let add = |n| {
+        fleet.add(place::Listed {
+            id: &id(n),
+            service: SERVICE,
+            slots: if engine { 64 } else { 2 },
+            engine,
+            near: n == 0,
+        })
+    };
+    let servers = (0..engines).map(add).collect();
+    let mut keys = SlotMap::<key::Customer, ()>::with_key();
+    World {
+        fleet,
+        servers,
+        customers: (0..customers).map(|_| keys.insert(())).collect(),
+        next: 0,
+    }
+}
+
+fn job(customer: key::Customer, shared: u64, own: u64, tokens: u32, now: u64) -> place::Job {
+    let part = |chain, tokens| place::Part { chain, tokens };
+    place::Job {
+        service: SERVICE,
+        customer,
+        parts: SmallVec::from_slice(&[part(shared, 1_000), part(own, tokens)]),
+        cost: 1_000 + u64::from(tokens),
+        due: ms(now + 600),
+        objective: ms(600),
+        avoid: SmallVec::new(),
+    }
+}
+
+impl World {
+    fn place(&mut self, now: u64, job: &place::Job) -> (u64, place::Verdict) {
+        self.next += 1;
+        (self.next, self.fleet.place(ms(now), self.next, job))
+    }
+}
+
+fn server(verdict: &place::Verdict) -> Option<key::Sidecar> {
+    match verdict {
+        place::Verdict::Go(placed) => Some(placed.server),
+        _ => None,
+    }
+}
+
+#[test]
+fn requests_with_a_part_in_common_go_to_one_home() {
+    let mut world = world(18, 2, true);
+    let mut homes = std::collections::HashSet::new();
+    for n in 0..8 {
+        let job = job(world.customers[n % 2], 42, 100 + n as u64, 100, 0);
+        let (_, verdict) = world.place(0, &job);
+        homes.extend(server(&verdict));
+    }
+    assert_eq!(homes.len(), 1);
+}
+
+#[test]
+fn what_is_handed_over_stays_bounded_and_the_rest_waits() {
+    let mut world = world(1, 1, true);
+    let customer = world.customers[0];
+    let mut handed = 0.0;
+    let mut waiting = 0;
+    for n in 0..20 {
+        let (_, verdict) = world.place(0, &job(customer, 1, 100 + n, 2_000, 0));
+        match verdict {
+            place::Verdict::Go(placed) => handed += placed.tokens,
+            place::Verdict::Wait(..) => waiting += 1,
+            place::Verdict::Refuse(..) => {}
+        }
+    }
+    assert!(handed <= place::UNREAD * place::PACE, "{handed}");
+    assert!(waiting > 0);
+}
+
+#[test]
+fn a_request_that_cannot_be_in_time_is_refused_at_once_with_a_time_to_come_back() {
+    let mut world = world(1, 1, true);
+    let customer = world.customers[0];
+    let refused = (0..60).find_map(|n| {
+        let (_, verdict) = world.place(0, &job(customer, 1, 100 + n, 2_000, 0));
+        match verdict {
+            place::Verdict::Refuse(code, after) => Some((code, after)),
+            _ => None,
+        }
+    });
+    let (code, after) = refused.expect("sixty prompts of 50 ms don't fit into 600 ms");
+    assert_eq!(code, code::Code::DeadlineUnreachable);
+    assert!(after >= ms(100));
+}
+
+#[test]
+fn a_request_larger_than_the_objective_is_served_by_an_engine_without_work() {
+    let mut world = world(1, 1, true);
+    let (_, verdict) = world.place(0, &job(world.customers[0], 1, 2, 80_000, 0));
+    assert!(server(&verdict).is_some(), "{verdict:?}");
+}
+
+#[test]
+fn a_request_larger_than_the_objective_may_wait_like_others() {
+    let mut world = world(1, 2, true);
+    world.place(0, &job(world.customers[0], 1, 2, 8_000, 0));
+    let (_, verdict) = world.place(0, &job(world.customers[1], 1, 3, 80_000, 0));
+    assert!(matches!(verdict, place::Verdict::Wait(..)), "{verdict:?}");
+}
+
+#[test]
+fn the_customer_served_least_goes_first() {
+    let mut world = world(1, 2, true);
+    let [large, small] = [world.customers[0], world.customers[1]];
+    let mut placed = Vec::new();
+    for n in 0..12 {
+        if let (_, place::Verdict::Go(p)) = world.place(0, &job(large, 1, 100 + n, 2_000, 0)) {
+            placed.push(p);
+        }
+    }
+    let (number, verdict) = world.place(1, &job(small, 1, 500, 2_000, 1));
+    assert!(matches!(verdict, place::Verdict::Wait(..)), "{verdict:?}");
+    let first = placed.remove(0);
+    let at = first.server;
+    world.fleet.ended(ms(50), first, true);
+    let (next, _) = world.fleet.next(ms(50), at).expect("there is room");
+    assert_eq!(next, number);
+}
+
+#[test]
+fn room_is_left_for_another_entrys_request_that_goes_first() {
+    struct Case {
+        name: &'static str,
+        least: Option<f64>,
+        fits: usize,
+    }
+    let cases = [
+        Case {
+            name: "nobody else waits",
+            least: None,
+            fits: 4,
+        },
+        Case {
+            name: "one that was served more waits",
+            least: Some(1e9),
+            fits: 4,
+        },
+        Case {
+            name: "one that was served less waits",
+            least: Some(-1.0),
+            fits: 2,
+        },
+    ];
+    for case in cases {
+        let mut world = world(1, 1, true);
+        let others = place::Load {
+            running: 1,
+            unread: 1.0,
+            least: case.least,
+        };
+        world.fleet.set_others(world.servers[0], others);
+        let customer = world.customers[0];
+        let fits = (0..9)
+            .filter(|n| {
+                let (_, verdict) = world.place(0, &job(customer, 1, 100 + n, 2_000, 0));
+                server(&verdict).is_some()
+            })
+            .count();
+        assert_eq!(fits, case.fits, "{}", case.name);
+    }
+}
+
+#[test]
+fn load_of_other_entries_counts() {
+    let mut world = world(1, 1, true);
+    let others = place::Load {
+        running: 5,
+        unread: place::UNREAD * place::PACE,
+        least: None,
+    };
+    world.fleet.set_others(world.servers[0], others);
+    let (_, verdict) = world.place(0, &job(world.customers[0], 1, 2, 500, 0));
+    assert!(matches!(verdict, place::Verdict::Wait(..)), "{verdict:?}");
+}
+
+#[test]
+fn who_waits_for_a_lost_engine_is_placed_anew() {
+    struct Case {
+        name: &'static str,
+        lose: fn(&mut place::Fleet, key::Sidecar) -> Vec<u64>,
+    }
+    let cases = [
+        Case {
+            name: "gone",
+            lose: |fleet, at| fleet.remove(at),
+        },
+        Case {
+            name: "leaving",
+            lose: |fleet, at| fleet.set_usable(at, false),
+        },
+    ];
+    for case in cases {
+        let mut world = world(1, 1, true);
+        let customer = world.customers[0];
+        let waits: Vec<u64> = (0..9)
+            .filter_map(|n| {
+                let (number, verdict) = world.place(0, &job(customer, 1, 100 + n, 2_000, 0));
+                matches!(verdict, place::Verdict::Wait(..)).then_some(number)
+            })
+            .collect();
+        let at = world.servers[0];
+        let mut anew = (case.lose)(&mut world.fleet, at);
+        anew.sort_unstable();
+        assert_eq!(anew, waits, "{}", case.name);
+        let (_, verdict) = world.place(1, &job(customer, 1, 900, 100, 1));
+        let refused = matches!(
+            verdict,
+            place::Verdict::Refuse(code::Code::NoBackendServer, _)
+        );
+        assert!(refused, "{}", case.name);
+    }
+}
+
+#[test]
+fn plain_services_get_a_slot_each_and_one_more() {
+    let mut world = world(2, 1, false);
+    let mut jobs = (0..10).map(|_| place::Job {
+        parts: SmallVec::new(),
+        ..job(world.customers[0], 0, 0, 0, 0)
+    });
+    let jobs: Vec<_> = jobs.by_ref().collect();
+    let went = jobs
+        .iter()
+        .filter(|job| server(&world.place(0, job).1).is_some())
+        .count();
+    assert_eq!(went, 6);
+}
--- /dev/null
+++ b/tests/recent.rs
@@ -0,0 +1,55 @@
+//! Recent service fades, and adds up over entries.
+
+use std::time;
+
+use chivebend::decide::recent;
+use chivebend::key;
+use slotmap::SlotMap;
+
+fn ms(n: u64) -> time::Duration {
+    time::Duration::from_millis(n)
+}
+
+fn customer() -> key::Customer {
+    SlotMap::<key::Customer, ()>::with_key().insert(())
+}
+
+#[test]
+fn service_fades_to_a_third_in_three_seconds() {
+    let mut table = recent::Table::default();
+    let customer = customer();
+    table.add(ms(0), customer, 900.0);
+    let left = table.own(ms(3_000), customer);
+    assert!((300.0..350.0).contains(&left), "{left}");
+}
+
+#[test]
+fn what_was_not_rendered_is_taken_back_but_never_below_nothing() {
+    let mut table = recent::Table::default();
+    let customer = customer();
+    table.add(ms(0), customer, 900.0);
+    table.add(ms(3_000), customer, -900.0);
+    assert!(table.own(ms(3_000), customer).abs() < 1e-9);
+}
+
+#[test]
+fn entries_add_up_until_one_is_forgotten() {
+    let mut table = recent::Table::default();
+    let customer = customer();
+    table.add(ms(0), customer, 1.0);
+    table.hear(ms(0), 5, customer, 10.0);
+    table.hear(ms(0), 6, customer, 100.0);
+    assert!((table.all(ms(0), customer) - 111.0).abs() < 1e-9);
+    table.forget(6);
+    assert!((table.all(ms(0), customer) - 11.0).abs() < 1e-9);
+}
+
+#[test]
+fn figures_that_cannot_be_are_not_taken_in() {
+    let mut table = recent::Table::default();
+    let customer = customer();
+    for amount in [f64::NAN, f64::INFINITY, -1.0] {
+        table.hear(ms(0), 5, customer, amount);
+        assert!(table.all(ms(0), customer).abs() < 1e-9, "{amount}");
+    }
+}
