Learn how fast each engine reads prompts

Cause: with a fixed 40 tokens a millisecond and 120 ms to the first event, an engine of the polling desk was believed to need 370 ms for what took it 211, so requests were refused that would have been in time. Change: least squares over first events, for each engine.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -13,6 +13,7 @@
 pub mod limit;
 pub mod member;
 pub mod outcome;
+pub mod pace;
 pub mod place;
 pub mod queue;
 pub mod random;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -18,22 +18,14 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3;
 
-use super::{random, recent};
+use super::{pace, random, recent};
 use crate::{code, key};
 
-/// Prompt tokens that an engine reads in a millisecond while it also generates, until measured.
-/// Published rates are 38 to 57 without other work; a chunk of 1,024 beside 30 streams takes 22 ms.
-pub const PACE: f64 = 40.0;
-
 /// Time's worth of prompts handed over and not yet read by an engine, in milliseconds. One step
 /// with a full chunk takes 25 ms and news between entries 100 ms: with less an engine idles between
 /// two, with more the order of arrival at the engine replaces ours.
 pub const UNREAD: f64 = 250.0;
 
-/// Time from the end of a prompt's reading to the first event, in milliseconds: an event holds
-/// three to five tokens, each a step of about 25 ms while others are read.
-pub const FIRST_EVENT: f64 = 120.0;
-
 /// Share of the room that an entry uses while another holds a request that goes first: enough for
 /// the engine until the other entry's turn comes, one beat later.
 const SECOND: f64 = 0.6;
@@ -106,6 +98,9 @@
     pub tokens: f64,
     /// Milliseconds of prompts that stood before it.
     pub ahead_ms: f64,
+    // Prompt tokens that stood before it.
+    ahead: f64,
+    since: time::Duration,
     customer: key::Customer,
     cost: f64,
     reading: bool,
@@ -149,7 +144,7 @@
     usable: bool,
     own: Load,
     others: Load,
-    pace: f64,
+    pace: pace::Line,
     // In order of arrival.
     waiting: Vec<Waiting>,
     // Parts believed to be kept, with their last use.
@@ -204,7 +199,8 @@
         // Another entry holds a request that goes first: leave it room.
         let second = self.others.least.is_some_and(|least| least < served);
         let share = if second { SECOND } else { 1.0 };
-        let room = self.unread() + tokens <= share * UNREAD * self.pace || self.unread() < 1.0;
+        let room =
+            self.unread() + tokens <= share * self.pace.tokens(UNREAD) || self.unread() < 1.0;
         room && self.running() < self.slots
     }
 
@@ -245,7 +241,7 @@
             w.job.customer == job.customer || recent.all(now, w.job.customer) <= served
         };
         let waiting: f64 = self.waiting.iter().filter(before).map(|w| w.tokens).sum();
-        (self.unread() + waiting) / self.pace
+        self.pace.read_ms(self.unread() + waiting)
     }
 }
 
@@ -270,7 +266,7 @@
             usable: true,
             own: Load::default(),
             others: Load::default(),
-            pace: PACE,
+            pace: pace::Line::default(),
             waiting: Vec::new(),
             kept: collections::HashMap::new(),
         })
@@ -348,7 +344,11 @@
             let server = &self.servers[at];
             let tokens = server.fresh(now, job);
             let ms = server.wait_ms(now, job, &self.recent);
-            let patience = patience(now, job, tokens / server.pace);
+            let patience = patience(
+                now,
+                job,
+                server.pace.read_ms(tokens) + server.pace.floor_ms(),
+            );
             if ms <= patience || (server.waiting.is_empty() && server.has_room(tokens, recent)) {
                 return self.put(now, request, job, at, tokens);
             }
@@ -430,7 +430,8 @@
         tokens: f64,
     ) -> Placed {
         let server = &mut self.servers[at];
-        let ahead_ms = server.unread() / server.pace;
+        let ahead = server.unread();
+        let ahead_ms = server.pace.read_ms(ahead);
         server.own.running += 1;
         server.own.unread += tokens;
         for part in &job.parts {
@@ -442,6 +443,8 @@
             server: at,
             tokens,
             ahead_ms,
+            ahead,
+            since: now,
             customer: job.customer,
             cost,
             reading: true,
@@ -470,7 +473,19 @@
     }
 
     /// The first event of a request came: its prompt is read.
-    pub fn began(&mut self, placed: &mut Placed) {
+    pub fn began(&mut self, now: time::Duration, placed: &mut Placed) {
+        if let Some(server) = self.servers.get_mut(placed.server)
+            && placed.reading
+            && server.engine
+        {
+            let took = now.saturating_sub(placed.since);
+            server.pace.sample(placed.ahead + placed.tokens, took);
+        }
+        self.read(placed);
+    }
+
+    // What a request had to read doesn't stand before others any more.
+    fn read(&mut self, placed: &mut Placed) {
         if !std::mem::take(&mut placed.reading) {
             return;
         }
@@ -481,7 +496,7 @@
 
     /// A request ended; `served` is whether it ran: if not, its customer owes nothing for it.
     pub fn ended(&mut self, now: time::Duration, mut placed: Placed, served: bool) {
-        self.began(&mut placed);
+        self.read(&mut placed);
         if let Some(server) = self.servers.get_mut(placed.server) {
             server.own.running = server.own.running.saturating_sub(1);
         }
@@ -508,10 +523,10 @@
 // Milliseconds that a job may wait before its prompt of so many milliseconds is read. One that is
 // late however soon it starts waits as long as a small one would: late answers count for less, not
 // nothing, and else the largest requests were never served.
-fn patience(now: time::Duration, job: &Job, reading_ms: f64) -> f64 {
+fn patience(now: time::Duration, job: &Job, needs_ms: f64) -> f64 {
     let objective = job.objective.as_secs_f64() * 1e3;
     let due = job.due.as_secs_f64() * 1e3 - now.as_secs_f64() * 1e3;
-    (due - reading_ms - FIRST_EVENT).max(due - objective * (1.0 - LEAST_PATIENCE))
+    (due - needs_ms).max(due - objective * (1.0 - LEAST_PATIENCE))
 }
 
 // Until when a job may wait for its start.
@@ -519,6 +534,11 @@
     if !server.engine {
         return job.due + job.objective.mul_f64(PLAIN_PATIENCE - 1.0);
     }
-    let patience = patience(now, job, tokens / server.pace).max(0.0);
+    let patience = patience(
+        now,
+        job,
+        server.pace.read_ms(tokens) + server.pace.floor_ms(),
+    )
+    .max(0.0);
     now + time::Duration::from_secs_f64(patience / 1e3)
 }
--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -113,7 +113,7 @@
             if let Some(id) = id {
                 self.last = Some(id.to_owned());
             }
-            if self.events == 0 {
+            if self.slot.first.is_none() {
                 self.first();
             }
             self.events += 1;
@@ -132,6 +132,9 @@
         let now = entry.now();
         let took = now.saturating_sub(self.slot.since);
         entry.meter.time("first_event_at_backend", took);
+        if self.events > 0 {
+            return;
+        }
         let since = now.saturating_sub(self.run.req.received);
         entry.meter.time("first_event", since);
     }
@@ -178,9 +181,6 @@
         self.conn = Some(begun.conn);
         self.rest = begun.rest;
         self.slot = begun.slot;
-        if self.events > 0 {
-            self.slot.began();
-        }
         Ok(())
     }
 
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -36,6 +36,10 @@
     pub since: time::Duration,
     /// Milliseconds of prompts that stood before it.
     pub ahead_ms: f64,
+    /// Prompt tokens that the backend server is believed to read.
+    pub tokens: f64,
+    /// Time until the first event, once it has come.
+    pub first: Option<time::Duration>,
 }
 
 impl Slot {
@@ -44,6 +48,8 @@
             server: placed.server,
             since: entry.now(),
             ahead_ms: placed.ahead_ms,
+            tokens: placed.tokens,
+            first: None,
             entry,
             placed: Some(placed),
             served: false,
@@ -53,8 +59,10 @@
     /// The first event came.
     pub fn began(&mut self) {
         self.served = true;
+        self.first = Some(self.entry.now().saturating_sub(self.since));
         if let Some(placed) = &mut self.placed {
-            self.entry.fleet.borrow_mut().began(placed);
+            let now = self.entry.now();
+            self.entry.fleet.borrow_mut().began(now, placed);
         }
         self.entry.pump(self.server);
     }
@@ -510,6 +518,8 @@
             .with("attempts", self.tried.len())
             .ms("waited_ms", self.waited)
             .with("ahead_ms", slot.ahead_ms as u64)
+            .with("tokens", slot.tokens as u64)
+            .ms("first_ms", slot.first.unwrap_or_default())
             .ms("took_ms", took);
     }
 
