Let one entry decide for each engine who gets a place at it

Cause: entries handed work to an engine on news of each other a tenth of a second old; with eight of them 9 in 10 first events came three times later than the median. Change: for each engine one entry decides (rendezvous hashing over the entries that are heard); the others ask it by datagram and decide themselves from the beats if it doesn't reply within 100 ms.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -33,9 +33,6 @@
 /// Share of its objective that every request may wait.
 const LEAST_PATIENCE: f64 = 0.5;
 
-/// Homes of a part. A second one reads everything again; measured, it costs more than it gives.
-const HOMES: usize = 1;
-
 /// Requests beyond its slots that a plain backend server is given: it starts the next while our
 /// answer travels.
 const SPARE: u32 = 1;
@@ -50,6 +47,9 @@
 /// Most requests that wait for one backend server: more than it reads in the longest objective.
 const WAITING: usize = 256;
 
+/// Time after which a request that waited too long is forgotten, if nobody said that it left.
+const LAPSED: time::Duration = time::Duration::from_secs(1);
+
 /// Least time to come back after a refusal.
 const COME_BACK: time::Duration = time::Duration::from_millis(400);
 
@@ -329,32 +329,42 @@
         self.servers.iter().filter_map(waits).collect()
     }
 
-    /// Decides about a request.
-    pub fn place(&mut self, now: time::Duration, request: u64, job: &Job) -> Verdict {
+    /// The backend server that a request is for, and whether that is a model engine.
+    pub fn choose(&mut self, job: &Job) -> Option<(key::Sidecar, bool)> {
         let order = self.order(job);
-        let Some(&first) = order.first() else {
+        let first = *order.first()?;
+        if self.servers[first].engine {
+            return Some((first, true));
+        }
+        let room = |at: &&key::Sidecar| self.servers[**at].has_room(0.0, 0.0);
+        let at = order.iter().find(room).copied();
+        Some((at.unwrap_or(first), false))
+    }
+
+    /// Decides about a request for this backend server.
+    pub fn place_at(
+        &mut self,
+        now: time::Duration,
+        request: u64,
+        job: &Job,
+        at: key::Sidecar,
+    ) -> Verdict {
+        let recent = self.recent.all(now, job.customer);
+        let server = self.servers.get(at).filter(|s| s.usable);
+        let Some(server) = server else {
             return Verdict::Refuse(code::Code::NoBackendServer, COME_BACK);
         };
-        if !self.servers[first].engine {
-            return self.place_plain(now, request, job, &order);
+        if !server.engine {
+            return self.put(now, request, job, at, 0.0);
         }
-        let mut soonest = f64::INFINITY;
-        let recent = self.recent.all(now, job.customer);
-        for &at in order.iter().take(HOMES) {
-            let server = &self.servers[at];
-            let tokens = server.fresh(now, job);
-            let ms = server.wait_ms(now, job, &self.recent);
-            let patience = patience(
-                now,
-                job,
-                server.pace.read_ms(tokens) + server.pace.floor_ms(),
-            );
-            if ms <= patience || (server.waiting.is_empty() && server.has_room(tokens, recent)) {
-                return self.put(now, request, job, at, tokens);
-            }
-            soonest = soonest.min(ms - patience);
+        let tokens = server.fresh(now, job);
+        let ms = server.wait_ms(now, job, &self.recent);
+        let needs_ms = server.pace.read_ms(tokens) + server.pace.floor_ms();
+        let patience = patience(now, job, needs_ms);
+        if ms <= patience || (server.waiting.is_empty() && server.has_room(tokens, recent)) {
+            return self.put(now, request, job, at, tokens);
         }
-        let after = soonest * (1.0 + self.rng.unit());
+        let after = (ms - patience) * (1.0 + self.rng.unit());
         let after = time::Duration::from_secs_f64(after / 1e3);
         Verdict::Refuse(code::Code::DeadlineUnreachable, after.max(COME_BACK))
     }
@@ -381,20 +391,6 @@
         ranked.into_iter().map(|(_, at)| at).collect()
     }
 
-    fn place_plain(
-        &mut self,
-        now: time::Duration,
-        request: u64,
-        job: &Job,
-        order: &[key::Sidecar],
-    ) -> Verdict {
-        let room = order
-            .iter()
-            .find(|at| self.servers[**at].has_room(0.0, 0.0));
-        let at = room.copied().unwrap_or(order[0]);
-        self.put(now, request, job, at, 0.0)
-    }
-
     // Hands the job over if there is room and nobody waits, else lets it wait.
     fn put(
         &mut self,
@@ -516,6 +512,7 @@
     pub fn sweep(&mut self, now: time::Duration) {
         for server in self.servers.values_mut() {
             server.kept.retain(|_, at| now < *at + BELIEF);
+            server.waiting.retain(|w| now < w.until + LAPSED);
         }
     }
 }
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use smallvec::SmallVec;
 
+use super::peer::{ask, message};
 use super::{answer, body, conn, plan, refusal, request, state};
 use crate::code;
 use crate::decide::place;
@@ -28,7 +29,7 @@
 #[derive(Debug)]
 pub struct Slot {
     entry: rc::Rc<state::Entry>,
-    placed: Option<place::Placed>,
+    place: Place,
     served: bool,
     /// The backend server.
     pub server: key::Sidecar,
@@ -42,8 +43,19 @@
     pub first: Option<time::Duration>,
 }
 
+/// Who granted a place.
+#[derive(Debug)]
+enum Place {
+    /// This process.
+    Here(place::Placed),
+    /// Another entry.
+    There(ask::Grant),
+    /// It was given back.
+    Nowhere,
+}
+
 impl Slot {
-    fn new(entry: rc::Rc<state::Entry>, placed: place::Placed) -> Self {
+    fn here(entry: rc::Rc<state::Entry>, placed: place::Placed) -> Self {
         Self {
             server: placed.server,
             since: entry.now(),
@@ -51,30 +63,61 @@
             tokens: placed.tokens,
             first: None,
             entry,
-            placed: Some(placed),
+            place: Place::Here(placed),
+            served: false,
+        }
+    }
+
+    fn there(entry: rc::Rc<state::Entry>, grant: ask::Grant) -> Self {
+        Self {
+            server: grant.server,
+            since: entry.now(),
+            ahead_ms: grant.ahead_ms,
+            tokens: grant.tokens,
+            first: None,
+            entry,
+            place: Place::There(grant),
             served: false,
         }
     }
 
     /// The first event came.
     pub fn began(&mut self) {
+        let now = self.entry.now();
         self.served = true;
-        self.first = Some(self.entry.now().saturating_sub(self.since));
-        if let Some(placed) = &mut self.placed {
-            let now = self.entry.now();
-            self.entry.fleet.borrow_mut().began(now, placed);
+        self.first = Some(now.saturating_sub(self.since));
+        match &mut self.place {
+            Place::Here(placed) => {
+                self.entry.fleet.borrow_mut().began(now, placed);
+                self.entry.pump(self.server);
+            }
+            Place::There(grant) => {
+                ask::note(&self.entry, grant.owner, grant.number, message::Step::Began);
+            }
+            Place::Nowhere => {}
         }
-        self.entry.pump(self.server);
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        if let Some(placed) = self.placed.take() {
-            let mut fleet = self.entry.fleet.borrow_mut();
-            fleet.ended(self.entry.now(), placed, self.served);
-            drop(fleet);
-            self.entry.pump(self.server);
+        match std::mem::replace(&mut self.place, Place::Nowhere) {
+            Place::Here(placed) => {
+                let now = self.entry.now();
+                let mut fleet = self.entry.fleet.borrow_mut();
+                fleet.ended(now, placed, self.served);
+                drop(fleet);
+                self.entry.pump(self.server);
+            }
+            Place::There(grant) => {
+                let step = if self.served {
+                    message::Step::Ended
+                } else {
+                    message::Step::Dropped
+                };
+                ask::note(&self.entry, grant.owner, grant.number, step);
+            }
+            Place::Nowhere => {}
         }
     }
 }
@@ -268,21 +311,45 @@
     async fn place(&mut self) -> Result<Slot, refusal::Refusal> {
         let entry = rc::Rc::clone(&self.entry);
         let job = self.job();
-        let number = entry.number();
         let begun = entry.now();
-        loop {
-            let verdict = entry.fleet.borrow_mut().place(entry.now(), number, &job);
-            let placed = match verdict {
-                place::Verdict::Go(placed) => Some(placed),
-                place::Verdict::Refuse(code, after) => {
-                    return Err(refusal::Refusal::later(code, after));
-                }
-                place::Verdict::Wait(ticket, until) => self.wait(number, ticket, until).await?,
+        let slot = loop {
+            let chosen = entry.fleet.borrow_mut().choose(&job);
+            let Some((server, engine)) = chosen else {
+                return Err(refusal::Refusal::later(code::Code::NoBackendServer, FULL));
             };
-            self.waited += entry.now().saturating_sub(begun);
-            if let Some(placed) = placed {
-                return Ok(Slot::new(entry, placed));
+            if engine && let Some(owner) = entry.owner(server) {
+                match ask::ask(&entry, owner, server, &self.req, &job).await {
+                    ask::Outcome::Granted(grant) => {
+                        break Slot::there(rc::Rc::clone(&entry), grant);
+                    }
+                    ask::Outcome::Refused(refusal) => return Err(refusal),
+                    ask::Outcome::Undecided => {}
+                }
             }
+            if let Some(placed) = self.place_here(&job, server).await? {
+                break Slot::here(rc::Rc::clone(&entry), placed);
+            }
+        };
+        self.waited += entry.now().saturating_sub(begun);
+        Ok(slot)
+    }
+
+    // `None` says that the request is to be placed anew.
+    async fn place_here(
+        &self,
+        job: &place::Job,
+        server: key::Sidecar,
+    ) -> Result<Option<place::Placed>, refusal::Refusal> {
+        let entry = &self.entry;
+        let number = entry.number();
+        let now = entry.now();
+        let verdict = entry.fleet.borrow_mut().place_at(now, number, job, server);
+        match verdict {
+            place::Verdict::Go(placed) => Ok(Some(placed)),
+            place::Verdict::Wait(ticket, until) => self.wait(number, ticket, until).await,
+            // The list has changed since it was chosen.
+            place::Verdict::Refuse(code::Code::NoBackendServer, _) => Ok(None),
+            place::Verdict::Refuse(code, after) => Err(refusal::Refusal::later(code, after)),
         }
     }
 
@@ -305,7 +372,7 @@
             Ok(Err(_)) => Err(refusal::Refusal::new(code::Code::Internal)),
             Err(_elapsed) => Err(refusal::Refusal::later(
                 code::Code::DeadlineUnreachable,
-                FULL,
+                state::COME_BACK,
             )),
         }
     }
--- /dev/null
+++ b/src/direct/peer/message.rs
@@ -0,0 +1,180 @@
+//! What entries say to each other, one datagram at a time.
+
+use smallvec::SmallVec;
+
+use crate::decide::place;
+
+/// One datagram.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Datagram {
+    /// Number of this start of the sender.
+    #[prost(fixed64, tag = "1")]
+    pub sender: u64,
+    /// Its address, as 32 bits.
+    #[prost(fixed32, tag = "2")]
+    pub address: u32,
+    /// What it tells everybody, every beat.
+    #[prost(message, optional, tag = "3")]
+    pub beat: Option<Beat>,
+    /// A request that asks for a place at an engine.
+    #[prost(message, optional, tag = "4")]
+    pub ask: Option<Ask>,
+    /// What became of such a request.
+    #[prost(message, optional, tag = "5")]
+    pub reply: Option<Reply>,
+    /// How far requests with a place are. Said several times, since a datagram may be lost.
+    #[prost(message, repeated, tag = "6")]
+    pub notes: Vec<Note>,
+}
+
+/// What an entry tells everybody.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Beat {
+    /// Counts its beats.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// Whether it is shutting down and takes nothing new.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// Load that it decided about, where there is any.
+    #[prost(message, repeated, tag = "3")]
+    pub loads: Vec<Load>,
+    /// Its customers' recent service.
+    #[prost(message, repeated, tag = "4")]
+    pub served: Vec<Served>,
+    /// Addresses of the entries it hears.
+    #[prost(fixed32, repeated, tag = "5")]
+    pub heard: Vec<u32>,
+}
+
+/// Load on one backend server.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Load {
+    /// Hash of the backend server's id.
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    /// Requests in progress.
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    /// Prompt tokens handed over and not yet read.
+    #[prost(uint32, tag = "3")]
+    pub unread: u32,
+    /// Recent service of the customer with the least that waits, if any does.
+    #[prost(float, optional, tag = "4")]
+    pub least: Option<f32>,
+}
+
+/// Recent service of one customer.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Served {
+    /// Hash of the customer's name.
+    #[prost(fixed64, tag = "1")]
+    pub customer: u64,
+    /// Cost units, faded.
+    #[prost(float, tag = "2")]
+    pub amount: f32,
+}
+
+/// A request that asks for a place at an engine.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Ask {
+    /// The asking entry's number for it.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Hash of the engine's id.
+    #[prost(fixed64, tag = "2")]
+    pub server: u64,
+    /// Name of the customer; empty without one.
+    #[prost(string, tag = "3")]
+    pub customer: String,
+    /// Parts of its prompt: hashes.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub chains: Vec<u64>,
+    /// Parts of its prompt: tokens.
+    #[prost(uint32, repeated, tag = "5")]
+    pub tokens: Vec<u32>,
+    /// Tokens that it is charged with.
+    #[prost(uint64, tag = "6")]
+    pub cost: u64,
+    /// Milliseconds until it is due; negative if it is late already.
+    #[prost(sint64, tag = "7")]
+    pub due_ms: i64,
+    /// Its latency objective in milliseconds.
+    #[prost(uint32, tag = "8")]
+    pub objective_ms: u32,
+    /// Milliseconds until its caller gives it up.
+    #[prost(uint32, tag = "9")]
+    pub deadline_ms: u32,
+}
+
+/// What became of a request that asked.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Reply {
+    /// The asking entry's number for it.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// The decision.
+    #[prost(enumeration = "Decision", tag = "2")]
+    pub decision: i32,
+    /// How long it waits at most, or when its caller is to come back, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub ms: u32,
+    /// Number of the code of a refusal.
+    #[prost(uint32, tag = "4")]
+    pub code: u32,
+    /// Prompt tokens that the engine has to read for it.
+    #[prost(float, tag = "5")]
+    pub tokens: f32,
+    /// Milliseconds of prompts that stand before it.
+    #[prost(float, tag = "6")]
+    pub ahead_ms: f32,
+}
+
+/// A decision about a request that asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum Decision {
+    /// The entry that was asked doesn't decide about this engine.
+    Elsewhere = 0,
+    /// Send it now.
+    Go = 1,
+    /// It waits; another reply follows.
+    Wait = 2,
+    /// It can't be served.
+    Refuse = 3,
+}
+
+/// How far a request is that got a place or asked for one.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Note {
+    /// The asking entry's number for it.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// How far it is.
+    #[prost(enumeration = "Step", tag = "2")]
+    pub step: i32,
+}
+
+/// How far a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum Step {
+    /// It was given up or didn't run.
+    Dropped = 0,
+    /// Its first event came.
+    Began = 1,
+    /// It ran and ended.
+    Ended = 2,
+}
+
+impl Ask {
+    /// The parts of its prompt.
+    pub fn parts(&self) -> SmallVec<[place::Part; 4]> {
+        let pairs = self.chains.iter().zip(&self.tokens);
+        let part = |(chain, tokens): (&u64, &u32)| place::Part {
+            chain: *chain,
+            tokens: *tokens,
+        };
+        pairs.map(part).collect()
+    }
+}
--- /dev/null
+++ b/src/direct/peer/mod.rs
@@ -0,0 +1,234 @@
+//! What entries tell each other: load, customers' service, who else there is, and who gets a place.
+//!
+//! For each engine one entry decides who gets a place at it; the others ask ([`ask`]). Beside that
+//! every entry sends all others one datagram a beat ([`message::Beat`]). A lost one costs nothing:
+//! the next says it all again. An entry that can't be asked is gone around: the asking entry decides
+//! itself, from the load in the beats.
+
+pub mod ask;
+pub mod message;
+pub mod table;
+
+use std::{io, net, rc, time};
+
+use prost::Message as _;
+use tokio::net as tokio_net;
+
+use super::state;
+use crate::key;
+
+/// Time between two beats among few entries. Backend servers read 4,000 prompt tokens in it, a
+/// third of what may be handed over ahead.
+const BEAT: time::Duration = time::Duration::from_millis(80);
+
+/// Beats that one entry hears a second at most, so that the fleet's size doesn't cost processor
+/// time: with more entries the beat is slower.
+const HEARD_PER_S: u32 = 120;
+
+/// Largest datagram; a beat about 100 backend servers and 100 customers has 4 KB.
+const DATAGRAM: usize = 16 * 1024;
+
+/// Service below which a customer is not told of, in cost units: less than one short request.
+const NEGLIGIBLE: f64 = 100.0;
+
+/// Where an entry talks with others.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Its own address and the port that all entries use.
+    pub own: net::SocketAddrV4,
+    /// Addresses where other entries may be.
+    pub seeds: Vec<net::Ipv4Addr>,
+}
+
+/// An entry's way to the others.
+#[derive(Debug)]
+pub struct Link {
+    socket: tokio_net::UdpSocket,
+    own: net::SocketAddrV4,
+}
+
+impl Link {
+    /// Sends a datagram; one that can't be sent is as good as lost on the way.
+    fn send(&self, to: net::Ipv4Addr, datagram: &message::Datagram) {
+        let to = net::SocketAddrV4::new(to, self.own.port());
+        let sent = self
+            .socket
+            .try_send_to(&datagram.encode_to_vec(), to.into());
+        if let Err(err) = sent {
+            log::debug!(event = "datagram_failed", error:% = err; "");
+        }
+    }
+}
+
+/// Opens the way to the others; without it an entry decides all by itself.
+pub async fn open(place: &Place) -> io::Result<Link> {
+    Ok(Link {
+        socket: tokio_net::UdpSocket::bind(place.own).await?,
+        own: place.own,
+    })
+}
+
+/// Talks with the others until the process ends.
+pub async fn run(entry: rc::Rc<state::Entry>) {
+    let Some(link) = &entry.link else {
+        return;
+    };
+    let mut sequence = 0;
+    let mut buffer = vec![0; DATAGRAM];
+    let mut next = tokio::time::Instant::now();
+    loop {
+        match tokio::time::timeout_at(next, link.socket.recv_from(&mut buffer)).await {
+            Ok(Ok((len, _))) => match message::Datagram::decode(&buffer[..len]) {
+                Ok(datagram) => hear(&entry, &datagram),
+                Err(err) => drop(entry.log.line("datagram_malformed").with("error", err)),
+            },
+            // What the network says of an earlier datagram; the next beat tries again.
+            Ok(Err(err)) => log::debug!(event = "datagram_failed", error:% = err; ""),
+            Err(_elapsed) => {
+                sequence += 1;
+                let others = beat(&entry, link, sequence);
+                next = tokio::time::Instant::now() + interval(others);
+            }
+        }
+    }
+}
+
+/// Time between beats to so many others.
+pub fn interval(others: usize) -> time::Duration {
+    let slow = time::Duration::from_secs(1) * others as u32 / HEARD_PER_S;
+    BEAT.max(slow)
+}
+
+// Sends everybody a beat; returns how many there are.
+fn beat(entry: &state::Entry, link: &Link, sequence: u64) -> usize {
+    let beat = report(entry, sequence);
+    let addresses = entry.peers.borrow().addresses();
+    for address in &addresses {
+        let datagram = message::Datagram {
+            beat: Some(beat.clone()),
+            notes: entry.asks.notes_again(*address),
+            ..envelope(entry, link)
+        };
+        link.send(*address, &datagram);
+    }
+    addresses.len()
+}
+
+fn envelope(entry: &state::Entry, link: &Link) -> message::Datagram {
+    message::Datagram {
+        sender: entry.start_number,
+        address: link.own.ip().to_bits(),
+        ..message::Datagram::default()
+    }
+}
+
+fn report(entry: &state::Entry, sequence: u64) -> message::Beat {
+    let now = entry.now();
+    let fleet = entry.fleet.borrow();
+    let load = |(server, hash): (key::Sidecar, u64)| {
+        let load = fleet.own(now, server);
+        (load.running > 0 || load.least.is_some()).then_some(message::Load {
+            server: hash,
+            running: load.running,
+            unread: load.unread as u32,
+            least: load.least.map(|least| least as f32),
+        })
+    };
+    let served = |(customer, hash): (key::Customer, u64)| {
+        let amount = fleet.served(now, customer);
+        (amount >= NEGLIGIBLE).then_some(message::Served {
+            customer: hash,
+            amount: amount as f32,
+        })
+    };
+    let customers = entry.customer_hashes().into_iter();
+    message::Beat {
+        sequence,
+        leaving: entry.is_leaving(),
+        loads: entry.server_hashes().into_iter().filter_map(load).collect(),
+        served: customers.filter_map(served).collect(),
+        heard: entry.peers.borrow().heard(),
+    }
+}
+
+fn hear(entry: &rc::Rc<state::Entry>, datagram: &message::Datagram) {
+    let address = net::Ipv4Addr::from_bits(datagram.address);
+    if let Some(beat) = &datagram.beat {
+        hear_beat(entry, datagram.sender, address, beat);
+    }
+    for note in &datagram.notes {
+        ask::noted(entry, datagram.sender, note);
+    }
+    if let Some(ask) = &datagram.ask {
+        ask::asked(entry, datagram.sender, address, ask);
+    }
+    if let Some(reply) = &datagram.reply {
+        entry.asks.replied(address, reply);
+    }
+}
+
+fn hear_beat(entry: &state::Entry, sender: u64, address: net::Ipv4Addr, beat: &message::Beat) {
+    let now = entry.now();
+    let before = entry.peers.borrow().entries();
+    let heard = entry.peers.borrow_mut().hear(now, sender, address, beat);
+    let Some(replaced) = heard else { return };
+    if let Some(replaced) = replaced {
+        forget(entry, address, replaced);
+    }
+    let known = |served: &message::Served| {
+        let customer = entry.customer_by_hash(served.customer)?;
+        Some((customer, f64::from(served.amount)))
+    };
+    let served: Vec<_> = beat.served.iter().filter_map(known).collect();
+    let mut fleet = entry.fleet.borrow_mut();
+    fleet.recent().forget(sender);
+    for (customer, amount) in served {
+        fleet.recent().hear(now, sender, customer, amount);
+    }
+    drop(fleet);
+    spread_loads(entry);
+    tell_change(entry, before);
+}
+
+/// Forgets entries that fell silent.
+pub fn expire(entry: &state::Entry) {
+    let before = entry.peers.borrow().entries();
+    let gone = entry.peers.borrow_mut().expire(entry.now());
+    for (address, sender) in &gone {
+        forget(entry, *address, *sender);
+    }
+    if !gone.is_empty() {
+        spread_loads(entry);
+        tell_change(entry, before);
+    }
+}
+
+fn forget(entry: &state::Entry, address: net::Ipv4Addr, sender: u64) {
+    entry.fleet.borrow_mut().recent().forget(sender);
+    ask::forget(entry, sender);
+    entry.asks.lost(address);
+}
+
+fn tell_change(entry: &state::Entry, before: usize) {
+    let after = entry.peers.borrow().entries();
+    if before != after {
+        entry
+            .log
+            .line("entries")
+            .with("before", before)
+            .with("now", after);
+    }
+}
+
+// Tells the placing what others do, and hands over what has room now.
+fn spread_loads(entry: &state::Entry) {
+    let loads = entry.peers.borrow().loads();
+    for (server, hash) in entry.server_hashes() {
+        let load = loads.get(&hash).copied().unwrap_or_default();
+        entry.fleet.borrow_mut().set_others(server, load);
+    }
+    let waiting = entry.fleet.borrow().with_waiting();
+    for server in waiting {
+        entry.pump(server);
+    }
+}
--- /dev/null
+++ b/src/direct/peer/table.rs
@@ -0,0 +1,143 @@
+//! The other entries, as one entry hears them.
+
+use std::{collections, net, time};
+
+use super::message;
+use crate::decide::{place, random};
+
+/// Silence after which an entry is gone: it is not counted in load, service and shares any more.
+pub const SILENT: time::Duration = time::Duration::from_millis(1_500);
+
+/// Time without a word after which an address is no longer written to, unless it is a seed.
+const FORGOTTEN: time::Duration = time::Duration::from_secs(15);
+
+/// Time in which an entry that didn't reply is not asked again: a pause of its process or a lossy
+/// link shows within it, and callers don't pay for each try.
+const DISTRUST: time::Duration = time::Duration::from_millis(500);
+
+#[derive(Debug)]
+struct Peer {
+    sender: u64,
+    sequence: u64,
+    heard: time::Duration,
+    loads: Vec<message::Load>,
+    leaving: bool,
+    distrusted: time::Duration,
+}
+
+/// The other entries.
+#[derive(Debug, Default)]
+pub struct Table {
+    own: Option<net::Ipv4Addr>,
+    alive: collections::BTreeMap<net::Ipv4Addr, Peer>,
+    // Addresses to write to, with when something was last heard of them.
+    known: collections::HashMap<net::Ipv4Addr, time::Duration>,
+    seeds: Vec<net::Ipv4Addr>,
+}
+
+impl Table {
+    /// No other entries but these addresses to ask; `own` is this entry's address.
+    pub fn new(own: net::Ipv4Addr, seeds: Vec<net::Ipv4Addr>) -> Self {
+        Self {
+            own: Some(own),
+            seeds,
+            ..Self::default()
+        }
+    }
+
+    /// Takes in a beat. Returns `None` if it is older than one heard before, else the number of the
+    /// start that the sender's address had until now, if that was another.
+    pub fn hear(
+        &mut self,
+        now: time::Duration,
+        sender: u64,
+        address: net::Ipv4Addr,
+        beat: &message::Beat,
+    ) -> Option<Option<u64>> {
+        let before = self.alive.get(&address).map(|p| (p.sender, p.sequence));
+        if before.is_some_and(|(s, sequence)| s == sender && sequence >= beat.sequence) {
+            return None;
+        }
+        self.known.insert(address, now);
+        for address in &beat.heard {
+            let address = net::Ipv4Addr::from_bits(*address);
+            self.known.entry(address).or_insert(now);
+        }
+        let distrusted = self.alive.get(&address).map(|p| p.distrusted);
+        let peer = Peer {
+            sender,
+            sequence: beat.sequence,
+            heard: now,
+            loads: beat.loads.clone(),
+            leaving: beat.leaving,
+            distrusted: distrusted.unwrap_or_default(),
+        };
+        self.alive.insert(address, peer);
+        Some(before.map(|(s, _)| s).filter(|s| *s != sender))
+    }
+
+    /// Forgets who was silent; returns their addresses and the numbers of their starts.
+    pub fn expire(&mut self, now: time::Duration) -> Vec<(net::Ipv4Addr, u64)> {
+        self.known.retain(|_, heard| now < *heard + FORGOTTEN);
+        let silent = |(address, p): (&net::Ipv4Addr, &Peer)| {
+            (now >= p.heard + SILENT).then_some((*address, p.sender))
+        };
+        let gone: Vec<_> = self.alive.iter().filter_map(silent).collect();
+        for (address, _) in &gone {
+            self.alive.remove(address);
+        }
+        gone
+    }
+
+    /// An entry that was asked didn't reply.
+    pub fn distrust(&mut self, now: time::Duration, address: net::Ipv4Addr) {
+        if let Some(peer) = self.alive.get_mut(&address) {
+            peer.distrusted = now + DISTRUST;
+        }
+    }
+
+    /// The other entry that decides about an engine, by the hash of its id; `None` if it is this one
+    /// or can't be asked now. Entries that hear the same others agree (rendezvous hashing).
+    pub fn owner(&self, now: time::Duration, server: u64) -> Option<net::Ipv4Addr> {
+        let rank = |a: &net::Ipv4Addr| random::Random::new(server ^ u64::from(a.to_bits())).bits();
+        let takes = self
+            .alive
+            .iter()
+            .filter(|(_, p)| !p.leaving)
+            .map(|(a, _)| *a);
+        let owner = takes.chain(self.own).max_by_key(rank)?;
+        let peer = self.alive.get(&owner)?;
+        (now >= peer.distrusted).then_some(owner)
+    }
+
+    /// Entries that take requests, this one included.
+    pub fn entries(&self) -> usize {
+        1 + self.alive.values().filter(|p| !p.leaving).count()
+    }
+
+    /// Addresses of the entries that are heard.
+    pub fn heard(&self) -> Vec<u32> {
+        self.alive.keys().map(|a| a.to_bits()).collect()
+    }
+
+    /// Addresses to write to, but for one's own.
+    pub fn addresses(&self) -> Vec<net::Ipv4Addr> {
+        let known = self.known.keys().chain(&self.seeds).copied();
+        let all: collections::BTreeSet<_> = known.filter(|a| Some(*a) != self.own).collect();
+        all.into_iter().collect()
+    }
+
+    /// Load that all others decided about on each backend server, by the hash of its id.
+    pub fn loads(&self) -> collections::HashMap<u64, place::Load> {
+        let mut sums: collections::HashMap<u64, place::Load> = collections::HashMap::new();
+        for load in self.alive.values().flat_map(|p| &p.loads) {
+            let sum = sums.entry(load.server).or_default();
+            sum.running += load.running;
+            sum.unread += f64::from(load.unread);
+            let least = load.least.map_or(f64::INFINITY, f64::from);
+            let known = sum.least.unwrap_or(f64::INFINITY);
+            sum.least = Some(known.min(least)).filter(|l| l.is_finite());
+        }
+        sums
+    }
+}
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -6,7 +6,8 @@
 use tokio::sync::{oneshot, watch};
 use xxhash_rust::xxh3;
 
-use super::{callers, conn, dialect, gossip, line, meter, plan};
+use super::peer::{ask, table};
+use super::{callers, conn, dialect, line, meter, peer, plan};
 use crate::decide::{health, place, random, retry};
 use crate::key;
 
@@ -14,6 +15,10 @@
 /// leaves one for each request that it had in progress.
 const IDLE: usize = 32;
 
+/// Least time to come back for a request that waited in vain: about what an engine needs to read
+/// what stood before it.
+pub const COME_BACK: time::Duration = time::Duration::from_millis(500);
+
 /// Share of the sockets that callers may take; the rest is for backend servers.
 const CALLERS: f64 = 0.6;
 
@@ -32,6 +37,8 @@
 pub struct Settings {
     /// Its name, for logs.
     pub instance: String,
+    /// Its own address.
+    pub address: net::Ipv4Addr,
     /// Its availability zone.
     pub zone: String,
     /// Repeats allowed for each request, of the whole fleet.
@@ -58,8 +65,14 @@
     idle: Vec<conn::Conn>,
 }
 
-/// A waiting request's way to hear of its turn; `None` says that it is to be placed anew.
-pub type Turn = oneshot::Sender<Option<place::Placed>>;
+/// A waiting request's way to hear of its turn.
+#[derive(Debug)]
+enum Turn {
+    /// It waits in this process; `None` says that it is to be placed anew.
+    Here(oneshot::Sender<Option<place::Placed>>),
+    /// Another entry asked for it.
+    There(ask::Asker),
+}
 
 /// Everything a direct entry knows.
 #[derive(Debug)]
@@ -78,10 +91,17 @@
     listed: cell::RefCell<collections::HashMap<String, plan::Server>>,
     list_known: cell::Cell<bool>,
     keys: cell::RefCell<collections::HashMap<String, key::Sidecar>>,
+    hashes: cell::RefCell<collections::HashMap<u64, key::Sidecar>>,
     /// Number of this start, by which other entries tell it from an earlier one.
     pub start_number: u64,
     /// The other entries.
-    pub peers: cell::RefCell<gossip::Peers>,
+    pub peers: cell::RefCell<table::Table>,
+    /// The way to them.
+    pub link: Option<peer::Link>,
+    /// Requests of this entry that ask them for a place.
+    pub asks: ask::Asks,
+    /// Places that their requests have.
+    pub granted: ask::Granted,
     /// Backend servers.
     pub backends: cell::RefCell<slotmap::SecondaryMap<key::Sidecar, Backend>>,
     /// Where work goes.
@@ -115,8 +135,10 @@
         log: line::Log,
         seed: u64,
         seeds: Vec<net::Ipv4Addr>,
+        link: Option<peer::Link>,
     ) -> Self {
         let limit = (settings.sockets as f64 * CALLERS) as usize;
+        let peers = table::Table::new(settings.address, seeds);
         Self {
             started,
             dialect,
@@ -127,8 +149,12 @@
             listed: cell::RefCell::default(),
             list_known: cell::Cell::default(),
             keys: cell::RefCell::default(),
+            hashes: cell::RefCell::default(),
             start_number: seed,
-            peers: cell::RefCell::new(gossip::Peers::new(seeds)),
+            peers: cell::RefCell::new(peers),
+            link,
+            asks: ask::Asks::default(),
+            granted: ask::Granted::default(),
             backends: cell::RefCell::default(),
             fleet: cell::RefCell::new(place::Fleet::new(seed)),
             health: cell::RefCell::default(),
@@ -234,7 +260,8 @@
         health.compare();
         drop(health);
         self.fleet.borrow_mut().sweep(now);
-        gossip::expire(self);
+        peer::expire(self);
+        ask::expire(self);
         self.judge();
     }
 
@@ -297,6 +324,7 @@
             server,
             idle: Vec::new(),
         };
+        self.hashes.borrow_mut().insert(backend.hash, key);
         self.backends.borrow_mut().insert(key, backend);
     }
 
@@ -305,7 +333,10 @@
             return;
         };
         self.log.line("backend_gone").with("backend", id);
-        self.backends.borrow_mut().remove(key);
+        let backend = self.backends.borrow_mut().remove(key);
+        if let Some(backend) = backend {
+            self.hashes.borrow_mut().remove(&backend.hash);
+        }
         self.health.borrow_mut().remove(key);
         let waiting = self.fleet.borrow_mut().remove(key);
         self.place_anew(waiting);
@@ -343,9 +374,14 @@
 
     fn place_anew(&self, requests: Vec<u64>) {
         for request in requests {
-            if let Some(turn) = self.turns.borrow_mut().remove(&request) {
-                // One that left in this moment needs no turn.
-                let _left = turn.send(None);
+            let turn = self.turns.borrow_mut().remove(&request);
+            match turn {
+                Some(Turn::Here(turn)) => {
+                    // One that left in this moment needs no turn.
+                    let _left = turn.send(None);
+                }
+                Some(Turn::There(asker)) => ask::send_elsewhere(self, asker),
+                None => {}
             }
         }
     }
@@ -387,6 +423,22 @@
             .collect()
     }
 
+    /// The backend server with this hash of its id.
+    pub fn server_by_hash(&self, hash: u64) -> Option<key::Sidecar> {
+        self.hashes.borrow().get(&hash).copied()
+    }
+
+    /// Hash of a backend server's id.
+    pub fn server_hash(&self, server: key::Sidecar) -> Option<u64> {
+        self.backends.borrow().get(server).map(|b| b.hash)
+    }
+
+    /// The other entry that decides about a backend server, if one does.
+    pub fn owner(&self, server: key::Sidecar) -> Option<net::Ipv4Addr> {
+        let hash = self.server_hash(server)?;
+        self.peers.borrow().owner(self.now(), hash)
+    }
+
     /// All backend servers with the hashes of their ids.
     pub fn server_hashes(&self) -> Vec<(key::Sidecar, u64)> {
         self.backends
@@ -406,10 +458,16 @@
     /// A waiting request listens for its turn.
     pub fn wait(&self, request: u64) -> oneshot::Receiver<Option<place::Placed>> {
         let (turn, heard) = oneshot::channel();
-        self.turns.borrow_mut().insert(request, turn);
+        self.turns.borrow_mut().insert(request, Turn::Here(turn));
         heard
     }
 
+    /// Another entry's request waits for its turn.
+    pub fn wait_for(&self, request: u64, asker: ask::Asker) {
+        let turn = Turn::There(asker);
+        self.turns.borrow_mut().insert(request, turn);
+    }
+
     /// A waiting request gave up.
     pub fn stop_waiting(&self, request: u64, ticket: place::Ticket) {
         self.turns.borrow_mut().remove(&request);
@@ -426,7 +484,11 @@
             };
             let turn = self.turns.borrow_mut().remove(&request);
             let unheard = match turn {
-                Some(turn) => turn.send(Some(placed)).err().flatten(),
+                Some(Turn::Here(turn)) => turn.send(Some(placed)).err().flatten(),
+                Some(Turn::There(asker)) => {
+                    ask::turn(self, asker, placed);
+                    None
+                }
                 None => Some(placed),
             };
             if let Some(placed) = unheard {
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -3,7 +3,8 @@
 use std::time;
 
 use chivebend::decide::retry;
-use chivebend::direct::{answer, callers, dialect, gossip, plan, request};
+use chivebend::direct::peer::{message, table};
+use chivebend::direct::{answer, callers, dialect, plan, request};
 use http::{HeaderName, HeaderValue};
 use proptest::prelude::*;
 use smallvec::smallvec;
@@ -164,9 +165,9 @@
     #[test]
     fn any_datagram_is_a_beat_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
         use prost::Message as _;
-        let mut peers = gossip::Peers::default();
-        if let Ok(beat) = gossip::Beat::decode(bytes.as_slice()) {
-            peers.hear(ms(0), &beat);
+        let mut peers = table::Table::default();
+        if let Ok(beat) = message::Beat::decode(bytes.as_slice()) {
+            peers.hear(ms(0), 1, address(10), &beat);
         }
         prop_assert!(peers.entries() <= 2);
     }
@@ -283,24 +284,62 @@
     assert!(table.has_room());
 }
 
+fn address(last: u8) -> std::net::Ipv4Addr {
+    std::net::Ipv4Addr::new(10, 0, 0, last)
+}
+
+fn beat(sequence: u64) -> message::Beat {
+    message::Beat {
+        sequence,
+        ..message::Beat::default()
+    }
+}
+
 #[test]
 fn entries_are_counted_while_they_are_heard() {
-    let beat = |sender, address, sequence| gossip::Beat {
-        sender,
-        address,
-        sequence,
-        ..gossip::Beat::default()
-    };
-    let mut peers = gossip::Peers::default();
-    assert!(peers.hear(ms(0), &beat(1, 10, 5)));
-    assert!(!peers.hear(ms(1), &beat(1, 10, 4)), "an older beat");
-    assert!(peers.hear(ms(2), &beat(2, 10, 1)), "a new start");
-    assert!(peers.hear(ms(3), &beat(3, 11, 1)));
+    let mut peers = table::Table::default();
+    let mut hear =
+        |at, sender, last, sequence| peers.hear(ms(at), sender, address(last), &beat(sequence));
+    assert_eq!(hear(0, 1, 10, 5), Some(None));
+    assert_eq!(hear(1, 1, 10, 4), None, "an older beat");
+    assert_eq!(hear(2, 2, 10, 1), Some(Some(1)), "a new start");
+    assert_eq!(hear(3, 3, 11, 1), Some(None));
     assert_eq!(peers.entries(), 3);
-    assert_eq!(peers.expire(ms(2) + gossip::SILENT), [2]);
+    assert_eq!(peers.expire(ms(2) + table::SILENT), [(address(10), 2)]);
     assert_eq!(peers.entries(), 2);
 }
 
+#[test]
+fn entries_that_hear_each_other_agree_who_decides() {
+    let mut tables: Vec<_> = (0..4_u8)
+        .map(|own| table::Table::new(address(own), Vec::new()))
+        .collect();
+    for (own, peers) in tables.iter_mut().enumerate() {
+        for other in (0..4_u8).filter(|other| usize::from(*other) != own) {
+            peers.hear(ms(0), other.into(), address(other), &beat(1));
+        }
+    }
+    let mut decides = [0; 4];
+    for server in 0..64_u64 {
+        let owners: Vec<_> = tables.iter().map(|p| p.owner(ms(0), server)).collect();
+        let own = owners
+            .iter()
+            .position(Option::is_none)
+            .expect("one decides itself");
+        let others = owners.iter().flatten().all(|a| *a == address(own as u8));
+        assert!(others, "{owners:?}");
+        decides[own] += 1;
+    }
+    assert!(decides.iter().all(|n| *n > 4), "{decides:?}");
+    // One that doesn't reply is gone around for a while.
+    let (server, owner) = (0..64)
+        .find_map(|s| Some((s, tables[0].owner(ms(0), s)?)))
+        .expect("another decides about some");
+    tables[0].distrust(ms(0), owner);
+    assert_eq!(tables[0].owner(ms(1), server), None);
+    assert_eq!(tables[0].owner(ms(1_000), server), Some(owner));
+}
+
 #[test]
 fn an_id_of_any_bytes_is_kept() {
     // Ids that are no text are forwarded as they are.
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -58,7 +58,11 @@
 impl World {
     fn place(&mut self, now: u64, job: &place::Job) -> (u64, place::Verdict) {
         self.next += 1;
-        (self.next, self.fleet.place(ms(now), self.next, job))
+        let verdict = match self.fleet.choose(job) {
+            Some((at, _)) => self.fleet.place_at(ms(now), self.next, job, at),
+            None => place::Verdict::Refuse(code::Code::NoBackendServer, ms(0)),
+        };
+        (self.next, verdict)
     }
 }
 
