--- a/src/direct/peer/ask.rs
+++ b/src/direct/peer/ask.rs
@@ -215,9 +215,13 @@
         };
         let ms = time::Duration::from_millis(reply.ms.into());
         match reply.decision() {
-            message::Decision::Elsewhere => return Outcome::Undecided,
+            message::Decision::Elsewhere => {
+                entry.meter.count("asks", "elsewhere");
+                return Outcome::Undecided;
+            }
             message::Decision::Go => {
                 asking.granted = true;
+                entry.meter.count("asks", "granted");
                 return Outcome::Granted(Grant {
                     owner,
                     number,
@@ -231,6 +235,7 @@
                 until = tokio::time::Instant::now() + ms;
             }
             message::Decision::Refuse => {
+                entry.meter.count("asks", "refused");
                 let code = code::Code::from_number(reply.code);
                 let code = code.unwrap_or(code::Code::DeadlineUnreachable);
                 return Outcome::Refused(refusal::Refusal::later(code, ms));
