--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 pub mod line;
 pub mod meter;
+pub mod neighbour;
 pub mod peer;
 pub mod plan;
 pub mod refusal;
--- a/src/direct/plan.rs
+++ b/src/direct/plan.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, net, rc, time};
 
+use bytes::Bytes;
 use smallvec::SmallVec;
 
 use crate::code;
@@ -19,6 +20,8 @@
     pub customers: Option<collections::HashMap<String, Customer>>,
     /// Bounds on callers.
     pub limits: Limits,
+    /// The configuration as the adapter received it, to hand on.
+    pub source: Bytes,
 }
 
 /// What may be repeated.
@@ -192,7 +195,7 @@
 }
 
 /// A backend server as its list entry describes it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
 pub struct Server {
     /// Id of this start of it; a restarted one has another.
     pub id: String,
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -183,6 +183,13 @@
         self.plan.borrow().clone()
     }
 
+    /// The backend servers, if a complete list was heard.
+    pub fn servers(&self) -> Option<Vec<plan::Server>> {
+        let listed = self.listed.borrow();
+        let known = self.list_known.get();
+        known.then(|| listed.values().cloned().collect())
+    }
+
     /// Whether the process takes new connections.
     pub fn is_ready(&self) -> bool {
         !self.leaving.get() && self.plan.borrow().is_some() && self.list_known.get()
