Say only what is known once an attempt may have run, and give repeats time of their own

Cause: a request whose first attempt may have run, or a stream broken midway, was refused as not run when its second attempt found no place; a repeat was due by its first attempt's objective and so mostly refused at once; a backend server that can't be reached was tried four times by one request, 1.3 s each. Change: such refusals become 502, a backend server's own failure is passed on instead; repeats are due one objective after they are placed; a connection gets 0.4 s and the next try goes elsewhere.

--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -173,7 +173,13 @@
         if !may {
             return Err(refusal::Refusal::new(code::Code::AnswerBroken));
         }
-        let begun = self.run.begin(self.last.as_deref()).await?;
+        let begun = self.run.begin(self.last.as_deref()).await;
+        let begun = begun.map_err(|cause| {
+            let id = self.run.req.head.id.to_str().unwrap_or("?");
+            let line = entry.log.line("not_resumed").with("id", id);
+            line.with("code", cause.code);
+            refusal::Refusal::new(code::Code::AnswerBroken)
+        })?;
         if !begun.head.status.is_success() {
             return Err(refusal::Refusal::new(code::Code::AnswerBroken));
         }
--- a/src/direct/conn.rs
+++ b/src/direct/conn.rs
@@ -8,9 +8,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net as tokio_net, task};
 
-/// Time for a new connection. The networks are a few milliseconds wide; one lost opening packet is
-/// sent again after a second.
-pub const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_300);
+/// Time for a new connection. The networks are a few milliseconds wide and a server takes one in one
+/// or two; a lost opening packet would be sent again after a second, later than another server answers.
+pub const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
 /// Unacknowledged time after which the kernel gives a connection up. With one packet in forty lost,
 /// resends after 0.2, 0.6 and 1.4 s all fail once in two million times; a silent path shows in
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -20,7 +20,7 @@
 
 /// Attempts that never left the process, because a connection was refused or closed, for one
 /// request: each is at another backend server or on a new connection.
-const UNSENT: u32 = 4;
+const UNSENT: usize = 4;
 
 /// Time to come back when a backend server was full against expectation.
 const FULL: time::Duration = time::Duration::from_millis(500);
@@ -133,8 +133,10 @@
     pub tried: SmallVec<[key::Sidecar; 2]>,
     /// Time it waited here.
     pub waited: time::Duration,
-    // Attempts that never left the process.
-    unsent: u32,
+    // Backend servers that could not be reached.
+    missed: SmallVec<[key::Sidecar; 2]>,
+    // Whether an attempt may have run, so that nothing may say that it has not.
+    ran: bool,
     service: u32,
 }
 
@@ -176,17 +178,16 @@
         req: rc::Rc::new(req),
         tried: SmallVec::new(),
         waited: time::Duration::ZERO,
-        unsent: 0,
+        missed: SmallVec::new(),
+        ran: false,
         service,
     };
     let result = tokio::time::timeout_at(until, run.answer()).await;
     let refusal = match result {
         Ok(Ok(response)) => return response,
-        Ok(Err(refusal)) => refusal,
-        Err(_elapsed) if run.tried.is_empty() => {
-            refusal::Refusal::later(code::Code::DeadlineUnreachable, FULL)
-        }
-        Err(_elapsed) => refusal::Refusal::new(code::Code::BackendSilent),
+        Ok(Err(refusal)) => run.honest(refusal),
+        Err(_elapsed) if run.ran => refusal::Refusal::new(code::Code::BackendSilent),
+        Err(_elapsed) => refusal::Refusal::later(code::Code::DeadlineUnreachable, FULL),
     };
     run.tell(refusal);
     refusal.response(Some(&run.req.head.id), &run.entry.dialect)
@@ -195,17 +196,24 @@
 impl Run {
     async fn answer(&mut self) -> Result<http::Response<body::Body>, refusal::Refusal> {
         let repeatable = self.req.route.kind.repeatable();
+        // A backend server's own failure, given to the caller if no other attempt comes of it.
+        let mut failed = None;
         loop {
-            let begun = self.begin(None).await?;
-            if begun.head.status.is_server_error() && repeatable && self.may_repeat() {
-                self.again("failed", begun.slot.server);
-                continue;
-            }
-            if self.req.route.kind.streams() && begun.head.status.is_success() {
+            let begun = match (self.begin(None).await, failed.take()) {
+                (Ok(begun), _) => begun,
+                (Err(_refused), Some(response)) => return Ok(response),
+                (Err(refusal), None) => return Err(refusal),
+            };
+            let status = begun.head.status;
+            if self.req.route.kind.streams() && status.is_success() {
                 return Ok(answer::stream(self.take(), begun));
             }
             let server = begun.slot.server;
             match self.whole(begun).await {
+                Ok(response) if status.is_server_error() && repeatable && self.may_repeat() => {
+                    self.again("failed", server);
+                    failed = Some(response);
+                }
                 Ok(response) => return Ok(response),
                 Err(()) if repeatable && self.may_repeat() => self.again("broken", server),
                 Err(()) => return Err(refusal::Refusal::new(code::Code::AnswerBroken)),
@@ -213,13 +221,23 @@
         }
     }
 
+    /// A refusal that says no more than is known: once an attempt may have run, none says that the
+    /// request has not.
+    pub fn honest(&self, refusal: refusal::Refusal) -> refusal::Refusal {
+        if self.ran && refusal.code.row().ran == code::Ran::No {
+            return refusal::Refusal::new(code::Code::OutcomeUnknown);
+        }
+        refusal
+    }
+
     fn take(&mut self) -> Self {
         Self {
             entry: rc::Rc::clone(&self.entry),
             req: rc::Rc::clone(&self.req),
             tried: self.tried.clone(),
             waited: self.waited,
-            unsent: self.unsent,
+            missed: self.missed.clone(),
+            ran: self.ran,
             service: self.service,
         }
     }
@@ -233,8 +251,8 @@
             let cause = match self.attempt(slot, after).await {
                 Outcome::Begun(begun) => return Ok(*begun),
                 Outcome::NotSent => {
-                    self.unsent += 1;
-                    if self.unsent > UNSENT {
+                    self.missed.push(server);
+                    if self.missed.len() > UNSENT {
                         return Err(refusal::Refusal::later(code::Code::NoBackendServer, FULL));
                     }
                     self.again("not_sent", server);
@@ -253,9 +271,6 @@
             if !self.may_repeat() {
                 return Err(match cause {
                     "unknown" => refusal::Refusal::new(code::Code::OutcomeUnknown),
-                    _ if self.tried.len() > 1 && after.is_some() => {
-                        refusal::Refusal::new(code::Code::AnswerBroken)
-                    }
                     _ => refusal::Refusal::later(code::Code::RetryBudget, FULL),
                 });
             }
@@ -380,14 +395,19 @@
     fn job(&self) -> place::Job {
         let req = &self.req;
         let customer = req.customer.as_deref().unwrap_or("");
+        let mut due = req.received + req.route.objective;
+        if self.ran {
+            // It is late already, and its caller still waits: a broken stream for its next event.
+            due = due.max(self.entry.now() + req.route.objective);
+        }
         place::Job {
             service: self.service,
             customer: self.entry.customer(customer),
             parts: req.head.parts.clone(),
             cost: req.head.cost,
-            due: req.received + req.route.objective,
+            due,
             objective: req.route.objective,
-            avoid: self.tried.clone(),
+            avoid: self.tried.iter().chain(&self.missed).copied().collect(),
         }
     }
 
@@ -420,12 +440,22 @@
             if !self.tried.contains(&server) {
                 self.tried.push(server);
             }
+            let before = std::mem::replace(&mut self.ran, true);
             match conn.send(req).await {
-                Ok(response) => return self.judge(response, conn, slot),
+                Ok(response) => {
+                    let outcome = self.judge(response, conn, slot);
+                    if matches!(outcome, Outcome::NotRun | Outcome::Replaced) {
+                        self.ran = before;
+                    }
+                    return outcome;
+                }
                 Err(conn::Failure::NotSent(_)) if reused => {
+                    self.ran = before;
                     self.tried.retain(|s| *s != server);
                 }
                 Err(conn::Failure::NotSent(err)) => {
+                    self.ran = before;
+                    self.tried.retain(|s| *s != server);
                     entry
                         .log
                         .line("not_sent")
