Hold the space of a request's future only while it is in progress

Cause: each caller's connection held the space of a request in progress, idle or not. Change: the future is boxed.

--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -93,7 +93,8 @@
     let limits = entry.plan().map(|p| p.limits).unwrap_or_default();
     let serve = service::service_fn(|req| {
         let entry = rc::Rc::clone(entry);
-        async move { Ok::<_, convert::Infallible>(handle(entry, key, req).await) }
+        // Boxed, so that an idle connection doesn't hold the space of a request in progress.
+        Box::pin(async move { Ok::<_, convert::Infallible>(handle(entry, key, req).await) })
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
