Let three entries follow the store for all

Change: the three with the least addresses read it; beats tell the others what version and list they have and how fresh, who fetch what is newer. An entry whose readers' knowledge is older than a second reads itself.

--- a/src/direct/neighbour.rs
+++ b/src/direct/neighbour.rs
@@ -95,7 +95,8 @@
         let response = conn.send(req).await.ok()?;
         let found = response.status() == http::StatusCode::OK;
         let body = Limited::new(response.into_body(), BYTES).collect().await;
-        body.ok().filter(|_| found).map(|body| body.to_bytes())
+        let body = body.ok().filter(|_| found)?;
+        Some(body.to_bytes())
     };
     tokio::time::timeout(ANSWER, call).await.ok().flatten()
 }
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -45,6 +45,15 @@
     /// Addresses of the entries it hears.
     #[prost(fixed32, repeated, tag = "5")]
     pub heard: Vec<u32>,
+    /// Version of the configuration that it has in force.
+    #[prost(uint64, tag = "6")]
+    pub configuration: u64,
+    /// Digest of its list of backend servers.
+    #[prost(fixed64, tag = "7")]
+    pub list: u64,
+    /// Milliseconds since it last heard from the platform's store itself.
+    #[prost(uint32, tag = "8")]
+    pub store_age_ms: u32,
 }
 
 /// Load on one backend server.
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -148,6 +148,9 @@
         loads: entry.server_hashes().into_iter().filter_map(load).collect(),
         served: customers.filter_map(served).collect(),
         heard: entry.peers.borrow().heard(),
+        configuration: entry.plan().map_or(0, |plan| plan.version),
+        list: entry.list_digest(),
+        store_age_ms: entry.store_age().as_millis().min(u32::MAX.into()) as u32,
     }
 }
 
@@ -188,6 +191,9 @@
     drop(fleet);
     spread_loads(entry);
     tell_change(entry, before);
+    if entry.relies_on_others() {
+        entry.tip.notify_one();
+    }
 }
 
 /// Forgets entries that fell silent.
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -15,6 +15,15 @@
 /// link shows within it, and callers don't pay for each try.
 const DISTRUST: time::Duration = time::Duration::from_millis(500);
 
+/// Entries that follow the platform's store for all. One would do; with three, two may be cut off,
+/// restart or be slow at once before others call the store themselves.
+const READERS: usize = 3;
+
+/// Age up to which another entry's knowledge of the store counts as fresh: a reader calls every
+/// 0.7 s. Beyond it an entry calls itself, so that a leaving backend server and a new configuration
+/// are known within two seconds in any case.
+const FRESH: time::Duration = time::Duration::from_secs(1);
+
 #[derive(Debug)]
 struct Peer {
     sender: u64,
@@ -22,6 +31,10 @@
     heard: time::Duration,
     loads: Vec<message::Load>,
     leaving: bool,
+    configuration: u64,
+    list: u64,
+    // When it last heard from the store itself.
+    store: time::Duration,
     distrusted: time::Duration,
 }
 
@@ -70,6 +83,9 @@
             heard: now,
             loads: beat.loads.clone(),
             leaving: beat.leaving,
+            configuration: beat.configuration,
+            list: beat.list,
+            store: now.saturating_sub(time::Duration::from_millis(beat.store_age_ms.into())),
             distrusted: distrusted.unwrap_or_default(),
         };
         self.alive.insert(address, peer);
@@ -110,6 +126,30 @@
         (now >= peer.distrusted).then_some(owner)
     }
 
+    /// Whether this entry is one of those that follow the platform's store for all: the few with the
+    /// least addresses.
+    pub fn is_reader(&self) -> bool {
+        let others = self
+            .alive
+            .iter()
+            .filter(|(_, p)| !p.leaving)
+            .map(|(a, _)| *a);
+        others.filter(|a| Some(*a) < self.own).count() < READERS
+    }
+
+    /// The other entry that heard from the store last, if that was just now.
+    pub fn fresh(&self, now: time::Duration) -> Option<net::Ipv4Addr> {
+        let fresh = self.alive.iter().filter(|(_, p)| now < p.store + FRESH);
+        fresh.max_by_key(|(_, p)| p.store).map(|(a, _)| *a)
+    }
+
+    /// Whether an entry has a newer configuration than this version, and another list than this.
+    pub fn differs(&self, address: net::Ipv4Addr, configuration: u64, list: u64) -> (bool, bool) {
+        let peer = self.alive.get(&address);
+        let differs = |p: &Peer| (p.configuration > configuration, p.list != list);
+        peer.map_or((false, false), differs)
+    }
+
     /// Entries that take requests, this one included.
     pub fn entries(&self) -> usize {
         1 + self.alive.values().filter(|p| !p.leaving).count()
--- a/src/direct/plan.rs
+++ b/src/direct/plan.rs
@@ -216,6 +216,8 @@
     pub slots: u32,
     /// Whether it takes no new requests any more.
     pub leaving: bool,
+    /// Number of its report that says so; later ones have greater numbers.
+    pub report: u64,
 }
 
 /// News about the backend servers.
@@ -227,4 +229,18 @@
     Gone(String),
     /// The complete list; what it lacks is gone.
     All(Vec<Server>),
+    /// The complete list as another entry knows it, which may be older than what is known here.
+    Told(Vec<Server>),
+}
+
+impl Server {
+    /// Whether it is the same but for the number of the report.
+    pub fn says_the_same(&self, other: &Self) -> bool {
+        let report = other.report;
+        *other
+            == Self {
+                report,
+                ..self.clone()
+            }
+    }
 }
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -3,7 +3,7 @@
 use std::{cell, collections, net, rc, time};
 
 use slotmap::SlotMap;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use xxhash_rust::xxh3;
 
 use super::peer::{ask, table};
@@ -19,6 +19,9 @@
 /// what stood before it.
 pub const COME_BACK: time::Duration = time::Duration::from_millis(500);
 
+/// Backend servers remembered after they are gone: days of replacing a fleet of 910.
+const GONE: usize = 4_096;
+
 /// Share of the sockets that callers may take; the rest is for backend servers.
 const CALLERS: f64 = 0.6;
 
@@ -32,6 +35,15 @@
 /// server that closes it meanwhile leaves the outcome unknown.
 const UNSAFE_IDLE: time::Duration = time::Duration::from_millis(1_500);
 
+/// What an entry reads from the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Topic {
+    /// The configuration.
+    Configuration,
+    /// The backend servers.
+    Backends,
+}
+
 /// What a process is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -89,7 +101,13 @@
     pub meter: meter::Meter,
     plan: cell::RefCell<Option<rc::Rc<plan::Plan>>>,
     listed: cell::RefCell<collections::HashMap<String, plan::Server>>,
+    // Backend servers that are gone, with their last report.
+    gone: cell::RefCell<collections::HashMap<String, u64>>,
     list_known: cell::Cell<bool>,
+    list_digest: cell::Cell<u64>,
+    store_seen: cell::Cell<[Option<time::Duration>; 2]>,
+    /// Another entry may know something newer.
+    pub tip: Notify,
     keys: cell::RefCell<collections::HashMap<String, key::Sidecar>>,
     hashes: cell::RefCell<collections::HashMap<u64, key::Sidecar>>,
     /// Number of this start, by which other entries tell it from an earlier one.
@@ -147,7 +165,11 @@
             meter: meter::Meter::default(),
             plan: cell::RefCell::default(),
             listed: cell::RefCell::default(),
+            gone: cell::RefCell::default(),
             list_known: cell::Cell::default(),
+            list_digest: cell::Cell::default(),
+            store_seen: cell::Cell::default(),
+            tip: Notify::new(),
             keys: cell::RefCell::default(),
             hashes: cell::RefCell::default(),
             start_number: seed,
@@ -183,6 +205,56 @@
         self.plan.borrow().clone()
     }
 
+    /// The store told what there is of this topic.
+    pub fn heard_store(&self, topic: Topic) {
+        let mut seen = self.store_seen.get();
+        seen[topic as usize] = Some(self.now());
+        self.store_seen.set(seen);
+    }
+
+    /// Time since the store told of both topics; very long if it never did.
+    pub fn store_age(&self) -> time::Duration {
+        let now = self.now();
+        let age = |seen: Option<time::Duration>| {
+            seen.map_or(time::Duration::MAX, |at| now.saturating_sub(at))
+        };
+        let [configuration, backends] = self.store_seen.get();
+        age(configuration).max(age(backends))
+    }
+
+    /// Whether other entries follow the store for this one, and what this one knows is complete.
+    pub fn relies_on_others(&self) -> bool {
+        let peers = self.peers.borrow();
+        let known = self.plan.borrow().is_some() && self.list_known.get();
+        known && !peers.is_reader() && peers.fresh(self.now()).is_some()
+    }
+
+    /// The entry that heard from the store last, and whether it has a newer configuration and
+    /// another list.
+    pub fn newer(&self) -> Option<(net::Ipv4Addr, bool, bool)> {
+        let peers = self.peers.borrow();
+        let address = peers.fresh(self.now())?;
+        let version = self.plan.borrow().as_ref().map_or(0, |p| p.version);
+        let (configuration, list) = peers.differs(address, version, self.list_digest.get());
+        Some((address, configuration, list))
+    }
+
+    /// Digest of the list of backend servers: entries with the same list have the same.
+    pub fn list_digest(&self) -> u64 {
+        self.list_digest.get()
+    }
+
+    fn digest_list(&self) {
+        let listed = self.listed.borrow();
+        let line = |s: &plan::Server| {
+            let text = format!("{} {} {} {}", s.id, s.service, s.address, s.leaving);
+            xxh3::xxh3_64(text.as_bytes())
+        };
+        // A sum, so that the order doesn't matter.
+        let sum = listed.values().map(line).fold(0_u64, u64::wrapping_add);
+        self.list_digest.set(sum);
+    }
+
     /// The backend servers, if a complete list was heard.
     pub fn servers(&self) -> Option<Vec<plan::Server>> {
         let listed = self.listed.borrow();
@@ -238,16 +310,19 @@
         match news {
             plan::News::Listed(server) => {
                 let mut listed = self.listed.borrow_mut();
-                let same = listed.get(&server.id) == Some(&server);
-                listed.insert(server.id.clone(), server);
+                let known = listed.insert(server.id.clone(), server.clone());
                 drop(listed);
-                if same {
+                if known.is_some_and(|known| known.says_the_same(&server)) {
                     return;
                 }
             }
             plan::News::Gone(id) => {
-                self.listed.borrow_mut().remove(&id);
+                let gone = self.listed.borrow_mut().remove(&id);
+                if let Some(server) = gone {
+                    self.remember_gone(server);
+                }
             }
+            plan::News::Told(servers) => self.merge(servers),
             plan::News::All(servers) => {
                 let all = servers.into_iter().map(|s| (s.id.clone(), s)).collect();
                 *self.listed.borrow_mut() = all;
@@ -257,6 +332,39 @@
         self.sync();
     }
 
+    // Takes over another entry's list, but nothing that is older than what is known here: a process
+    // that was suspended tells what was true before.
+    fn merge(&self, told: Vec<plan::Server>) {
+        let known = std::mem::take(&mut *self.listed.borrow_mut());
+        let mut merged = collections::HashMap::new();
+        for server in told {
+            let gone = self.gone.borrow().get(&server.id).copied();
+            if gone.is_some_and(|report| server.report <= report) {
+                continue;
+            }
+            let newest = match known.get(&server.id) {
+                Some(known) if known.report > server.report => known.clone(),
+                _ => server,
+            };
+            merged.insert(newest.id.clone(), newest);
+        }
+        for (id, server) in known {
+            if !merged.contains_key(&id) {
+                self.remember_gone(server);
+            }
+        }
+        *self.listed.borrow_mut() = merged;
+        self.list_known.set(true);
+    }
+
+    fn remember_gone(&self, server: plan::Server) {
+        let mut gone = self.gone.borrow_mut();
+        if gone.len() >= GONE {
+            gone.clear();
+        }
+        gone.insert(server.id, server.report);
+    }
+
     /// The health table took nothing in for a while: the list says who lives.
     pub fn refresh(&self) {
         let now = self.now();
@@ -274,6 +382,7 @@
 
     // Brings the backends in line with list and configuration.
     fn sync(&self) {
+        self.digest_list();
         let Some(plan) = self.plan() else { return };
         let gone: Vec<String> = {
             let listed = self.listed.borrow();
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -4,7 +4,7 @@
 
 use chivebend::decide::retry;
 use chivebend::direct::peer::{message, table};
-use chivebend::direct::{answer, callers, dialect, plan, request};
+use chivebend::direct::{answer, callers, dialect, line, plan, request, state};
 use http::{HeaderName, HeaderValue};
 use proptest::prelude::*;
 use smallvec::smallvec;
@@ -340,6 +340,55 @@
     assert_eq!(tables[0].owner(ms(1_000), server), Some(owner));
 }
 
+#[test]
+fn a_few_entries_follow_the_store_and_the_others_rely_on_the_freshest() {
+    struct Case {
+        name: &'static str,
+        own: u8,
+        reader: bool,
+    }
+    let cases = [
+        Case {
+            name: "the first",
+            own: 1,
+            reader: true,
+        },
+        Case {
+            name: "the third",
+            own: 3,
+            reader: true,
+        },
+        Case {
+            name: "the fourth",
+            own: 4,
+            reader: false,
+        },
+    ];
+    for case in cases {
+        let mut peers = table::Table::new(address(case.own), Vec::new());
+        for other in (1..6_u8).filter(|other| *other != case.own) {
+            let beat = message::Beat {
+                store_age_ms: u32::from(other) * 300,
+                configuration: 5,
+                list: u64::from(other),
+                ..beat(1)
+            };
+            peers.hear(ms(5_000), other.into(), address(other), &beat);
+        }
+        assert_eq!(peers.is_reader(), case.reader, "{}", case.name);
+        let freshest = if case.own == 1 { 2 } else { 1 };
+        assert_eq!(
+            peers.fresh(ms(5_000)),
+            Some(address(freshest)),
+            "{}",
+            case.name
+        );
+        assert_eq!(peers.fresh(ms(6_000)), None, "{}: all are old", case.name);
+        let differs = peers.differs(address(freshest), 4, u64::from(freshest));
+        assert_eq!(differs, (true, false), "{}", case.name);
+    }
+}
+
 #[test]
 fn an_id_of_any_bytes_is_kept() {
     // Ids that are no text are forwarded as they are.
@@ -373,3 +422,55 @@
     assert_eq!(plan.shortest_objective("b"), Some(ms(900)));
     assert_eq!(plan.shortest_objective("c"), None);
 }
+
+fn server(id: &str, report: u64, leaving: bool) -> plan::Server {
+    plan::Server {
+        id: id.into(),
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "z".into(),
+        slots: 1,
+        leaving,
+        report,
+    }
+}
+
+#[test]
+fn another_entrys_older_list_brings_nothing_back() {
+    let settings = state::Settings {
+        instance: "e".into(),
+        address: address(1),
+        zone: "z".into(),
+        repeat_ratio: 0.2,
+        repeat_slack: 1.0,
+        least_entries: 1,
+        repeat_window: ms(10_000),
+        sockets: 100,
+        grace: ms(1_000),
+    };
+    let started = time::Instant::now();
+    let log = line::open(started).expect("a thread");
+    let entry = state::Entry::new(started, settings, names(), log, 1, Vec::new(), None);
+    let known = || {
+        let mut servers = entry.servers().expect("a list");
+        servers.sort_by(|a, b| a.id.cmp(&b.id));
+        servers
+            .into_iter()
+            .map(|s| (s.id, s.leaving))
+            .collect::<Vec<_>>()
+    };
+    let told = |servers: &[plan::Server]| entry.take(plan::News::Told(servers.to_vec()));
+    told(&[server("a", 5, false), server("b", 5, false)]);
+    entry.take(plan::News::Listed(server("a", 6, true)));
+    entry.take(plan::News::Gone("b".into()));
+    told(&[
+        server("a", 5, false),
+        server("b", 5, false),
+        server("c", 1, false),
+    ]);
+    let expected = [("a".to_owned(), true), ("c".to_owned(), false)];
+    assert_eq!(known(), expected);
+    told(&[server("a", 7, true), server("b", 6, false)]);
+    let expected = [("a".to_owned(), true), ("b".to_owned(), false)];
+    assert_eq!(known(), expected);
+}
