--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
-use super::{body, conn, forward, refusal};
+use super::{attempt, body, conn, forward, refusal, slot};
 use crate::code;
 
 /// Most bytes of one event.
@@ -19,7 +19,7 @@
 /// A stream on its way to the caller.
 struct Stream {
     run: forward::Run,
-    slot: forward::Slot,
+    slot: slot::Slot,
     conn: Option<conn::Conn>,
     rest: Incoming,
     // Bytes of events that are not whole yet.
@@ -34,8 +34,8 @@
 }
 
 /// Passes a stream on.
-pub fn stream(run: forward::Run, begun: forward::Begun) -> http::Response<body::Body> {
-    let forward::Begun {
+pub fn stream(run: forward::Run, begun: attempt::Begun) -> http::Response<body::Body> {
+    let attempt::Begun {
         mut head,
         rest,
         conn,
--- /dev/null
+++ b/src/direct/attempt.rs
@@ -0,0 +1,200 @@
+//! One attempt at a backend server: sent, and judged by the head of its answer.
+
+use std::{rc, time};
+
+use bytes::Bytes;
+use http::{HeaderValue, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use super::{conn, forward, slot};
+use crate::key;
+
+/// An answer's head, and what is needed to read on.
+#[derive(Debug)]
+pub struct Begun {
+    /// The head.
+    pub head: http::response::Parts,
+    /// The rest.
+    pub rest: Incoming,
+    /// The connection.
+    pub conn: conn::Conn,
+    /// The place.
+    pub slot: slot::Slot,
+}
+
+/// What became of an attempt.
+#[derive(Debug)]
+pub(super) enum Outcome {
+    /// The backend server answers.
+    Begun(Box<Begun>),
+    /// It did not run, and the backend server said so.
+    NotRun,
+    /// Another instance has the address.
+    Replaced,
+    /// Not a byte was sent.
+    NotSent,
+    /// It may have run.
+    Unknown,
+}
+
+impl forward::Run {
+    pub(super) async fn attempt(&mut self, slot: slot::Slot, after: Option<&str>) -> Outcome {
+        let once = !self.req.route.kind.repeatable();
+        let entry = rc::Rc::clone(&self.entry);
+        let server = slot.server;
+        loop {
+            let (mut conn, reused) = match entry.connect(server, once).await {
+                Ok(conn) => conn,
+                Err(err) => {
+                    entry
+                        .log
+                        .line("connect_failed")
+                        .with("backend", self.backend(server))
+                        .with("error", err);
+                    entry.judge_result(server, false, time::Duration::ZERO);
+                    return Outcome::NotSent;
+                }
+            };
+            if !conn.ready().await {
+                if reused {
+                    continue;
+                }
+                return Outcome::NotSent;
+            }
+            let Some(req) = self.outgoing(server, after) else {
+                return Outcome::NotSent;
+            };
+            if !self.tried.contains(&server) {
+                self.tried.push(server);
+            }
+            let before = std::mem::replace(&mut self.ran, true);
+            match conn.send(req).await {
+                Ok(response) => {
+                    let outcome = self.judge(response, conn, slot);
+                    if matches!(outcome, Outcome::NotRun | Outcome::Replaced) {
+                        self.ran = before;
+                    }
+                    return outcome;
+                }
+                Err(conn::Failure::NotSent(_)) if reused => {
+                    self.ran = before;
+                    self.tried.retain(|s| *s != server);
+                }
+                Err(conn::Failure::NotSent(err)) => {
+                    self.ran = before;
+                    self.tried.retain(|s| *s != server);
+                    entry
+                        .log
+                        .line("not_sent")
+                        .with("id", self.id())
+                        .with("error", err);
+                    return Outcome::NotSent;
+                }
+                Err(conn::Failure::Lost(err)) => {
+                    entry
+                        .log
+                        .line("answer_lost")
+                        .with("id", self.id())
+                        .with("backend", self.backend(server))
+                        .with("reused", reused)
+                        .with("error", err);
+                    entry.judge_result(server, false, time::Duration::ZERO);
+                    return Outcome::Unknown;
+                }
+            }
+        }
+    }
+
+    fn outgoing(
+        &self,
+        server: key::Sidecar,
+        after: Option<&str>,
+    ) -> Option<http::Request<Full<Bytes>>> {
+        let names = &self.entry.dialect;
+        let head = &self.req.head;
+        let mut req = http::Request::new(Full::new(self.req.body.clone()));
+        *req.method_mut() = head.method.clone();
+        *req.uri_mut() = http::Uri::from(head.target.clone());
+        let headers = req.headers_mut();
+        *headers = head.headers.clone();
+        let backends = self.entry.backends.borrow();
+        let id = &backends.get(server)?.server.id;
+        headers.insert(&names.expected_instance, HeaderValue::from_str(id).ok()?);
+        if let Some(customer) = &self.req.customer {
+            headers.insert(&names.customer, HeaderValue::from_str(customer).ok()?);
+        }
+        let left = self
+            .req
+            .deadline
+            .saturating_sub(self.entry.now())
+            .as_millis() as u64;
+        headers.insert(&names.deadline, HeaderValue::from(left.max(1)));
+        if let Some(after) = after {
+            headers.insert(&names.last_event, HeaderValue::from_str(after).ok()?);
+        }
+        if head.headers.get(header::HOST).is_none() {
+            headers.insert(header::HOST, HeaderValue::from_str(&head.host).ok()?);
+        }
+        Some(req)
+    }
+
+    fn judge(
+        &self,
+        response: http::Response<Incoming>,
+        mut conn: conn::Conn,
+        slot: slot::Slot,
+    ) -> Outcome {
+        let names = &self.entry.dialect;
+        let (head, rest) = response.into_parts();
+        conn.keep = keep_time(&head.headers);
+        let ours = head.headers.get(&names.request_id) == Some(&self.req.head.id);
+        let not_run = head.headers.contains_key(&names.not_run);
+        let stamped = head.headers.contains_key(&names.signature);
+        let encoded = head.headers.contains_key(header::CONTENT_ENCODING);
+        let status = head.status;
+        let spoilt = !ours || encoded || (status.is_success() && !stamped);
+        if !spoilt && !not_run && status != http::StatusCode::MISDIRECTED_REQUEST {
+            return Outcome::Begun(Box::new(Begun {
+                head,
+                rest,
+                conn,
+                slot,
+            }));
+        }
+        self.entry
+            .log
+            .line("answer_set_aside")
+            .with("id", self.id())
+            .with("backend", self.backend(slot.server))
+            .with("status", status.as_u16())
+            .with("ours", ours)
+            .with("not_run", not_run)
+            .with("signed", stamped);
+        if ours && status == http::StatusCode::MISDIRECTED_REQUEST {
+            let instance = head.headers.get(&names.instance);
+            let expected = self.backend(slot.server);
+            let other = instance.is_some_and(|i| i.as_bytes() != expected.as_bytes());
+            return if other {
+                Outcome::Replaced
+            } else {
+                Outcome::NotRun
+            };
+        }
+        if ours && not_run {
+            return Outcome::NotRun;
+        }
+        self.entry
+            .judge_result(slot.server, false, time::Duration::ZERO);
+        Outcome::Unknown
+    }
+}
+
+// How long the backend server keeps the connection open; `None` if it doesn't say.
+fn keep_time(headers: &http::HeaderMap) -> Option<time::Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let timeout = value
+        .split(',')
+        .find_map(|p| p.trim().strip_prefix("timeout="))?;
+    timeout.parse().ok().map(time::Duration::from_secs)
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -4,8 +4,14 @@
 //! requests that wait, decides by [`crate::decide::place`] and forwards. What the outside calls its
 //! headers comes in as a [`dialect::Dialect`]; configuration and backend servers come in as a
 //! [`plan::Plan`] and [`plan::Server`]s. Everything runs on one thread.
+//!
+//! A request's way: [`serve`] reads it, [`request`] checks it, [`forward`] makes its attempts, each with
+//! a place from [`slot`], which may wait in [`turns`] or be asked of another entry in [`peer`], and a
+//! connection from [`pool`]; [`attempt`] judges the answer and [`answer`] passes a stream on. What
+//! the entry knows is in [`state`], and of backend servers in [`roster`].
 
 pub mod answer;
+pub mod attempt;
 pub mod body;
 pub mod callers;
 pub mod conn;
@@ -16,7 +22,12 @@
 pub mod neighbour;
 pub mod peer;
 pub mod plan;
+pub mod pool;
 pub mod refusal;
+pub mod report;
 pub mod request;
+pub mod roster;
 pub mod serve;
+pub mod slot;
 pub mod state;
+pub mod turns;
--- /dev/null
+++ b/src/direct/pool.rs
@@ -0,0 +1,100 @@
+//! Connections to backend servers, and how well each serves.
+
+use std::{io, time};
+
+use super::{conn, plan, state};
+use crate::key;
+
+/// Idle connections kept for one backend server; more are closed when they come back. A burst
+/// leaves one for each request that it had in progress.
+const IDLE: usize = 32;
+
+/// Time that a backend server leaves an idle connection open if it doesn't say.
+const KEEP: time::Duration = time::Duration::from_secs(4);
+
+/// Margin to the end of an idle connection: several ways to the backend server and back.
+const KEEP_MARGIN: time::Duration = time::Duration::from_millis(400);
+
+/// Longest idle time of a connection that gets a request which may run once at most: a backend
+/// server that closes it meanwhile leaves the outcome unknown.
+const UNSAFE_IDLE: time::Duration = time::Duration::from_millis(1_500);
+
+/// A backend server and the connections to it.
+#[derive(Debug)]
+pub struct Backend {
+    /// Its list entry.
+    pub server: plan::Server,
+    /// Hash of its id, by which entries name it to each other.
+    pub hash: u64,
+    pub(super) idle: Vec<conn::Conn>,
+}
+
+impl state::Entry {
+    /// A connection to a backend server, kept or new.
+    pub async fn connect(
+        &self,
+        server: key::Sidecar,
+        once: bool,
+    ) -> io::Result<(conn::Conn, bool)> {
+        if let Some(kept) = self.kept(server, once) {
+            return Ok((kept, true));
+        }
+        let address = self.backends.borrow().get(server).map(|b| b.server.address);
+        let address = address.ok_or(io::ErrorKind::NotFound)?;
+        self.meter.count("connections", "backend");
+        conn::open(address).await.map(|conn| (conn, false))
+    }
+
+    fn kept(&self, server: key::Sidecar, once: bool) -> Option<conn::Conn> {
+        let now = self.now();
+        let mut backends = self.backends.borrow_mut();
+        let idle = &mut backends.get_mut(server)?.idle;
+        idle.retain(|c| c.is_open() && now < c.used + c.keep.unwrap_or(KEEP));
+        if once {
+            let newest = idle.last()?;
+            if now > newest.used + UNSAFE_IDLE {
+                return None;
+            }
+        }
+        idle.pop()
+    }
+
+    /// Keeps a connection whose answer is complete.
+    pub fn keep(&self, server: key::Sidecar, mut conn: conn::Conn) {
+        conn.used = self.now();
+        conn.keep = conn.keep.map(|keep| keep.saturating_sub(KEEP_MARGIN));
+        if let Some(backend) = self.backends.borrow_mut().get_mut(server)
+            && backend.idle.len() < IDLE
+        {
+            backend.idle.push(conn);
+        }
+    }
+
+    /// How a request at a backend server went.
+    pub fn judge_result(&self, server: key::Sidecar, well: bool, took: time::Duration) {
+        let now = self.now();
+        let mut health = self.health.borrow_mut();
+        let before = health.state(now, server).usable();
+        if well {
+            if let Some(peer) = health.get_mut(server) {
+                peer.succeeded(now, took);
+            }
+        } else {
+            health.failed(now, server, &mut self.rng.borrow_mut());
+        }
+        let after = health.state(now, server).usable();
+        drop(health);
+        if before != after {
+            let id = self
+                .backends
+                .borrow()
+                .get(server)
+                .map(|b| b.server.id.clone());
+            self.log
+                .line("backend_health")
+                .with("backend", id.unwrap_or_default())
+                .with("usable", after);
+            self.judge();
+        }
+    }
+}
--- /dev/null
+++ b/src/direct/report.rs
@@ -0,0 +1,73 @@
+//! What the log and the figures say of a request.
+
+use super::{forward, refusal, slot};
+use crate::key;
+
+impl forward::Run {
+    pub(super) fn again(&self, cause: &str, server: key::Sidecar) {
+        self.entry.meter.count("repeats", cause);
+        self.entry
+            .log
+            .line("again")
+            .with("id", self.id())
+            .with("cause", cause)
+            .with("backend", self.backend(server))
+            .with("attempts", self.tried.len());
+    }
+
+    pub(super) fn id(&self) -> &str {
+        self.req.head.id.to_str().unwrap_or("?")
+    }
+
+    /// Id of a backend server, for logs.
+    pub fn backend(&self, server: key::Sidecar) -> String {
+        let backends = self.entry.backends.borrow();
+        backends
+            .get(server)
+            .map_or_else(String::new, |b| b.server.id.clone())
+    }
+
+    /// Logs and counts a request that was answered.
+    pub fn done(&self, slot: &slot::Slot, status: u16, outcome: &str) {
+        let now = self.entry.now();
+        let took = now.saturating_sub(self.req.received);
+        self.entry.meter.count("answers", outcome);
+        self.entry.meter.time("answer", took);
+        self.entry.meter.time("waited", self.waited);
+        self.entry
+            .log
+            .line("answered")
+            .with("id", self.id())
+            .with("route", &self.req.route.name)
+            .with("customer", self.req.customer.as_deref().unwrap_or("-"))
+            .with("backend", self.backend(slot.server))
+            .with("status", status)
+            .with("outcome", outcome)
+            .with("attempts", self.tried.len())
+            .ms("waited_ms", self.waited)
+            .with("ahead_ms", slot.ahead_ms as u64)
+            .with("tokens", slot.tokens as u64)
+            .ms("first_ms", slot.first.unwrap_or_default())
+            .ms("took_ms", took);
+    }
+
+    /// Logs and counts a request that ends with an answer of the entry's own.
+    pub fn tell(&self, refusal: refusal::Refusal) {
+        let entry = &self.entry;
+        let row = refusal.code.row();
+        entry.meter.count("refusals", row.name);
+        let now = entry.now();
+        entry
+            .log
+            .line("refused")
+            .with("id", self.id())
+            .with("route", &self.req.route.name)
+            .with("customer", self.req.customer.as_deref().unwrap_or("-"))
+            .with("code", refusal.code)
+            .with("ran", row.ran)
+            .with("attempts", self.tried.len())
+            .with("configuration", entry.plan().map_or(0, |p| p.version))
+            .ms("after_ms", refusal.after.unwrap_or_default())
+            .ms("held_ms", now.saturating_sub(self.req.received));
+    }
+}
--- /dev/null
+++ b/src/direct/roster.rs
@@ -0,0 +1,289 @@
+//! The backend servers that an entry knows, from the store or from other entries.
+
+use std::{collections, net, time};
+
+use xxhash_rust::xxh3;
+
+use super::peer::ask;
+use super::{peer, plan, pool, state};
+use crate::decide::place;
+use crate::key;
+
+/// Backend servers remembered after they are gone: days of replacing a fleet of 910.
+const GONE: usize = 4_096;
+
+/// What an entry reads from the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Topic {
+    /// The configuration.
+    Configuration,
+    /// The backend servers.
+    Backends,
+}
+
+impl state::Entry {
+    /// The store told what there is of this topic.
+    pub fn heard_store(&self, topic: Topic) {
+        let mut seen = self.store_seen.get();
+        seen[topic as usize] = Some(self.now());
+        self.store_seen.set(seen);
+    }
+
+    /// Time since the store told of both topics; very long if it never did.
+    pub fn store_age(&self) -> time::Duration {
+        let now = self.now();
+        let age = |seen: Option<time::Duration>| {
+            seen.map_or(time::Duration::MAX, |at| now.saturating_sub(at))
+        };
+        let [configuration, backends] = self.store_seen.get();
+        age(configuration).max(age(backends))
+    }
+
+    /// Whether other entries follow the store for this one, and what this one knows is complete.
+    pub fn relies_on_others(&self) -> bool {
+        let peers = self.peers.borrow();
+        let known = self.plan.borrow().is_some() && self.list_known.get();
+        known && !peers.is_reader() && peers.fresh(self.now()).is_some()
+    }
+
+    /// The entry that heard from the store last, and whether it has a newer configuration and
+    /// another list.
+    pub fn newer(&self) -> Option<(net::Ipv4Addr, bool, bool)> {
+        let peers = self.peers.borrow();
+        let address = peers.fresh(self.now())?;
+        let version = self.plan.borrow().as_ref().map_or(0, |p| p.version);
+        let (configuration, list) = peers.differs(address, version, self.list_digest.get());
+        Some((address, configuration, list))
+    }
+
+    /// Digest of the list of backend servers: entries with the same list have the same.
+    pub fn list_digest(&self) -> u64 {
+        self.list_digest.get()
+    }
+
+    fn digest_list(&self) {
+        let listed = self.listed.borrow();
+        let line = |s: &plan::Server| {
+            let text = format!("{} {} {} {}", s.id, s.service, s.address, s.leaving);
+            xxh3::xxh3_64(text.as_bytes())
+        };
+        // A sum, so that the order doesn't matter.
+        let sum = listed.values().map(line).fold(0_u64, u64::wrapping_add);
+        self.list_digest.set(sum);
+    }
+
+    /// The backend servers, if a complete list was heard.
+    pub fn servers(&self) -> Option<Vec<plan::Server>> {
+        let listed = self.listed.borrow();
+        let known = self.list_known.get();
+        known.then(|| listed.values().cloned().collect())
+    }
+
+    /// Takes in news about backend servers.
+    pub fn take(&self, news: plan::News) {
+        match news {
+            plan::News::Listed(server) => {
+                let mut listed = self.listed.borrow_mut();
+                let known = listed.insert(server.id.clone(), server.clone());
+                drop(listed);
+                if known.is_some_and(|known| known.says_the_same(&server)) {
+                    return;
+                }
+            }
+            plan::News::Gone(id) => {
+                let gone = self.listed.borrow_mut().remove(&id);
+                if let Some(server) = gone {
+                    self.remember_gone(server);
+                }
+            }
+            plan::News::Told(servers) => self.merge(servers),
+            plan::News::All(servers) => {
+                let all = servers.into_iter().map(|s| (s.id.clone(), s)).collect();
+                *self.listed.borrow_mut() = all;
+                self.list_known.set(true);
+            }
+        }
+        self.sync();
+    }
+
+    // Takes over another entry's list, but nothing that is older than what is known here: a process
+    // that was suspended tells what was true before.
+    fn merge(&self, told: Vec<plan::Server>) {
+        let known = std::mem::take(&mut *self.listed.borrow_mut());
+        let mut merged = collections::HashMap::new();
+        for server in told {
+            let gone = self.gone.borrow().get(&server.id).copied();
+            if gone.is_some_and(|report| server.report <= report) {
+                continue;
+            }
+            let newest = match known.get(&server.id) {
+                Some(known) if known.report > server.report => known.clone(),
+                _ => server,
+            };
+            merged.insert(newest.id.clone(), newest);
+        }
+        for (id, server) in known {
+            if !merged.contains_key(&id) {
+                self.remember_gone(server);
+            }
+        }
+        *self.listed.borrow_mut() = merged;
+        self.list_known.set(true);
+    }
+
+    fn remember_gone(&self, server: plan::Server) {
+        let mut gone = self.gone.borrow_mut();
+        if gone.len() >= GONE {
+            gone.clear();
+        }
+        gone.insert(server.id, server.report);
+    }
+
+    /// The health table took nothing in for a while: the list says who lives.
+    pub fn refresh(&self) {
+        let now = self.now();
+        let mut health = self.health.borrow_mut();
+        for server in self.backends.borrow().keys() {
+            health.add(now, server);
+        }
+        health.compare();
+        drop(health);
+        self.fleet.borrow_mut().sweep(now);
+        peer::expire(self);
+        ask::expire(self);
+        self.judge();
+    }
+
+    // Brings the backends in line with list and configuration.
+    pub(super) fn sync(&self) {
+        self.digest_list();
+        let Some(plan) = self.plan() else { return };
+        let gone: Vec<String> = {
+            let listed = self.listed.borrow();
+            let keys = self.keys.borrow();
+            keys.keys()
+                .filter(|id| !listed.contains_key(*id))
+                .cloned()
+                .collect()
+        };
+        for id in gone {
+            self.remove(&id);
+        }
+        let listed: Vec<plan::Server> = self.listed.borrow().values().cloned().collect();
+        for server in listed {
+            self.put(&plan, server);
+        }
+        self.judge();
+    }
+
+    fn put(&self, plan: &plan::Plan, server: plan::Server) {
+        let known = self.keys.borrow().get(&server.id).copied();
+        if let Some(key) = known {
+            if let Some(backend) = self.backends.borrow_mut().get_mut(key) {
+                if backend.server.leaving != server.leaving {
+                    self.log
+                        .line("backend_leaving")
+                        .with("backend", &server.id)
+                        .with("leaving", server.leaving);
+                }
+                backend.server = server;
+            }
+            return;
+        }
+        let Some(service) = plan.services.get(server.service.as_str()) else {
+            return;
+        };
+        let number = self.service(&server.service);
+        let key = self.fleet.borrow_mut().add(place::Listed {
+            id: &server.id,
+            service: number,
+            slots: server.slots,
+            engine: service.engine,
+            near: server.zone == self.settings.zone,
+        });
+        self.health.borrow_mut().add(self.now(), key);
+        self.log
+            .line("backend_new")
+            .with("backend", &server.id)
+            .with("address", server.address)
+            .with("service", &server.service)
+            .with("leaving", server.leaving);
+        self.keys.borrow_mut().insert(server.id.clone(), key);
+        let backend = pool::Backend {
+            hash: xxh3::xxh3_64(server.id.as_bytes()),
+            server,
+            idle: Vec::new(),
+        };
+        self.hashes.borrow_mut().insert(backend.hash, key);
+        self.backends.borrow_mut().insert(key, backend);
+    }
+
+    fn remove(&self, id: &str) {
+        let Some(key) = self.keys.borrow_mut().remove(id) else {
+            return;
+        };
+        self.log.line("backend_gone").with("backend", id);
+        let backend = self.backends.borrow_mut().remove(key);
+        if let Some(backend) = backend {
+            self.hashes.borrow_mut().remove(&backend.hash);
+        }
+        self.health.borrow_mut().remove(key);
+        let waiting = self.fleet.borrow_mut().remove(key);
+        self.place_anew(waiting);
+    }
+
+    /// A backend server said that another instance has its address now.
+    pub fn replaced(&self, server: key::Sidecar) {
+        let id = self
+            .backends
+            .borrow()
+            .get(server)
+            .map(|b| b.server.id.clone());
+        if let Some(id) = id {
+            self.listed.borrow_mut().remove(&id);
+            self.remove(&id);
+        }
+    }
+
+    // Tells the placing which backend servers may get work.
+    pub(super) fn judge(&self) {
+        let now = self.now();
+        let states: Vec<(key::Sidecar, bool)> = {
+            let health = self.health.borrow();
+            let backends = self.backends.borrow();
+            let usable = |(key, b): (key::Sidecar, &pool::Backend)| {
+                (key, !b.server.leaving && health.state(now, key).usable())
+            };
+            backends.iter().map(usable).collect()
+        };
+        for (key, usable) in states {
+            let moved = self.fleet.borrow_mut().set_usable(key, usable);
+            self.place_anew(moved);
+        }
+    }
+
+    /// The backend server with this hash of its id.
+    pub fn server_by_hash(&self, hash: u64) -> Option<key::Sidecar> {
+        self.hashes.borrow().get(&hash).copied()
+    }
+
+    /// Hash of a backend server's id.
+    pub fn server_hash(&self, server: key::Sidecar) -> Option<u64> {
+        self.backends.borrow().get(server).map(|b| b.hash)
+    }
+
+    /// The other entry that decides about a backend server, if one does.
+    pub fn owner(&self, server: key::Sidecar) -> Option<net::Ipv4Addr> {
+        let hash = self.server_hash(server)?;
+        self.peers.borrow().owner(self.now(), hash)
+    }
+
+    /// All backend servers with the hashes of their ids.
+    pub fn server_hashes(&self) -> Vec<(key::Sidecar, u64)> {
+        self.backends
+            .borrow()
+            .iter()
+            .map(|(key, b)| (key, b.hash))
+            .collect()
+    }
+}
--- /dev/null
+++ b/src/direct/slot.rs
@@ -0,0 +1,249 @@
+//! Places of requests at backend servers: found, waited for and given back.
+
+use std::{rc, time};
+
+use super::peer::{ask, message};
+use super::{forward, plan, refusal, state};
+use crate::code;
+use crate::decide::place;
+use crate::key;
+
+/// A place at a backend server; it is given back when dropped.
+#[derive(Debug)]
+pub struct Slot {
+    entry: rc::Rc<state::Entry>,
+    place: Place,
+    served: bool,
+    /// The backend server.
+    pub server: key::Sidecar,
+    /// When it was taken.
+    pub since: time::Duration,
+    /// Milliseconds of prompts that stood before it.
+    pub ahead_ms: f64,
+    /// Prompt tokens that the backend server is believed to read.
+    pub tokens: f64,
+    /// Time until the first event, once it has come.
+    pub first: Option<time::Duration>,
+}
+
+/// Who granted a place.
+#[derive(Debug)]
+enum Place {
+    /// This process.
+    Here(place::Placed),
+    /// Another entry.
+    There(ask::Grant),
+    /// It was given back.
+    Nowhere,
+}
+
+impl Slot {
+    fn here(entry: rc::Rc<state::Entry>, placed: place::Placed) -> Self {
+        Self {
+            server: placed.server,
+            since: entry.now(),
+            ahead_ms: placed.ahead_ms,
+            tokens: placed.tokens,
+            first: None,
+            entry,
+            place: Place::Here(placed),
+            served: false,
+        }
+    }
+
+    fn there(entry: rc::Rc<state::Entry>, grant: ask::Grant) -> Self {
+        Self {
+            server: grant.server,
+            since: entry.now(),
+            ahead_ms: grant.ahead_ms,
+            tokens: grant.tokens,
+            first: None,
+            entry,
+            place: Place::There(grant),
+            served: false,
+        }
+    }
+
+    /// The first event came.
+    pub fn began(&mut self) {
+        let now = self.entry.now();
+        self.served = true;
+        self.first = Some(now.saturating_sub(self.since));
+        match &mut self.place {
+            Place::Here(placed) => {
+                self.entry.fleet.borrow_mut().began(now, placed);
+                self.entry.pump(self.server);
+            }
+            Place::There(grant) => {
+                ask::note(&self.entry, grant.owner, grant.number, message::Step::Began);
+            }
+            Place::Nowhere => {}
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        match std::mem::replace(&mut self.place, Place::Nowhere) {
+            Place::Here(placed) => {
+                let now = self.entry.now();
+                let mut fleet = self.entry.fleet.borrow_mut();
+                fleet.ended(now, placed, self.served);
+                drop(fleet);
+                self.entry.pump(self.server);
+            }
+            Place::There(grant) => {
+                let step = if self.served {
+                    message::Step::Ended
+                } else {
+                    message::Step::Dropped
+                };
+                ask::note(&self.entry, grant.owner, grant.number, step);
+            }
+            Place::Nowhere => {}
+        }
+    }
+}
+
+impl forward::Run {
+    pub(super) async fn place(&mut self) -> Result<Slot, refusal::Refusal> {
+        let entry = rc::Rc::clone(&self.entry);
+        let job = self.job();
+        let begun = entry.now();
+        let slot = loop {
+            let chosen = entry.fleet.borrow_mut().choose(&job);
+            let Some((server, engine)) = chosen else {
+                return Err(refusal::Refusal::later(
+                    code::Code::NoBackendServer,
+                    forward::FULL,
+                ));
+            };
+            if engine && let Some(owner) = entry.owner(server) {
+                match ask::ask(&entry, owner, server, &self.req, &job).await {
+                    ask::Outcome::Granted(grant) => {
+                        break Slot::there(rc::Rc::clone(&entry), grant);
+                    }
+                    ask::Outcome::Refused(refusal) => return Err(refusal),
+                    ask::Outcome::Undecided => {}
+                }
+            }
+            if let Some(placed) = self.place_here(&job, server).await? {
+                break Slot::here(rc::Rc::clone(&entry), placed);
+            }
+        };
+        self.waited += entry.now().saturating_sub(begun);
+        Ok(slot)
+    }
+
+    // `None` says that the request is to be placed anew.
+    async fn place_here(
+        &self,
+        job: &place::Job,
+        server: key::Sidecar,
+    ) -> Result<Option<place::Placed>, refusal::Refusal> {
+        let entry = &self.entry;
+        let number = entry.number();
+        let now = entry.now();
+        let verdict = entry.fleet.borrow_mut().place_at(now, number, job, server);
+        match verdict {
+            place::Verdict::Go(placed) => Ok(Some(placed)),
+            place::Verdict::Wait(ticket, until) => self.wait(number, ticket, until).await,
+            // The list has changed since it was chosen.
+            place::Verdict::Refuse(code::Code::NoBackendServer, _) => Ok(None),
+            place::Verdict::Refuse(code, after) => Err(refusal::Refusal::later(code, after)),
+        }
+    }
+
+    async fn wait(
+        &self,
+        number: u64,
+        ticket: place::Ticket,
+        until: time::Duration,
+    ) -> Result<Option<place::Placed>, refusal::Refusal> {
+        let entry = &self.entry;
+        let mut turn = Turn {
+            entry,
+            number,
+            ticket,
+            heard: entry.wait(number),
+        };
+        let until = tokio::time::Instant::from_std(entry.started + until);
+        match tokio::time::timeout_at(until, &mut turn.heard).await {
+            Ok(Ok(placed)) => Ok(placed),
+            Ok(Err(_)) => Err(refusal::Refusal::new(code::Code::Internal)),
+            Err(_elapsed) => Err(refusal::Refusal::later(
+                code::Code::DeadlineUnreachable,
+                state::COME_BACK,
+            )),
+        }
+    }
+
+    fn job(&self) -> place::Job {
+        let req = &self.req;
+        let customer = req.customer.as_deref().unwrap_or("");
+        // All requests of a service wait as long as the shortest objective allows. Else those with long
+        // objectives are let in where those with short ones are refused: 26 in 100 of the feedstock
+        // logs' most urgent kind were, against 6 of the least urgent one; with it 20 against 10.
+        let plan = self.entry.plan();
+        let shortest = plan.and_then(|plan| plan.shortest_objective(&req.service));
+        let objective = shortest.map_or(req.route.objective, |s| s.min(req.route.objective));
+        let mut due = req.received + objective;
+        if self.ran {
+            // It is late already, and its caller still waits: a broken stream for its next event.
+            due = due.max(self.entry.now() + objective);
+        }
+        place::Job {
+            service: self.service,
+            customer: self.entry.customer(customer),
+            parts: req.head.parts.clone(),
+            cost: req.head.cost,
+            due,
+            objective,
+            avoid: self.tried.iter().chain(&self.missed).copied().collect(),
+        }
+    }
+
+    // The configuration may have changed while the request waited.
+    pub(super) fn check_plan(&self) -> Result<(), refusal::Refusal> {
+        let Some(plan) = self.entry.plan() else {
+            return Err(refusal::Refusal::later(
+                code::Code::NoCatalogue,
+                forward::FULL,
+            ));
+        };
+        let head = &self.req.head;
+        let route = plan.route(&head.host, head.target.path());
+        let route = route.map_err(refusal::Refusal::new)?;
+        let customer = plan.customer(route, &head.key);
+        customer.map_err(refusal::Refusal::new)?;
+        let served = |share: &plan::Share| share.service == self.req.service && share.weight > 0;
+        if route.shares.iter().any(served) {
+            return Ok(());
+        }
+        Err(refusal::Refusal::later(
+            code::Code::NoBackendServer,
+            forward::FULL,
+        ))
+    }
+}
+
+// A waiting request; it leaves the queue when dropped.
+struct Turn<'a> {
+    entry: &'a state::Entry,
+    number: u64,
+    ticket: place::Ticket,
+    heard: tokio::sync::oneshot::Receiver<Option<place::Placed>>,
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        self.entry.stop_waiting(self.number, self.ticket);
+        // A place that was handed over in this very moment goes back.
+        if let Ok(Some(placed)) = self.heard.try_recv() {
+            let server = placed.server;
+            let now = self.entry.now();
+            self.entry.fleet.borrow_mut().ended(now, placed, false);
+            self.entry.pump(server);
+        }
+    }
+}
