--- a/src/direct/line.rs
+++ b/src/direct/line.rs
@@ -4,7 +4,7 @@
 //! stalls costs lines, never time. What was dropped is counted and told in the next batch.
 
 use std::fmt::{self, Write as _};
-use std::io::Write as _;
+use std::io::{self, Write};
 use std::sync::mpsc;
 use std::{cell, thread, time};
 
@@ -19,6 +19,9 @@
 /// Lines a second that one process writes at most; the usual load is a few hundred.
 const LINES_PER_S: u32 = 2_000;
 
+/// Longest time for the last lines at the process's end.
+const LAST: time::Duration = time::Duration::from_millis(200);
+
 /// Stack of the writer's thread, which only copies.
 const STACK: usize = 64 * 1024;
 
@@ -27,7 +30,8 @@
 pub struct Log {
     started: time::Instant,
     batch: cell::RefCell<String>,
-    writer: mpsc::SyncSender<String>,
+    writer: cell::RefCell<Option<mpsc::SyncSender<String>>>,
+    written: mpsc::Receiver<()>,
     second: cell::Cell<(u64, u32)>,
     dropped: cell::Cell<u64>,
 }
@@ -39,24 +43,33 @@
     text: String,
 }
 
-/// Starts the writer's thread.
-pub fn open(started: time::Instant) -> std::io::Result<Log> {
+/// Starts the writer's thread, to standard output.
+pub fn open(started: time::Instant) -> io::Result<Log> {
+    open_to(started, io::stdout())
+}
+
+/// Starts the writer's thread, to any output.
+pub fn open_to(started: time::Instant, mut out: impl Write + Send + 'static) -> io::Result<Log> {
     let (writer, batches) = mpsc::sync_channel::<String>(BATCHES);
+    let (done, written) = mpsc::channel();
     thread::Builder::new()
         .name("log".into())
         .stack_size(STACK)
         .spawn(move || {
             for batch in batches {
-                // Nobody is left to tell if standard output is closed.
-                if std::io::stdout().write_all(batch.as_bytes()).is_err() {
-                    return;
+                // Nobody is left to tell if the output is closed.
+                if out.write_all(batch.as_bytes()).is_err() {
+                    break;
                 }
             }
+            // Nobody may wait for it.
+            let _unheard = done.send(());
         })?;
     Ok(Log {
         started,
         batch: cell::RefCell::default(),
-        writer,
+        writer: cell::RefCell::new(Some(writer)),
+        written,
         second: cell::Cell::default(),
         dropped: cell::Cell::default(),
     })
@@ -93,20 +106,31 @@
     /// Hands gathered lines to the writer; call it a few times a second and before the end.
     pub fn flush(&self) {
         let mut batch = std::mem::take(&mut *self.batch.borrow_mut());
-        if batch.is_empty() {
+        let dropped = self.dropped.take();
+        if batch.is_empty() && dropped == 0 {
             return;
         }
-        let dropped = self.dropped.take();
         if dropped > 0 {
             batch.push_str("event=log_dropped lines=");
             batch.push_str(&dropped.to_string());
             batch.push('\n');
         }
         let lines = batch.bytes().filter(|b| *b == b'\n').count() as u64;
-        if self.writer.try_send(batch).is_err() {
+        let writer = self.writer.borrow();
+        let sent = writer.as_ref().map(|writer| writer.try_send(batch));
+        if !matches!(sent, Some(Ok(()))) {
             self.dropped.set(dropped + lines);
         }
     }
+
+    /// Writes what is left and waits for it, but not long: a reader that stalls costs the last lines.
+    /// Nothing is logged afterwards.
+    pub fn close(&self) {
+        self.flush();
+        self.writer.borrow_mut().take();
+        // A thread that has ended already has written all.
+        let _late = self.written.recv_timeout(LAST);
+    }
 }
 
 #[expect(
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -199,7 +199,7 @@
             service: number,
             slots: server.slots,
             engine: service.engine,
-            near: server.zone == self.settings.zone,
+            near: server.zone == self.settings.borrow().zone,
         });
         self.health.borrow_mut().add(self.now(), key);
         self.log
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -276,7 +276,8 @@
 pub async fn leave(entry: &state::Entry) {
     let begun = entry.now();
     entry.leave();
-    let last = begun + entry.settings.grace.saturating_sub(KILL_MARGIN);
+    let grace = entry.settings.borrow().grace;
+    let last = begun + grace.saturating_sub(KILL_MARGIN);
     tokio::time::sleep(LINGER).await;
     entry.closing.send_replace(true);
     entry.log.line("closing").with("active", entry.active.get());
@@ -288,5 +289,5 @@
         .line("stopped")
         .with("cut", entry.active.get())
         .ms("after_ms", entry.now().saturating_sub(begun));
-    entry.log.flush();
+    entry.log.close();
 }
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -19,7 +19,7 @@
 const CALLERS: f64 = 0.6;
 
 /// What a process is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Its name, for logs.
     pub instance: String,
@@ -48,8 +48,8 @@
     pub started: time::Instant,
     /// Header names.
     pub dialect: dialect::Dialect,
-    /// Settings.
-    pub settings: Settings,
+    /// Settings, as they were read last.
+    pub settings: cell::RefCell<Settings>,
     /// Log.
     pub log: line::Log,
     /// Figures.
@@ -115,7 +115,7 @@
         Self {
             started,
             dialect,
-            settings,
+            settings: cell::RefCell::new(settings),
             log,
             meter: meter::Meter::default(),
             plan: cell::RefCell::default(),
@@ -249,7 +249,7 @@
     /// Whether a request of this service may be sent once more; counts it if so.
     pub fn take_repeat(&self, service: u32) -> bool {
         let (now, mut budgets) = (self.now(), self.budgets.borrow_mut());
-        let settings = &self.settings;
+        let settings = self.settings.borrow();
         let entries = self.peers.borrow().entries().max(settings.least_entries) as f64;
         let (ratio, slack) = (settings.repeat_ratio, settings.repeat_slack / entries);
         let window = settings.repeat_window;
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -474,3 +474,54 @@
     let expected = [("a".to_owned(), true), ("b".to_owned(), false)];
     assert_eq!(known(), expected);
 }
+
+/// An output that takes its time.
+struct Slow {
+    out: std::sync::Arc<std::sync::Mutex<Vec<u8>>>,
+    time: time::Duration,
+}
+
+impl std::io::Write for Slow {
+    fn write(&mut self, buf: &[u8]) -> std::io::Result<usize> {
+        std::thread::sleep(self.time);
+        self.out.lock().expect("no panic").extend_from_slice(buf);
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn the_last_lines_are_written_before_the_end() {
+    let out = std::sync::Arc::default();
+    let slow = Slow {
+        out: std::sync::Arc::clone(&out),
+        time: ms(50),
+    };
+    let log = line::open_to(time::Instant::now(), slow).expect("a thread");
+    log.line("stopped").with("cut", 0);
+    log.close();
+    let text = String::from_utf8(out.lock().expect("no panic").clone()).expect("text");
+    assert!(text.ends_with("event=stopped cut=0\n"), "{text}");
+}
+
+#[test]
+fn more_lines_than_allowed_are_counted_not_written() {
+    let out = std::sync::Arc::default();
+    let slow = Slow {
+        out: std::sync::Arc::clone(&out),
+        time: ms(0),
+    };
+    let log = line::open_to(time::Instant::now(), slow).expect("a thread");
+    for n in 0..10_000 {
+        log.line("flood").with("n", n);
+    }
+    log.close();
+    let text = String::from_utf8(out.lock().expect("no panic").clone()).expect("text");
+    let lines = text.lines().count();
+    // Two seconds' worth, if the second changed meanwhile, and the line that counts the others.
+    assert!(lines <= 4_001, "{lines}");
+    assert!(text.contains("event=log_dropped"));
+}
