Ask only entries that follow the store, and answer new callers until the end

Change: only readers are asked, a list that was told is not asked for again for a second, and an entry that can't ask follows the store itself for 4 s. Change: the port stays; what can't end before the process does is sent elsewhere at once.

--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -137,12 +137,21 @@
         others.filter(|a| Some(*a) < self.own).count() < READERS
     }
 
-    /// The other entry that heard from the store last, if that was just now.
+    /// The reader that heard from the store last, if that was just now. Only readers are asked: what
+    /// others know is second hand, or from a read long ago.
     pub fn fresh(&self, now: time::Duration) -> Option<net::Ipv4Addr> {
-        let fresh = self.alive.iter().filter(|(_, p)| now < p.store + FRESH);
+        let takes = self.alive.iter().filter(|(_, p)| !p.leaving);
+        // This one may be a reader itself.
+        let others = READERS - usize::from(self.is_reader());
+        let fresh = takes.take(others).filter(|(_, p)| now < p.store + FRESH);
         fresh.max_by_key(|(_, p)| p.store).map(|(a, _)| *a)
     }
 
+    /// Digest of an entry's list of backend servers.
+    pub fn list(&self, address: net::Ipv4Addr) -> Option<u64> {
+        self.alive.get(&address).map(|p| p.list)
+    }
+
     /// Whether an entry has a newer configuration than this version, and another list than this.
     pub fn differs(&self, address: net::Ipv4Addr, configuration: u64, list: u64) -> (bool, bool) {
         let peer = self.alive.get(&address);
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -12,6 +12,13 @@
 /// Backend servers remembered after they are gone: days of replacing a fleet of 910.
 const GONE: usize = 4_096;
 
+/// Time in which a list that was told isn't asked for again.
+const TOLD: time::Duration = time::Duration::from_secs(1);
+
+/// Time in which an entry follows the store itself after it couldn't ask another one. Links that are
+/// full for a moment are full for seconds.
+const DOUBT: time::Duration = time::Duration::from_secs(4);
+
 /// What an entry reads from the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Topic {
@@ -41,19 +48,37 @@
 
     /// Whether other entries follow the store for this one, and what this one knows is complete.
     pub fn relies_on_others(&self) -> bool {
+        let now = self.now();
         let peers = self.peers.borrow();
         let known = self.plan.borrow().is_some() && self.list_known.get();
-        known && !peers.is_reader() && peers.fresh(self.now()).is_some()
+        let trusted = now >= self.doubted.get();
+        known && trusted && !peers.is_reader() && peers.fresh(now).is_some()
     }
 
     /// The entry that heard from the store last, and whether it has a newer configuration and
-    /// another list.
+    /// another list that it hasn't told before.
     pub fn newer(&self) -> Option<(net::Ipv4Addr, bool, bool)> {
         let peers = self.peers.borrow();
         let address = peers.fresh(self.now())?;
         let version = self.plan.borrow().as_ref().map_or(0, |p| p.version);
         let (configuration, list) = peers.differs(address, version, self.list_digest.get());
-        Some((address, configuration, list))
+        let told = self.told.get().is_some_and(|(digest, at)| {
+            peers.list(address) == Some(digest) && self.now() < at + TOLD
+        });
+        Some((address, configuration, list && !told))
+    }
+
+    /// Another entry told its list: the same list is not asked for again at once, since it may
+    /// differ for good in what this entry knows better.
+    pub fn remember_told(&self, address: net::Ipv4Addr) {
+        let digest = self.peers.borrow().list(address);
+        let now = self.now();
+        self.told.set(digest.map(|digest| (digest, now)));
+    }
+
+    /// Another entry could not be asked for what it knows: for a while this one follows the store.
+    pub fn doubt_others(&self) {
+        self.doubted.set(self.now() + DOUBT);
     }
 
     /// Digest of the list of backend servers: entries with the same list have the same.
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -23,6 +23,9 @@
 /// Time that readiness questions may take to arrive.
 const READY_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
+/// Time to come back to another entry, for a request that this one would cut at its end.
+const ELSEWHERE: time::Duration = time::Duration::from_millis(50);
+
 /// Time to come back while the process knows no configuration: about a start.
 const UNKNOWN: time::Duration = time::Duration::from_secs(1);
 
@@ -39,21 +42,17 @@
 /// close; then idle connections end. The platform sends no new ones after two missed questions, 2 s.
 const LINGER: time::Duration = time::Duration::from_secs(3);
 
-/// Accepts callers on this address until the process closes its connections.
+/// Accepts callers on this address until the process ends. While it shuts down new ones still come,
+/// as long as the platform sends them; they get an answer and not a closed port.
 pub async fn callers(entry: rc::Rc<state::Entry>, address: net::SocketAddr) -> io::Result<()> {
     let listener = listen(address)?;
-    let mut closing = entry.closing.subscribe();
     loop {
         if !entry.callers.has_room() {
             let ended = entry.callers.make_room();
             entry.log.line("callers_full").with("ended", ended);
             tokio::time::sleep(ROOM).await;
         }
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _closing = closing.wait_for(|closing| *closing) => return Ok(()),
-        };
-        let stream = match accepted {
+        let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(err) => {
                 // Out of descriptors, most likely: the connections that end make room.
@@ -103,12 +102,14 @@
         .max_buf_size(BUFFER.max(limits.head_bytes))
         .serve_connection(TokioIo::new(stream), serve);
     let mut served = pin::pin!(served);
+    // One that comes later has its request yet to send, and is told to close with the answer.
     let mut closing = entry.closing.subscribe();
+    closing.mark_unchanged();
     let ends = async {
         tokio::select! {
             () = end.notified() => (),
             // It fails only after the sender is gone, with the process.
-            _closing = closing.wait_for(|closing| *closing) => (),
+            _closing = closing.changed() => (),
         }
     };
     let result = tokio::select! {
@@ -211,6 +212,13 @@
     let service = service.ok_or(none)?;
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = received + patience;
+    if entry
+        .ends()
+        .is_some_and(|(closing, end)| received >= closing && deadline > end)
+    {
+        let leaving = refusal::Refusal::later(code::Code::Leaving, ELSEWHERE);
+        return Err(leaving);
+    }
     let until = tokio::time::Instant::from_std(entry.started + deadline);
     let read = body::read(incoming, plan.limits.body_bytes);
     let body = match tokio::time::timeout_at(until, read).await {
@@ -278,6 +286,7 @@
     entry.leave();
     let grace = entry.settings.borrow().grace;
     let last = begun + grace.saturating_sub(KILL_MARGIN);
+    entry.set_ends(begun + LINGER, last);
     tokio::time::sleep(LINGER).await;
     entry.closing.send_replace(true);
     entry.log.line("closing").with("active", entry.active.get());
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -61,6 +61,10 @@
     pub(super) list_known: cell::Cell<bool>,
     pub(super) list_digest: cell::Cell<u64>,
     pub(super) store_seen: cell::Cell<[Option<time::Duration>; 2]>,
+    // Digest of the list that another entry told last, and when.
+    pub(super) told: cell::Cell<Option<(u64, time::Duration)>>,
+    // Until when others are not relied on.
+    pub(super) doubted: cell::Cell<time::Duration>,
     /// Another entry may know something newer.
     pub tip: Notify,
     pub(super) keys: cell::RefCell<collections::HashMap<String, key::Sidecar>>,
@@ -95,6 +99,7 @@
     /// Requests in progress.
     pub active: cell::Cell<usize>,
     pub(super) leaving: cell::Cell<bool>,
+    pub(super) ends: cell::Cell<Option<(time::Duration, time::Duration)>>,
     /// Whether connections of callers end as soon as they are idle.
     pub closing: watch::Sender<bool>,
 }
@@ -124,6 +129,8 @@
             list_known: cell::Cell::default(),
             list_digest: cell::Cell::default(),
             store_seen: cell::Cell::default(),
+            told: cell::Cell::default(),
+            doubted: cell::Cell::default(),
             tip: Notify::new(),
             keys: cell::RefCell::default(),
             hashes: cell::RefCell::default(),
@@ -146,6 +153,7 @@
             callers: callers::Table::new(limit),
             active: cell::Cell::default(),
             leaving: cell::Cell::default(),
+            ends: cell::Cell::default(),
             closing: watch::Sender::default(),
         }
     }
@@ -170,6 +178,16 @@
         self.leaving.get()
     }
 
+    /// While it shuts down: since when only requests that end in time are taken, and the end.
+    pub fn ends(&self) -> Option<(time::Duration, time::Duration)> {
+        self.ends.get()
+    }
+
+    /// Says when the process ends.
+    pub fn set_ends(&self, closing: time::Duration, end: time::Duration) {
+        self.ends.set(Some((closing, end)));
+    }
+
     /// Begins to shut down.
     pub fn leave(&self) {
         self.leaving.set(true);
