--- a/src/direct/neighbour.rs
+++ b/src/direct/neighbour.rs
@@ -22,8 +22,8 @@
 /// Path of the list of backend servers.
 const BACKENDS: &str = "/backends";
 
-/// Time for an answer of another entry, which has it in memory.
-const ANSWER: time::Duration = time::Duration::from_millis(500);
+/// Time for an answer of another entry, which has it in memory; one with much to do takes a while.
+const ANSWER: time::Duration = time::Duration::from_millis(1_500);
 
 /// Most bytes of an answer: a configuration of some thousand routes has one megabyte.
 const BYTES: usize = 8 * 1024 * 1024;
