Say when a caller left before its answer, and when a failure was passed on

Cause: a request whose caller went away left no line, and one whose second attempt found no place ended with a line about being sent again. Change: a line for each.

--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -1,6 +1,6 @@
 //! A request's attempts: placed, sent, and sent again where that is allowed.
 
-use std::{rc, time};
+use std::{cell, rc, time};
 
 use http::{HeaderValue, header};
 use http_body_util::{BodyExt, Limited};
@@ -38,6 +38,8 @@
     pub ran: bool,
     /// Number of its service.
     pub service: u32,
+    /// Whether the log says how it ended.
+    pub told: cell::Cell<bool>,
 }
 
 /// Serves a request to its final answer.
@@ -53,6 +55,7 @@
         missed: SmallVec::new(),
         ran: false,
         service,
+        told: cell::Cell::new(false),
     };
     let result = tokio::time::timeout_at(until, run.answer()).await;
     let refusal = match result {
@@ -73,7 +76,10 @@
         loop {
             let begun = match (self.begin(None).await, failed.take()) {
                 (Ok(begun), _) => begun,
-                (Err(_refused), Some(response)) => return Ok(response),
+                (Err(refusal), Some(response)) => {
+                    self.kept_failure(refusal);
+                    return Ok(response);
+                }
                 (Err(refusal), None) => return Err(refusal),
             };
             let status = begun.head.status;
@@ -102,7 +108,9 @@
         refusal
     }
 
+    // The stream that goes on with the request says how it ended.
     fn take(&mut self) -> Self {
+        self.told.set(true);
         Self {
             entry: rc::Rc::clone(&self.entry),
             req: rc::Rc::clone(&self.req),
@@ -111,6 +119,7 @@
             missed: self.missed.clone(),
             ran: self.ran,
             service: self.service,
+            told: cell::Cell::new(false),
         }
     }
 
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -29,6 +29,7 @@
 
     /// Logs and counts a request that was answered.
     pub fn done(&self, slot: &slot::Slot, status: u16, outcome: &str) {
+        self.told.set(true);
         let now = self.entry.now();
         let took = now.saturating_sub(self.req.received);
         self.entry.meter.count("answers", outcome);
@@ -53,6 +54,7 @@
 
     /// Logs and counts a request that ends with an answer of the entry's own.
     pub fn tell(&self, refusal: refusal::Refusal) {
+        self.told.set(true);
         let entry = &self.entry;
         let row = refusal.code.row();
         entry.meter.count("refusals", row.name);
@@ -70,4 +72,33 @@
             .ms("after_ms", refusal.after.unwrap_or_default())
             .ms("held_ms", now.saturating_sub(self.req.received));
     }
+
+    /// Logs that a backend server's failure was passed on, since no other attempt came of it.
+    pub(super) fn kept_failure(&self, refusal: refusal::Refusal) {
+        self.told.set(true);
+        self.entry
+            .log
+            .line("failure_passed_on")
+            .with("id", self.id())
+            .with("code", refusal.code);
+    }
+}
+
+impl Drop for forward::Run {
+    // Whatever ends a request otherwise drops it: its caller has gone.
+    fn drop(&mut self) {
+        if self.told.get() {
+            return;
+        }
+        self.entry.meter.count("refusals", "caller_left");
+        let now = self.entry.now();
+        self.entry
+            .log
+            .line("caller_left")
+            .with("id", self.id())
+            .with("route", &self.req.route.name)
+            .with("attempts", self.tried.len())
+            .with("ran", if self.ran { "unknown" } else { "no" })
+            .ms("held_ms", now.saturating_sub(self.req.received));
+    }
 }
