--- a/src/direct/neighbour.rs
+++ b/src/direct/neighbour.rs
@@ -22,8 +22,8 @@
 /// Path of the list of backend servers.
 const BACKENDS: &str = "/backends";
 
-/// Time for an answer of another entry, which has it in memory; one with much to do takes a while.
-const ANSWER: time::Duration = time::Duration::from_millis(1_500);
+/// Time for an answer of another entry, which has it in memory.
+const ANSWER: time::Duration = time::Duration::from_millis(500);
 
 /// Most bytes of an answer: a configuration of some thousand routes has one megabyte.
 const BYTES: usize = 8 * 1024 * 1024;
@@ -69,13 +69,16 @@
 }
 
 /// The configuration that another entry has in force, as its adapter received it.
-pub async fn configuration(address: net::SocketAddr) -> Option<Bytes> {
-    get(address, CONFIGURATION).await
+pub async fn configuration(address: net::SocketAddr, slack: time::Duration) -> Option<Bytes> {
+    get(address, CONFIGURATION, slack).await
 }
 
 /// The backend servers that another entry knows.
-pub async fn backends(address: net::SocketAddr) -> Option<Vec<plan::Server>> {
-    let body = get(address, BACKENDS).await?;
+pub async fn backends(
+    address: net::SocketAddr,
+    slack: time::Duration,
+) -> Option<Vec<plan::Server>> {
+    let body = get(address, BACKENDS, slack).await?;
     match serde_json::from_slice(&body) {
         Ok(servers) => Some(servers),
         Err(err) => {
@@ -85,7 +88,7 @@
     }
 }
 
-async fn get(address: net::SocketAddr, path: &str) -> Option<Bytes> {
+async fn get(address: net::SocketAddr, path: &str, slack: time::Duration) -> Option<Bytes> {
     let call = async {
         let mut conn = conn::open(address).await.ok()?;
         let req = http::Request::get(path)
@@ -98,5 +101,8 @@
         let body = body.ok().filter(|_| found)?;
         Some(body.to_bytes())
     };
-    tokio::time::timeout(ANSWER, call).await.ok().flatten()
+    tokio::time::timeout(ANSWER + slack, call)
+        .await
+        .ok()
+        .flatten()
 }
--- a/src/direct/plan.rs
+++ b/src/direct/plan.rs
@@ -79,8 +79,6 @@
     pub shares: SmallVec<[Share; 2]>,
     /// Whether no API key is asked for.
     pub anonymous: bool,
-    /// Whether requests name prompt parts that backend servers keep.
-    pub affinity: bool,
 }
 
 impl Route {
@@ -105,8 +103,6 @@
     pub connections: u32,
     /// Whether its backend servers are model engines.
     pub engine: bool,
-    /// Tokens that an engine's memory holds, 0 for other services.
-    pub memory_tokens: u64,
 }
 
 /// A customer that a key belongs to.
@@ -127,8 +123,6 @@
     pub head_timeout: time::Duration,
     /// Longest time that a connection stays open without a request.
     pub idle_timeout: time::Duration,
-    /// Tokens a second that all engines produce together, about; 0 if not known.
-    pub tokens_per_s: f64,
 }
 
 impl Default for Limits {
@@ -139,7 +133,6 @@
             body_bytes: 4 * 1024 * 1024,
             head_timeout: time::Duration::from_secs(3),
             idle_timeout: time::Duration::from_secs(15),
-            tokens_per_s: 0.0,
         }
     }
 }
--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -29,6 +29,11 @@
     pub(super) idle: Vec<conn::Conn>,
 }
 
+/// Idle connections that one of so many entries may keep for a backend server that accepts so many.
+pub fn idle_share(accepted: usize, entries: usize) -> usize {
+    (accepted / 2 / entries.max(1)).clamp(1, IDLE)
+}
+
 impl state::Entry {
     /// A connection to a backend server, kept or new.
     pub async fn connect(
@@ -63,13 +68,27 @@
     pub fn keep(&self, server: key::Sidecar, mut conn: conn::Conn) {
         conn.used = self.now();
         conn.keep = conn.keep.map(|keep| keep.saturating_sub(KEEP_MARGIN));
+        let room = self.idle_room(server);
         if let Some(backend) = self.backends.borrow_mut().get_mut(server)
-            && backend.idle.len() < IDLE
+            && backend.idle.len() < room
         {
             backend.idle.push(conn);
         }
     }
 
+    // Idle connections that may be kept for a backend server: it resets those beyond what it accepts
+    // from all entries together, and half of that is for requests in progress.
+    fn idle_room(&self, server: key::Sidecar) -> usize {
+        let entries = self.peers.borrow().entries();
+        let plan = self.plan();
+        let backends = self.backends.borrow();
+        let service = backends.get(server).map(|b| b.server.service.as_str());
+        let accepted = service
+            .and_then(|service| plan.as_ref()?.services.get(service))
+            .map_or(0, |service| service.connections as usize);
+        idle_share(accepted, entries)
+    }
+
     /// How a request at a backend server went.
     pub fn judge_result(&self, server: key::Sidecar, well: bool, took: time::Duration) {
         let now = self.now();
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -15,6 +15,16 @@
 /// what stood before it.
 pub const COME_BACK: time::Duration = time::Duration::from_millis(500);
 
+/// Share of a lag that is kept with each timer: four a second, so that it fades in a few seconds.
+const LAG_KEPT: f64 = 0.8;
+
+/// Lags between an answer's arrival and its reading: the connection, the call and its timer each wait
+/// for their turn.
+const LAGS: u32 = 4;
+
+/// Most time to allow beyond the usual: a process that was frozen is late by seconds only once.
+const MOST_SLACK: time::Duration = time::Duration::from_secs(3);
+
 /// Share of the sockets that callers may take; the rest is for backend servers.
 const CALLERS: f64 = 0.6;
 
@@ -65,6 +75,8 @@
     pub(super) told: cell::Cell<Option<(u64, time::Duration)>>,
     // Until when others are not relied on.
     pub(super) doubted: cell::Cell<time::Duration>,
+    // How late the process was with a timer of late.
+    pub(super) lag: cell::Cell<time::Duration>,
     /// Another entry may know something newer.
     pub tip: Notify,
     pub(super) keys: cell::RefCell<collections::HashMap<String, key::Sidecar>>,
@@ -131,6 +143,7 @@
             store_seen: cell::Cell::default(),
             told: cell::Cell::default(),
             doubted: cell::Cell::default(),
+            lag: cell::Cell::default(),
             tip: Notify::new(),
             keys: cell::RefCell::default(),
             hashes: cell::RefCell::default(),
@@ -178,6 +191,17 @@
         self.leaving.get()
     }
 
+    /// A timer fired so much later than it was set for.
+    pub fn fired_late(&self, late: time::Duration) {
+        self.lag.set(late.max(self.lag.get().mul_f64(LAG_KEPT)));
+    }
+
+    /// Time to allow others beyond the usual: a process with too much to do reads their answers late,
+    /// and would give up on all of them.
+    pub fn slack(&self) -> time::Duration {
+        (self.lag.get() * LAGS).min(MOST_SLACK)
+    }
+
     /// While it shuts down: since when only requests that end in time are taken, and the end.
     pub fn ends(&self) -> Option<(time::Duration, time::Duration)> {
         self.ends.get()
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -4,7 +4,7 @@
 
 use chivebend::decide::retry;
 use chivebend::direct::peer::{message, table};
-use chivebend::direct::{answer, callers, dialect, line, plan, request, state};
+use chivebend::direct::{answer, callers, dialect, line, plan, pool, request, state};
 use http::{HeaderName, HeaderValue};
 use proptest::prelude::*;
 use smallvec::smallvec;
@@ -224,7 +224,6 @@
             weight: 1,
         }],
         anonymous: false,
-        affinity: false,
     };
     let plan = plan::Plan::new(1, vec![route("short", "/a/"), route("long", "/a/b/")]);
     let cases = [
@@ -415,7 +414,6 @@
             weight: 1,
         }],
         anonymous: false,
-        affinity: true,
     };
     let routes = vec![route("a", 600), route("a", 300), route("b", 900)];
     let plan = plan::Plan::new(1, routes);
@@ -436,9 +434,8 @@
     }
 }
 
-#[test]
-fn another_entrys_older_list_brings_nothing_back() {
-    let settings = state::Settings {
+fn settings() -> state::Settings {
+    state::Settings {
         instance: "e".into(),
         address: address(1),
         zone: "z".into(),
@@ -448,10 +445,14 @@
         repeat_window: ms(10_000),
         sockets: 100,
         grace: ms(1_000),
-    };
+    }
+}
+
+#[test]
+fn another_entrys_older_list_brings_nothing_back() {
     let started = time::Instant::now();
     let log = line::open(started).expect("a thread");
-    let entry = state::Entry::new(started, settings, names(), log, 1, Vec::new(), None);
+    let entry = state::Entry::new(started, settings(), names(), log, 1, Vec::new(), None);
     let known = || {
         let mut servers = entry.servers().expect("a list");
         servers.sort_by(|a, b| a.id.cmp(&b.id));
@@ -526,3 +527,54 @@
     assert!(lines <= 4_001, "{lines}");
     assert!(text.contains("event=log_dropped"));
 }
+
+#[test]
+fn idle_connections_of_all_entries_leave_room_at_a_backend_server() {
+    struct Case {
+        accepted: usize,
+        entries: usize,
+        idle: usize,
+    }
+    let cases = [
+        Case {
+            accepted: 360,
+            entries: 4,
+            idle: 32,
+        },
+        Case {
+            accepted: 500,
+            entries: 30,
+            idle: 8,
+        },
+        Case {
+            accepted: 96,
+            entries: 4,
+            idle: 12,
+        },
+        Case {
+            accepted: 10,
+            entries: 30,
+            idle: 1,
+        },
+    ];
+    for case in cases {
+        let idle = pool::idle_share(case.accepted, case.entries);
+        assert_eq!(idle, case.idle, "{} for {}", case.accepted, case.entries);
+    }
+}
+
+#[test]
+fn a_process_that_is_late_allows_others_more_time() {
+    let started = time::Instant::now();
+    let log = line::open(started).expect("a thread");
+    let entry = state::Entry::new(started, settings(), names(), log, 1, Vec::new(), None);
+    assert_eq!(entry.slack(), ms(0));
+    entry.fired_late(ms(500));
+    assert_eq!(entry.slack(), ms(2_000));
+    entry.fired_late(ms(60_000));
+    assert_eq!(entry.slack(), ms(3_000));
+    for _ in 0..60 {
+        entry.fired_late(ms(0));
+    }
+    assert!(entry.slack() < ms(10), "{:?}", entry.slack());
+}
