--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -8,9 +8,10 @@
 //! A request goes to the home of its last shared part, the backend server with the greatest hash of
 //! part and id (rendezvous hashing: Thaler and Ravishankar, 1998), so entries agree without talking
 //! and a lost backend server moves only its own parts. It is handed over while the prompt tokens
-//! that the engine has yet to read stay under [`UNREAD`]; else it waits here, by customer in fair
-//! order. It goes to a second home if the first can't be in time and the second can. If nobody can,
-//! it is refused at once. Time is the duration since the process started.
+//! that the engine has yet to read stay under [`UNREAD`]; else it waits here, the customer that was
+//! served least of late first. If it can't be in time at its home, it is refused at once: at a second
+//! home it would be, but reading the part there costs the fleet more than the request gives
+//! (`docs/BENCHMARKS.md`). Time is the duration since the process started.
 
 use std::{collections, time};
 
