Let entries that can't keep up turn requests away, and strong ones decide

Cause: on the grown sites a customer's burst comes through one or two entries, since callers are spread by a hash, and 22 of 30 entries have 0.09 cores.

Change: decide/strain judges by late timers. A strained entry turns away at once customers with more than the mean service, one far behind everybody (209 entry_busy, back in 0.15 to 0.3 s, through another entry), and both leave the balancer's choice for 2 s while more than half of their zone stays in it. Entries with less than half of the strongest's processor neither decide about engines nor follow the store for all. tests/strain.rs, tests/direct.rs; each fails without its part.

--- a/src/code.rs
+++ b/src/code.rs
@@ -79,6 +79,7 @@
     DeadlineUnreachable 206 "deadline_unreachable" 503 No true "The request could not meet its deadline and was refused early." "Add capacity if this lasts.";
     Shed 207 "shed" 503 No true "The fleet is overloaded and this customer is over its share." "Add capacity if this lasts.";
     DeadlinePassed 208 "deadline_passed" 504 No true "The deadline passed while the request waited." "Add capacity if this lasts.";
+    EntryBusy 209 "entry_busy" 503 No true "The process has more to do than its processor allows." "Spread callers over more entries, or give this one more processor.";
     NoCatalogue 301 "no_catalogue" 503 No true "This process has no accepted catalogue yet." "Check the log service, and that a catalogue was published.";
     NoBackendServer 302 "no_backend_server" 503 No true "No live backend server serves this." "Check `chivebend status`.";
     BackendRefused 303 "backend_refused" 502 No true "The backend server refused the connection." "Check the backend server.";
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -22,4 +22,5 @@
 pub mod retry;
 pub mod route;
 pub mod share;
+pub mod strain;
 pub mod window;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -321,6 +321,11 @@
         &mut self.recent
     }
 
+    /// What all entries served a customer of late, and the mean over all customers.
+    pub fn served_by_all(&self, now: time::Duration, customer: key::Customer) -> (f64, f64) {
+        (self.recent.all(now, customer), self.recent.mean(now))
+    }
+
     /// What this entry served a customer of late.
     pub fn served(&self, now: time::Duration, customer: key::Customer) -> f64 {
         self.recent.own(now, customer)
--- a/src/decide/recent.rs
+++ b/src/decide/recent.rs
@@ -104,6 +104,14 @@
         self.own.get(customer).map_or(0.0, |f| f.now(now))
     }
 
+    /// Mean of what all entries served, over the customers with any.
+    pub fn mean(&self, now: time::Duration) -> f64 {
+        let served = self.all.values().map(|f| f.now(now));
+        let served = served.filter(|amount| *amount >= 1.0);
+        let (sum, n) = served.fold((0.0, 0.0), |(sum, n), amount| (sum + amount, n + 1.0));
+        if n > 0.0 { sum / n } else { 0.0 }
+    }
+
     /// What all entries served.
     pub fn all(&self, now: time::Duration, customer: key::Customer) -> f64 {
         self.all.get(customer).map_or(0.0, |f| f.now(now))
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -54,6 +54,15 @@
     /// Milliseconds since it last heard from the platform's store itself.
     #[prost(uint32, tag = "8")]
     pub store_age_ms: u32,
+    /// What its processor does, in thousandths of a core.
+    #[prost(uint32, tag = "9")]
+    pub millicores: u32,
+    /// Hash of its availability zone.
+    #[prost(fixed64, tag = "10")]
+    pub zone: u64,
+    /// Whether it has more to do than it can.
+    #[prost(bool, tag = "11")]
+    pub strained: bool,
 }
 
 /// Load on one backend server.
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -151,6 +151,9 @@
         configuration: entry.plan().map_or(0, |plan| plan.version),
         list: entry.list_digest(),
         store_age_ms: entry.store_age().as_millis().min(u32::MAX.into()) as u32,
+        millicores: entry.settings.borrow().millicores,
+        zone: table::zone(&entry.settings.borrow().zone),
+        strained: entry.is_strained(),
     }
 }
 
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -2,8 +2,10 @@
 
 use std::{collections, net, time};
 
+use xxhash_rust::xxh3;
+
 use super::message;
-use crate::decide::{place, random};
+use crate::decide::{place, random, strain};
 
 /// Silence after which an entry is gone: it is not counted in load, service and shares any more.
 pub const SILENT: time::Duration = time::Duration::from_millis(1_500);
@@ -24,6 +26,11 @@
 /// are known within two seconds in any case.
 const FRESH: time::Duration = time::Duration::from_secs(1);
 
+/// Share of the strongest entry's processor that an entry needs to do work for all. One with a fifth
+/// of it that a burst of its own callers keeps busy replies late to the whole fleet: asks of the
+/// others timed out, and each then decided by itself.
+const STRONG: u32 = 2;
+
 #[derive(Debug)]
 struct Peer {
     sender: u64,
@@ -31,6 +38,9 @@
     heard: time::Duration,
     loads: Vec<message::Load>,
     leaving: bool,
+    millicores: u32,
+    zone: u64,
+    strained: bool,
     configuration: u64,
     list: u64,
     // When it last heard from the store itself.
@@ -42,17 +52,27 @@
 #[derive(Debug, Default)]
 pub struct Table {
     own: Option<net::Ipv4Addr>,
+    millicores: u32,
+    zone: u64,
     alive: collections::BTreeMap<net::Ipv4Addr, Peer>,
     // Addresses to write to, with when something was last heard of them.
     known: collections::HashMap<net::Ipv4Addr, time::Duration>,
     seeds: Vec<net::Ipv4Addr>,
 }
 
+/// An availability zone as beats name it.
+pub fn zone(name: &str) -> u64 {
+    xxh3::xxh3_64(name.as_bytes())
+}
+
 impl Table {
-    /// No other entries but these addresses to ask; `own` is this entry's address.
-    pub fn new(own: net::Ipv4Addr, seeds: Vec<net::Ipv4Addr>) -> Self {
+    /// No other entries but these addresses to ask; `own` is this entry's address, `millicores` what
+    /// its processor does in thousandths of a core, `zone` its availability zone.
+    pub fn new(own: net::Ipv4Addr, millicores: u32, zone: &str, seeds: Vec<net::Ipv4Addr>) -> Self {
         Self {
             own: Some(own),
+            millicores,
+            zone: self::zone(zone),
             seeds,
             ..Self::default()
         }
@@ -83,6 +103,9 @@
             heard: now,
             loads: beat.loads.clone(),
             leaving: beat.leaving,
+            millicores: beat.millicores,
+            zone: beat.zone,
+            strained: beat.strained,
             configuration: beat.configuration,
             list: beat.list,
             store: now.saturating_sub(time::Duration::from_millis(beat.store_age_ms.into())),
@@ -112,39 +135,51 @@
         }
     }
 
+    /// Whether this entry may stay out of the balancer's choice while it is strained.
+    pub fn may_rest(&self) -> bool {
+        let zone = || self.alive.values().filter(|p| p.zone == self.zone);
+        let resting = zone().filter(|p| p.strained || p.leaving).count();
+        strain::may_rest(resting + 1, zone().count() + 1)
+    }
+
+    // Entries that do work for all, in order of address, this one included if it does.
+    fn strong(&self) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
+        let takes = self.alive.iter().filter(|(_, p)| !p.leaving);
+        let mut all: Vec<_> = takes.map(|(a, p)| (*a, p.millicores)).collect();
+        all.extend(self.own.map(|own| (own, self.millicores)));
+        all.sort_unstable();
+        let most = all.iter().map(|(_, m)| *m).max().unwrap_or(0);
+        let enough = move |(a, m): (net::Ipv4Addr, u32)| (m * STRONG >= most).then_some(a);
+        all.into_iter().filter_map(enough)
+    }
+
     /// The other entry that decides about an engine, by the hash of its id; `None` if it is this one
     /// or can't be asked now. Entries that hear the same others agree (rendezvous hashing).
     pub fn owner(&self, now: time::Duration, server: u64) -> Option<net::Ipv4Addr> {
         let rank = |a: &net::Ipv4Addr| random::Random::new(server ^ u64::from(a.to_bits())).bits();
-        let takes = self
-            .alive
-            .iter()
-            .filter(|(_, p)| !p.leaving)
-            .map(|(a, _)| *a);
-        let owner = takes.chain(self.own).max_by_key(rank)?;
+        let owner = self.strong().max_by_key(rank)?;
         let peer = self.alive.get(&owner)?;
         (now >= peer.distrusted).then_some(owner)
     }
 
-    /// Whether this entry is one of those that follow the platform's store for all: the few with the
-    /// least addresses.
+    // Those that follow the platform's store for all: the few strong ones with the least addresses.
+    fn readers(&self) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
+        self.strong().take(READERS)
+    }
+
+    /// Whether this entry follows the platform's store for all.
     pub fn is_reader(&self) -> bool {
-        let others = self
-            .alive
-            .iter()
-            .filter(|(_, p)| !p.leaving)
-            .map(|(a, _)| *a);
-        others.filter(|a| Some(*a) < self.own).count() < READERS
+        self.readers().any(|a| Some(a) == self.own)
     }
 
     /// The reader that heard from the store last, if that was just now. Only readers are asked: what
     /// others know is second hand, or from a read long ago.
     pub fn fresh(&self, now: time::Duration) -> Option<net::Ipv4Addr> {
-        let takes = self.alive.iter().filter(|(_, p)| !p.leaving);
-        // This one may be a reader itself.
-        let others = READERS - usize::from(self.is_reader());
-        let fresh = takes.take(others).filter(|(_, p)| now < p.store + FRESH);
-        fresh.max_by_key(|(_, p)| p.store).map(|(a, _)| *a)
+        let peers = self
+            .readers()
+            .filter_map(|a| Some((a, self.alive.get(&a)?)));
+        let fresh = peers.filter(|(_, p)| now < p.store + FRESH);
+        fresh.max_by_key(|(_, p)| p.store).map(|(a, _)| a)
     }
 
     /// Digest of an entry's list of backend servers.
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -11,8 +11,9 @@
 use tokio::sync::Notify;
 use tokio::{net as tokio_net, task};
 
-use super::{body, callers, conn, forward, refusal, request, state};
+use super::{body, callers, conn, forward, plan, refusal, request, state};
 use crate::code;
+use crate::decide::strain;
 
 /// Most buffered bytes of one connection beside bodies: the largest head that is let in.
 const BUFFER: usize = 16 * 1024;
@@ -29,6 +30,10 @@
 /// Time to come back while the process knows no configuration: about a start.
 const UNKNOWN: time::Duration = time::Duration::from_secs(1);
 
+/// Least time to come back from a strained process, and the most on top by chance: the balancer sends
+/// whoever comes again to another entry, and half of the shortest objective of a stream is left then.
+const STRAINED: time::Duration = time::Duration::from_millis(150);
+
 /// Pause for connections to end when there are too many.
 const ROOM: time::Duration = time::Duration::from_millis(5);
 
@@ -166,7 +171,7 @@
     };
     // A chunked request may hide a second one behind a contradicting length, which the library has
     // removed: nothing behind it on this connection is read.
-    if chunked || entry.is_leaving() || entry.callers.is_tight() {
+    if chunked || entry.is_leaving() || entry.callers.is_tight() || entry.rests() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -225,7 +230,7 @@
         Ok(body) => body.map_err(refusal::Refusal::new)?,
         Err(_elapsed) => return Err(refusal::Refusal::new(code::Code::SlowCaller)),
     };
-    Ok(request::Request {
+    let req = request::Request {
         head,
         body,
         route,
@@ -233,7 +238,31 @@
         customer,
         received,
         deadline,
-    })
+    };
+    // Only now that the body is read: a connection that is closed before is reset, and the caller may
+    // not see the refusal.
+    if turns_away(entry, &req, plan.services.get(&req.service)) {
+        let after = STRAINED.mul_f64(1.0 + entry.rng.borrow_mut().unit());
+        return Err(refusal::Refusal::later(code::Code::EntryBusy, after));
+    }
+    Ok(req)
+}
+
+// Whether a process that is behind does without this request.
+fn turns_away(
+    entry: &state::Entry,
+    req: &request::Request,
+    service: Option<&plan::Service>,
+) -> bool {
+    let level = entry.strain();
+    if level == strain::Level::Calm {
+        return false;
+    }
+    let customer = req.customer.as_deref().unwrap_or("");
+    let customer = entry.customer(customer);
+    let (served, mean) = entry.fleet.borrow().served_by_all(entry.now(), customer);
+    let engine = service.is_some_and(|s| s.engine);
+    strain::turns_away(level, engine.then_some(served), mean)
 }
 
 /// Answers readiness questions, and figures under `/metrics`, on this address.
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -8,7 +8,7 @@
 
 use super::peer::{ask, table};
 use super::{callers, dialect, line, meter, peer, plan, pool, turns};
-use crate::decide::{health, place, random, retry};
+use crate::decide::{health, place, random, retry, strain};
 use crate::key;
 
 /// Least time to come back for a request that waited in vain: about what an engine needs to read
@@ -47,6 +47,8 @@
     pub repeat_window: time::Duration,
     /// Sockets that the process may have open.
     pub sockets: usize,
+    /// What its processor does, in thousandths of a core; the same number for all if unknown.
+    pub millicores: u32,
     /// Time between the signal to end and the kill.
     pub grace: time::Duration,
 }
@@ -77,6 +79,8 @@
     pub(super) doubted: cell::Cell<time::Duration>,
     // How late the process was with a timer of late.
     pub(super) lag: cell::Cell<time::Duration>,
+    /// How far behind the process is.
+    pub(super) strain: cell::Cell<strain::Gauge>,
     /// Another entry may know something newer.
     pub tip: Notify,
     pub(super) keys: cell::RefCell<collections::HashMap<String, key::Sidecar>>,
@@ -128,7 +132,7 @@
         link: Option<peer::Link>,
     ) -> Self {
         let limit = (settings.sockets as f64 * CALLERS) as usize;
-        let peers = table::Table::new(settings.address, seeds);
+        let peers = table::Table::new(settings.address, settings.millicores, &settings.zone, seeds);
         Self {
             started,
             dialect,
@@ -144,6 +148,7 @@
             told: cell::Cell::default(),
             doubted: cell::Cell::default(),
             lag: cell::Cell::default(),
+            strain: cell::Cell::default(),
             tip: Notify::new(),
             keys: cell::RefCell::default(),
             hashes: cell::RefCell::default(),
@@ -183,7 +188,38 @@
 
     /// Whether the process takes new connections.
     pub fn is_ready(&self) -> bool {
-        !self.leaving.get() && self.plan.borrow().is_some() && self.list_known.get()
+        let knows = self.plan.borrow().is_some() && self.list_known.get();
+        knows && !self.leaving.get() && !self.rests()
+    }
+
+    /// Whether the balancer had better choose other entries for a while.
+    pub fn rests(&self) -> bool {
+        self.is_strained() && self.peers.borrow().may_rest()
+    }
+
+    /// Whether the process had more to do of late than it can.
+    pub fn is_strained(&self) -> bool {
+        self.strain.get().rests(self.now())
+    }
+
+    /// How far behind the process is.
+    pub fn strain(&self) -> strain::Level {
+        self.strain.get().level()
+    }
+
+    /// A timer of [`strain::PROBE`] fired so much later than it was set for.
+    pub fn probed(&self, late: time::Duration) {
+        let mut gauge = self.strain.get();
+        let before = gauge.level();
+        gauge.sample(self.now(), late);
+        self.strain.set(gauge);
+        if gauge.level() != before {
+            self.log
+                .line("strain")
+                .with("before", before)
+                .with("now", gauge.level())
+                .ms("lag_ms", gauge.lag());
+        }
     }
 
     /// Whether the process is shutting down.
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -311,7 +311,7 @@
 #[test]
 fn entries_that_hear_each_other_agree_who_decides() {
     let mut tables: Vec<_> = (0..4_u8)
-        .map(|own| table::Table::new(address(own), Vec::new()))
+        .map(|own| table::Table::new(address(own), 0, "z", Vec::new()))
         .collect();
     for (own, peers) in tables.iter_mut().enumerate() {
         for other in (0..4_u8).filter(|other| usize::from(*other) != own) {
@@ -364,7 +364,7 @@
         },
     ];
     for case in cases {
-        let mut peers = table::Table::new(address(case.own), Vec::new());
+        let mut peers = table::Table::new(address(case.own), 0, "z", Vec::new());
         for other in (1..6_u8).filter(|other| *other != case.own) {
             let beat = message::Beat {
                 // The fourth and fifth read long ago and look fresh; they are not asked.
@@ -389,6 +389,61 @@
     }
 }
 
+#[test]
+fn weak_entries_do_no_work_for_all() {
+    // Entries 1 to 6: the first and the fourth to sixth have a fifth of the others' processor.
+    let millicores = |last: u8| if last == 2 || last == 3 { 500 } else { 90 };
+    for own in 1..=6_u8 {
+        let mut peers = table::Table::new(address(own), millicores(own), "z", Vec::new());
+        for other in (1..=6_u8).filter(|other| *other != own) {
+            let beat = message::Beat {
+                millicores: millicores(other),
+                ..beat(1)
+            };
+            peers.hear(ms(0), other.into(), address(other), &beat);
+        }
+        let strong = own == 2 || own == 3;
+        assert_eq!(peers.is_reader(), strong, "entry {own}");
+        for server in 0..64 {
+            let owner = peers.owner(ms(0), server);
+            let decides = owner.map_or(strong, |a| a == address(2) || a == address(3));
+            assert!(decides, "entry {own} has {owner:?} decide");
+        }
+        // Without the strong ones the others are the strongest.
+        if !strong {
+            peers.expire(ms(1));
+            for other in [2, 3_u8] {
+                let leaving = message::Beat {
+                    leaving: true,
+                    ..beat(2)
+                };
+                peers.hear(ms(1), other.into(), address(other), &leaving);
+            }
+            assert_eq!(peers.is_reader(), own < 6, "entry {own}");
+        }
+    }
+}
+
+#[test]
+fn strained_entries_rest_while_more_than_half_of_their_zone_doesnt() {
+    let mut peers = table::Table::new(address(1), 0, "z", Vec::new());
+    assert!(!peers.may_rest(), "alone");
+    let mut hear = |last: u8, sequence, zone, strained| {
+        let beat = message::Beat {
+            zone: table::zone(zone),
+            strained,
+            ..beat(sequence)
+        };
+        peers.hear(ms(0), last.into(), address(last), &beat);
+        peers.may_rest()
+    };
+    assert!(!hear(2, 1, "z", false), "half of the zone");
+    assert!(!hear(3, 1, "other", false), "another zone");
+    assert!(hear(4, 1, "z", false), "one of three");
+    assert!(!hear(4, 2, "z", true), "two of three");
+    assert!(hear(4, 3, "z", false), "it has caught up");
+}
+
 #[test]
 fn an_id_of_any_bytes_is_kept() {
     // Ids that are no text are forwarded as they are.
@@ -444,6 +499,7 @@
         least_entries: 1,
         repeat_window: ms(10_000),
         sockets: 100,
+        millicores: 0,
         grace: ms(1_000),
     }
 }
--- a/tests/support/relay.rs
+++ b/tests/support/relay.rs
@@ -22,6 +22,8 @@
     silent_below: AtomicU64,
     /// Connections with a lower number are closed.
     closed_below: AtomicU64,
+    /// Milliseconds that each read's bytes are held back.
+    delay_ms: AtomicU64,
     opened: AtomicU64,
     stop: AtomicBool,
 }
@@ -46,6 +48,7 @@
             back_cut: AtomicBool::new(false),
             silent_below: AtomicU64::new(0),
             closed_below: AtomicU64::new(0),
+            delay_ms: AtomicU64::new(0),
             opened: AtomicU64::new(0),
             stop: AtomicBool::new(false),
         });
@@ -71,6 +74,12 @@
         self.cut(false, false);
     }
 
+    /// Holds all bytes back for so long.
+    pub fn delay(&self, time: time::Duration) {
+        let ms = time.as_millis() as u64;
+        self.shared.delay_ms.store(ms, Ordering::SeqCst);
+    }
+
     /// The connections there are pass nothing more, for good; new ones work.
     pub fn silence(&self) {
         let next = self.shared.opened.load(Ordering::SeqCst);
@@ -165,6 +174,8 @@
             Err(err) if is_wait(&err) => continue,
             Err(_) => break,
         };
+        let delay = shared.delay_ms.load(Ordering::SeqCst);
+        thread::sleep(time::Duration::from_millis(delay));
         // Bytes that were read just as the cut began are held back too.
         while shared.is_held(number, forth) && !shared.is_closed(number) {
             thread::sleep(LOOK);
