Look for the caller's end before sending where an entry is behind

A place that came after the deadline was used too, since the timer of a late process fires late (DRAIN: a request was passed on 0.9 s after its caller's deadline). Ruled out: places given back late (the requests had theirs).

Change: a strained process looks at its sockets once before it sends; nothing is sent after the deadline.

--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -5,9 +5,11 @@
 use http::{HeaderValue, header};
 use http_body_util::{BodyExt, Limited};
 use smallvec::SmallVec;
+use tokio::task;
 
 use super::{answer, attempt, body, refusal, request, state};
 use crate::code;
+use crate::decide::strain;
 use crate::key;
 
 /// Most bytes of an answer that is not a stream: it is read whole before it is passed on, so that
@@ -128,6 +130,7 @@
         loop {
             let slot = self.place().await?;
             self.check_plan()?;
+            self.check_caller().await?;
             let server = slot.server;
             let cause = match self.attempt(slot, after).await {
                 attempt::Outcome::Begun(begun) => return Ok(*begun),
@@ -159,6 +162,21 @@
         }
     }
 
+    // A process that is behind reads a request long after it was sent. Its caller's end may stand next to
+    // be read: one look at the sockets ends this request then, instead of work for nobody.
+    async fn check_caller(&self) -> Result<(), refusal::Refusal> {
+        if self.entry.strain() > strain::Level::Calm {
+            task::yield_now().await;
+        }
+        if self.entry.now() < self.req.deadline {
+            return Ok(());
+        }
+        Err(refusal::Refusal::later(
+            code::Code::DeadlineUnreachable,
+            FULL,
+        ))
+    }
+
     /// Whether the request may be sent once more; counts it if so.
     pub fn may_repeat(&self) -> bool {
         self.tried.len() < self.req.route.attempts as usize && self.entry.take_repeat(self.service)
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use chivebend::decide::retry;
+use chivebend::decide::{retry, strain};
 use chivebend::direct::peer::{message, table};
 use chivebend::direct::{answer, callers, dialect, line, plan, pool, request, state};
 use http::{HeaderName, HeaderValue};
@@ -444,6 +444,31 @@
     assert!(hear(4, 3, "z", false), "it has caught up");
 }
 
+#[test]
+fn an_entry_that_is_behind_says_so_and_rests_if_others_of_its_zone_serve() {
+    let started = time::Instant::now();
+    let log = line::open(started).expect("a thread");
+    let entry = state::Entry::new(started, settings(), names(), log, 1, Vec::new(), None);
+    entry.probed(ms(400));
+    assert_eq!(entry.strain(), strain::Level::Calm, "once may be a pause");
+    entry.probed(ms(400));
+    assert_eq!(entry.strain(), strain::Level::Overrun);
+    assert!(entry.is_strained());
+    assert!(!entry.rests(), "there is nobody else");
+    for last in [2, 3] {
+        let beat = message::Beat {
+            zone: table::zone("z"),
+            ..beat(1)
+        };
+        let mut peers = entry.peers.borrow_mut();
+        peers.hear(entry.now(), last.into(), address(last), &beat);
+    }
+    assert!(entry.rests());
+    entry.probed(ms(0));
+    assert_eq!(entry.strain(), strain::Level::Calm);
+    assert!(entry.rests(), "for a while");
+}
+
 #[test]
 fn an_id_of_any_bytes_is_kept() {
     // Ids that are no text are forwarded as they are.
