Ask again for a list that still differs, from the reader that read it last

An entry notes which list it was told, not to ask for it at once again; it noted so with each beat, also when it asked for nothing, and so never asked again for a list that differed. Until entries relied on readers all the time, their own reads hid it. And it took the reader whose older topic was fresher, whose list may be the older one: backend servers that were new in the other's list came and went at the start.

Change: `newer` names what is to be asked, and of whom, for each topic apart: the reader with the newest configuration, the reader that read the list last. Only a list that was told is noted. Silence after which an entry is gone, and the age up to which a reader's word is fresh, follow the beat where that is seconds: 360 entries were all gone for each other. tests/direct.rs.

--- a/examples/load/process.rs
+++ b/examples/load/process.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader};
 use std::{env, fs, net, path, process, time};
 
-use chivebend::{catalogue, cmd, platform};
+use chivebend::{catalogue, client, cmd};
 
 use crate::Error;
 
@@ -94,7 +94,7 @@
         author: "load".to_owned(),
         toml,
     };
-    cmd::publish::publish(&platform::log::open(log), &request, PATIENCE)?;
+    cmd::publish::publish(&client::log::open(log), &request, PATIENCE)?;
     Ok(())
 }
 
--- a/examples/spread.rs
+++ b/examples/spread.rs
@@ -120,7 +120,7 @@
     let calls = sync::Arc::new(atomic::AtomicU64::new(0));
     let mut listed = nodes[1].instance.clone();
     listed.address = relay(listed.address, &counted, &calls);
-    let list = chivebend::platform::instances::List {
+    let list = chivebend::client::instances::List {
         version: 1,
         instances: vec![listed],
     };
--- a/src/platform/mod.rs
+++ b/src/client/mod.rs
@@ -1,4 +1,4 @@
-//! What lies outside the fleet: log service, instance list, backend servers.
+//! Clients of what lies outside the fleet: log service, instance list, backend servers.
 
 pub mod backend;
 pub mod instances;
--- a/src/cmd/catalogue.rs
+++ b/src/cmd/catalogue.rs
@@ -2,9 +2,9 @@
 
 use std::net;
 
+use crate::client::log;
 use crate::cmd::table;
 use crate::control::catalogue::history;
-use crate::platform::log;
 use crate::{catalogue, cmd, code, error};
 
 /// Shows the catalogue in force: its revision, who published it, who owns what.
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time;
 
+use crate::client::log as client_log;
 use crate::cmd;
 use crate::cmd::fleet;
 use crate::cmd::publish;
@@ -13,7 +14,6 @@
 use crate::error;
 use crate::logging;
 use crate::ops;
-use crate::platform::log as platform_log;
 use crate::process;
 use crate::settings;
 use crate::sidecar;
@@ -104,7 +104,7 @@
         toml: CATALOGUE.into(),
     };
     publish::publish(
-        &platform_log::open(platform.log.addr),
+        &client_log::open(platform.log.addr),
         &request,
         PUBLISH_LIMIT,
     )?;
--- a/src/cmd/diff.rs
+++ b/src/cmd/diff.rs
@@ -2,9 +2,9 @@
 
 use std::{collections, fmt::Write as _, net, path};
 
+use crate::client::log;
 use crate::cmd::check;
 use crate::control::catalogue::history;
-use crate::platform::log;
 use crate::{catalogue, cmd, error};
 
 /// Shows what publishing a catalogue file would change of the one in force: `+` what is added, `-`
--- a/src/cmd/fleet.rs
+++ b/src/cmd/fleet.rs
@@ -8,9 +8,9 @@
 
 use serde::de;
 
+use crate::client::instances;
 use crate::code;
 use crate::error;
-use crate::platform::instances;
 
 /// How long one process may take to answer.
 const TIMEOUT: time::Duration = time::Duration::from_secs(5);
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -2,10 +2,10 @@
 
 use std::{env, net, path, process, thread, time};
 
+use crate::client::{instances, log};
 use crate::cmd::{check, fleet};
 use crate::control::catalogue::history;
 use crate::decide::{accept, random};
-use crate::platform::{instances, log};
 use crate::{cmd, code, error};
 
 /// Publishes a catalogue file and says what became of it.
--- a/src/control/backend/handover.rs
+++ b/src/control/backend/handover.rs
@@ -5,11 +5,11 @@
 
 use tokio::sync::oneshot;
 
+use crate::client::instances;
 use crate::control::backend::keyed::Keyed;
 use crate::control::backend::{Backend, Message};
 use crate::control::kept;
 use crate::decide::{home, keys};
-use crate::platform::instances;
 use crate::wire;
 
 /// Time between the first two questions to the same sidecar, doubled for each further one. While a
--- a/src/control/backend/mod.rs
+++ b/src/control/backend/mod.rs
@@ -25,9 +25,9 @@
 
 use crate::control::{customers, tally};
 use crate::decide::{home, queue, share, window};
-use crate::ops::report;
+use crate::report;
 use crate::wire::frame;
-use crate::{event, key, metric, platform, process, settings, wire};
+use crate::{client, event, key, metric, process, settings, wire};
 
 pub use link::Sender;
 
@@ -73,7 +73,7 @@
         link: u64,
     },
     /// Something happened to a run.
-    Run(key::Run, platform::backend::Event),
+    Run(key::Run, client::backend::Event),
     /// The catalogue's figures for this service.
     Service {
         /// Revision of the catalogue.
--- a/src/control/backend/run.rs
+++ b/src/control/backend/run.rs
@@ -4,10 +4,10 @@
 
 use tokio::sync::watch;
 
+use crate::client::usage;
 use crate::control::backend::link::Origin;
 use crate::control::kept;
 use crate::decide::share;
-use crate::platform::usage;
 use crate::wire::frame;
 use crate::{code, key, wire};
 
--- a/src/control/backend/runs.rs
+++ b/src/control/backend/runs.rs
@@ -2,9 +2,9 @@
 
 use std::time;
 
+use crate::client::backend;
 use crate::control::backend::Backend;
 use crate::control::kept;
-use crate::platform::backend;
 use crate::{code, event, key, wire};
 
 /// How long an answer is kept for an entry that does not fetch it: an entry gives an attempt up
--- a/src/control/backend/start.rs
+++ b/src/control/backend/start.rs
@@ -2,10 +2,10 @@
 
 use std::time;
 
+use crate::client::backend;
 use crate::control::backend::run::{self, Run};
 use crate::control::backend::{Backend, Message, keyed};
 use crate::decide::share;
-use crate::platform::backend;
 use crate::wire::frame;
 use crate::{code, event, key, wire};
 
--- a/src/control/backend/status.rs
+++ b/src/control/backend/status.rs
@@ -4,7 +4,7 @@
 use std::time;
 
 use crate::control::backend::Backend;
-use crate::ops::report;
+use crate::report;
 
 impl Backend {
     /// The state; what only the process knows is left to it.
--- a/src/control/catalogue/history.rs
+++ b/src/control/catalogue/history.rs
@@ -2,9 +2,9 @@
 
 use std::time;
 
+use crate::client::log;
 use crate::decide::accept;
 use crate::error;
-use crate::platform::log;
 
 /// Records of one read.
 pub const BATCH: u32 = 256;
--- a/src/control/catalogue/mod.rs
+++ b/src/control/catalogue/mod.rs
@@ -10,8 +10,8 @@
 use std::sync::atomic;
 use std::{net, sync, thread, time};
 
+use crate::client::log;
 use crate::decide::{accept, random};
-use crate::platform::log;
 use crate::{catalogue, code, error, event};
 
 /// How often, and how patiently.
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -28,7 +28,7 @@
 use crate::control::{customers, tally};
 use crate::decide::retry as decide_retry;
 use crate::decide::{admit, limit, share};
-use crate::ops::report;
+use crate::report;
 use crate::wire::frame;
 use crate::{code, event, filter, key, metric, wire};
 
--- a/src/control/dispatch/status.rs
+++ b/src/control/dispatch/status.rs
@@ -4,7 +4,7 @@
 
 use crate::control::dispatch::{Dispatch, sidecar};
 use crate::key;
-use crate::ops::report;
+use crate::report;
 
 impl Dispatch {
     /// The state; what only the process knows is left to it.
--- a/src/control/exchange.rs
+++ b/src/control/exchange.rs
@@ -10,9 +10,9 @@
 use prost::Message as _;
 use tonic::{Request, Response, Status};
 
+use crate::client::instances;
 use crate::control::{catalogue, member};
 use crate::decide::{accept, member as table};
-use crate::platform::instances;
 use crate::wire::{self, peer_client, peer_server, secret};
 use crate::{error, event, settings};
 
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -2,8 +2,8 @@
 
 use std::{sync, time};
 
+use crate::client::instances;
 use crate::decide::member;
-use crate::platform::instances;
 use crate::{event, wire};
 
 /// Longest name or address that is taken from another process, in bytes.
--- a/src/control/tally.rs
+++ b/src/control/tally.rs
@@ -4,7 +4,7 @@
 
 use slotmap::SecondaryMap;
 
-use crate::ops::report;
+use crate::report;
 use crate::{code, key};
 
 /// Slots of the recent service; each is a tenth of the interval reported.
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -67,6 +67,9 @@
     /// platform's store.
     #[prost(fixed64, repeated, tag = "12")]
     pub departing: Vec<u64>,
+    /// Milliseconds since it last heard of the backend servers from the store itself.
+    #[prost(uint32, tag = "13")]
+    pub list_age_ms: u32,
 }
 
 /// Load on one backend server.
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -14,7 +14,7 @@
 use prost::Message as _;
 use tokio::net as tokio_net;
 
-use super::state;
+use super::{roster, state};
 use crate::key;
 
 /// Time between two beats among few entries. Backend servers read 4,000 prompt tokens in it, a
@@ -122,6 +122,10 @@
     }
 }
 
+fn millis(age: time::Duration) -> u32 {
+    age.as_millis().min(u32::MAX.into()) as u32
+}
+
 fn report(entry: &state::Entry, sequence: u64) -> message::Beat {
     let now = entry.now();
     let fleet = entry.fleet.borrow();
@@ -150,7 +154,8 @@
         heard: entry.peers.borrow().heard(),
         configuration: entry.plan().map_or(0, |plan| plan.version),
         list: entry.list_digest(),
-        store_age_ms: entry.store_age().as_millis().min(u32::MAX.into()) as u32,
+        store_age_ms: millis(entry.store_age()),
+        list_age_ms: millis(entry.topic_age(roster::Topic::Backends)),
         millicores: entry.settings.borrow().millicores,
         zone: table::zone(&entry.settings.borrow().zone),
         strained: entry.is_strained(),
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -7,9 +7,14 @@
 use super::message;
 use crate::decide::{place, random, strain};
 
-/// Silence after which an entry is gone: it is not counted in load, service and shares any more.
+/// Silence after which an entry is gone: it is not counted in load, service and shares any more. In a
+/// large fleet, where beats are seconds apart, [`MISSED`] of them.
 pub const SILENT: time::Duration = time::Duration::from_millis(1_500);
 
+/// Beats in a row that must be missing at least: with one datagram in forty lost, four are once in
+/// two and a half million.
+const MISSED: u32 = 4;
+
 /// Time without a word after which an address is no longer written to, unless it is a seed.
 const FORGOTTEN: time::Duration = time::Duration::from_secs(15);
 
@@ -27,6 +32,10 @@
 /// leaving backend server and a new configuration are known within two seconds in any case.
 const FRESH: time::Duration = time::Duration::from_millis(1_400);
 
+/// What a reader may have heard last when it tells, where the wait for its beat isn't short against
+/// [`FRESH`].
+const READ: time::Duration = time::Duration::from_millis(950);
+
 /// Share of the strongest entry's processor that an entry needs to do work for all. One with a fifth
 /// of it that a burst of its own callers keeps busy replies late to the whole fleet: asks of the
 /// others timed out, and each then decided by itself.
@@ -44,8 +53,9 @@
     strained: bool,
     configuration: u64,
     list: u64,
-    // When it last heard from the store itself.
+    // When it last heard from the store itself, of both topics and of the backend servers.
     store: time::Duration,
+    listed: time::Duration,
     distrusted: time::Duration,
 }
 
@@ -110,6 +120,7 @@
             configuration: beat.configuration,
             list: beat.list,
             store: now.saturating_sub(time::Duration::from_millis(beat.store_age_ms.into())),
+            listed: now.saturating_sub(time::Duration::from_millis(beat.list_age_ms.into())),
             distrusted: distrusted.unwrap_or_default(),
         };
         self.alive.insert(address, peer);
@@ -119,8 +130,9 @@
     /// Forgets who was silent; returns their addresses and the numbers of their starts.
     pub fn expire(&mut self, now: time::Duration) -> Vec<(net::Ipv4Addr, u64)> {
         self.known.retain(|_, heard| now < *heard + FORGOTTEN);
+        let most = SILENT.max(super::interval(self.alive.len()) * MISSED);
         let silent = |(address, p): (&net::Ipv4Addr, &Peer)| {
-            (now >= p.heard + SILENT).then_some((*address, p.sender))
+            (now >= p.heard + most).then_some((*address, p.sender))
         };
         let gone: Vec<_> = self.alive.iter().filter_map(silent).collect();
         for (address, _) in &gone {
@@ -173,26 +185,33 @@
         self.readers().any(|a| Some(a) == self.own)
     }
 
-    /// The reader that heard from the store last, if that was just now. Only readers are asked: what
-    /// others know is second hand, or from a read long ago.
-    pub fn fresh(&self, now: time::Duration) -> Option<net::Ipv4Addr> {
+    // Other readers that heard from the store just now. Only readers are asked: what others know is
+    // second hand, or from a read long ago.
+    fn fresh(&self, now: time::Duration) -> impl Iterator<Item = (net::Ipv4Addr, &Peer)> {
+        let beat = super::interval(self.alive.len());
+        let age = FRESH.max(READ + beat.mul_f64(1.5));
         let peers = self
             .readers()
             .filter_map(|a| Some((a, self.alive.get(&a)?)));
-        let fresh = peers.filter(|(_, p)| now < p.store + FRESH);
-        fresh.max_by_key(|(_, p)| p.store).map(|(a, _)| a)
+        peers.filter(move |(_, p)| now < p.store + age)
+    }
+
+    /// Whether another entry heard from the store just now.
+    pub fn has_fresh(&self, now: time::Duration) -> bool {
+        self.fresh(now).next().is_some()
     }
 
-    /// Digest of an entry's list of backend servers.
-    pub fn list(&self, address: net::Ipv4Addr) -> Option<u64> {
-        self.alive.get(&address).map(|p| p.list)
+    /// The fresh reader with the newest configuration, and its version.
+    pub fn newest_configuration(&self, now: time::Duration) -> Option<(net::Ipv4Addr, u64)> {
+        let newest = self.fresh(now).max_by_key(|(_, p)| p.configuration);
+        newest.map(|(a, p)| (a, p.configuration))
     }
 
-    /// Whether an entry has a newer configuration than this version, and another list than this.
-    pub fn differs(&self, address: net::Ipv4Addr, configuration: u64, list: u64) -> (bool, bool) {
-        let peer = self.alive.get(&address);
-        let differs = |p: &Peer| (p.configuration > configuration, p.list != list);
-        peer.map_or((false, false), differs)
+    /// The fresh reader that read the list of backend servers last, and the list's digest. By turns
+    /// with another's older list, servers that are new in this one would come and go.
+    pub fn newest_list(&self, now: time::Duration) -> Option<(net::Ipv4Addr, u64)> {
+        let newest = self.fresh(now).max_by_key(|(_, p)| p.listed);
+        newest.map(|(a, p)| (a, p.list))
     }
 
     /// Entries that take requests, this one included.
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, net, time};
 
+use smallvec::SmallVec;
 use xxhash_rust::xxh3;
 
 use super::peer::ask;
@@ -43,14 +44,16 @@
         self.store_seen.set(seen);
     }
 
-    /// Time since the store told of both topics; very long if it never did.
+    /// Time since the store told of this topic; very long if it never did.
+    pub fn topic_age(&self, topic: Topic) -> time::Duration {
+        let seen = self.store_seen.get()[topic as usize];
+        seen.map_or(time::Duration::MAX, |at| self.now().saturating_sub(at))
+    }
+
+    /// Time since the store told of both topics.
     pub fn store_age(&self) -> time::Duration {
-        let now = self.now();
-        let age = |seen: Option<time::Duration>| {
-            seen.map_or(time::Duration::MAX, |at| now.saturating_sub(at))
-        };
-        let [configuration, backends] = self.store_seen.get();
-        age(configuration).max(age(backends))
+        let configuration = self.topic_age(Topic::Configuration);
+        configuration.max(self.topic_age(Topic::Backends))
     }
 
     /// Whether other entries follow the store for this one, and what this one knows is complete.
@@ -59,28 +62,34 @@
         let peers = self.peers.borrow();
         let known = self.plan.borrow().is_some() && self.list_known.get();
         let trusted = now >= self.doubted.get();
-        known && trusted && !peers.is_reader() && peers.fresh(now).is_some()
+        known && trusted && !peers.is_reader() && peers.has_fresh(now)
     }
 
-    /// The entry that heard from the store last, and whether it has a newer configuration and
-    /// another list that it hasn't told before.
-    pub fn newer(&self) -> Option<(net::Ipv4Addr, bool, bool)> {
-        let peers = self.peers.borrow();
-        let address = peers.fresh(self.now())?;
+    /// What other entries know that is newer than what is known here, and whom to ask for it.
+    pub fn newer(&self) -> SmallVec<[(net::Ipv4Addr, Topic); 2]> {
+        let (now, peers) = (self.now(), self.peers.borrow());
+        let mut newer = SmallVec::new();
         let version = self.plan.borrow().as_ref().map_or(0, |p| p.version);
-        let (configuration, list) = peers.differs(address, version, self.list_digest.get());
-        let told = self.told.get().is_some_and(|(digest, at)| {
-            peers.list(address) == Some(digest) && self.now() < at + TOLD
-        });
-        Some((address, configuration, list && !told))
+        let configuration = peers.newest_configuration(now);
+        if let Some((address, _)) = configuration.filter(|(_, newest)| *newest > version) {
+            newer.push((address, Topic::Configuration));
+        }
+        let told = self.told.get();
+        let is_told = |list| told.is_some_and(|(digest, at)| digest == list && now < at + TOLD);
+        let list = peers.newest_list(now);
+        let differs = |list| list != self.list_digest.get() && !is_told(list);
+        if let Some((address, _)) = list.filter(|(_, list)| differs(*list)) {
+            newer.push((address, Topic::Backends));
+        }
+        newer
     }
 
-    /// Another entry told its list: the same list is not asked for again at once, since it may
-    /// differ for good in what this entry knows better.
-    pub fn remember_told(&self, address: net::Ipv4Addr) {
-        let digest = self.peers.borrow().list(address);
+    /// The newest list was told: it is not asked for again at once, since it may differ for good in
+    /// what this entry knows better.
+    pub fn remember_told(&self) {
         let now = self.now();
-        self.told.set(digest.map(|digest| (digest, now)));
+        let newest = self.peers.borrow().newest_list(now);
+        self.told.set(newest.map(|(_, digest)| (digest, now)));
     }
 
     /// Another entry could not be asked for what it knows: for a while this one follows the store.
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -15,9 +15,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::sync::{mpsc, oneshot, watch};
 
+use crate::client::backend;
 use crate::control::dispatch;
 use crate::entry::{body, refusal};
-use crate::platform::backend;
 use crate::{catalogue, code, event, filter, metric, settings};
 
 /// Largest head of a request in bytes, and most headers.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,9 +13,9 @@
 use tokio::sync::mpsc;
 use tonic::transport::server::TcpIncoming;
 
+use crate::client::instances;
 use crate::control::{dispatch, exchange};
-use crate::ops::report;
-use crate::platform::instances;
+use crate::report;
 use crate::wire::peer_server;
 use crate::{core, error, event, ops, process, settings, wire};
 
--- a/src/entry/roster.rs
+++ b/src/entry/roster.rs
@@ -4,9 +4,9 @@
 
 use crossbeam_channel as channel;
 
+use crate::client::instances;
 use crate::control::{dispatch, link, member};
 use crate::decide::member::{Member, Role, Standing};
-use crate::platform::instances;
 use crate::{process, settings, wire};
 
 /// Keeps links to the sidecars, and tells the core of them and of the other entries.
--- a/src/filter/model.rs
+++ b/src/filter/model.rs
@@ -2,9 +2,9 @@
 
 use serde::Deserialize;
 
+use crate::client::usage;
 use crate::code;
 use crate::filter::{Ask, Context, Refusal};
-use crate::platform::usage;
 
 /// Paths whose bodies name a model.
 const PATHS: [&str; 2] = ["/v1/completions", "/v1/chat/completions"];
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! Reading order: [`decide`] holds every decision as a pure module; [`filter`] and [`control`] put
 //! them to work in an [`entry`] and a [`sidecar`]; [`wire`] is what the processes say to each
-//! other; [`platform`] is what lies outside, and [`standin`] takes its place in tests.
+//! other; [`client`] calls what lies outside, and [`standin`] takes its place in tests.
 
 pub mod catalogue;
+pub mod client;
 pub mod cmd;
 pub mod code;
 pub mod control;
@@ -19,8 +20,8 @@
 pub mod logging;
 pub mod metric;
 pub mod ops;
-pub mod platform;
 pub mod process;
+pub mod report;
 pub mod settings;
 pub mod sidecar;
 pub mod standin;
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -12,7 +12,7 @@
 use metrics_exporter_prometheus as prometheus;
 
 use crate::code;
-use crate::ops;
+use crate::report;
 
 /// Customers with the most recent service that get series of their own, of the 7,400 there may be.
 pub const CUSTOMERS: usize = 32;
@@ -203,8 +203,8 @@
     }
 
     /// The customers, each second.
-    pub fn customers(&self, rows: &[ops::Customer]) {
-        metrics::gauge!(GAP, "instance" => self.instance()).set(ops::gap(rows));
+    pub fn customers(&self, rows: &[report::Customer]) {
+        metrics::gauge!(GAP, "instance" => self.instance()).set(report::gap(rows));
         let mut order: Vec<_> = rows.iter().collect();
         order.sort_by(|a, b| b.recent.total_cmp(&a.recent));
         let mut granted = self
@@ -225,7 +225,7 @@
         self.customer(REST.into(), &rest);
     }
 
-    fn customer(&self, name: String, rows: &[&ops::Customer]) {
+    fn customer(&self, name: String, rows: &[&report::Customer]) {
         let labels = [
             metrics::Label::new("instance", self.instance()),
             metrics::Label::new("customer", name),
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -18,10 +18,9 @@
 
 mod guard;
 mod query;
-pub mod report;
 
+pub use crate::report::{Customer, Customers, RECENT_MS, Sidecar, Status, gap};
 pub use query::encode;
-pub use report::{Customer, Customers, RECENT_MS, Sidecar, Status, gap};
 
 /// Threads that answer. One would do; the second keeps health answered while a large ring is
 /// written out.
--- a/src/process.rs
+++ b/src/process.rs
@@ -5,9 +5,9 @@
 
 use crossbeam_channel as channel;
 
-use crate::ops::report;
-use crate::platform::instances;
-use crate::{code, error, platform, settings, wire};
+use crate::client::instances;
+use crate::report;
+use crate::{client, code, error, settings, wire};
 
 /// Threads of the tokio runtime. A node of the fleet is small; the core is a thread of its own.
 const WORKERS: usize = 2;
@@ -111,7 +111,7 @@
     own: sync::Arc<sync::Mutex<instances::Instance>>,
     mut report: impl FnMut(Read) + Send + 'static,
 ) -> error::Result<Poller> {
-    let client = platform::instances::open(address);
+    let client = client::instances::open(address);
     let mut held = sync::Arc::new(instances::List::default());
     let mut known = None;
     let mut registered: Option<(time::Instant, instances::State)> = None;
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -9,9 +9,9 @@
 use crossbeam_channel as channel;
 use tonic::transport::server::TcpIncoming;
 
+use crate::client::instances;
 use crate::control::{backend, exchange, link};
-use crate::ops::report;
-use crate::platform::instances;
+use crate::report;
 use crate::wire::{self, peer_server, sidecar_server};
 use crate::{catalogue, core, error, event, metric, ops, process, settings};
 
--- a/src/standin/instances.rs
+++ b/src/standin/instances.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::client::instances;
 use crate::error;
-use crate::platform::instances;
 use crate::standin::serve;
 
 /// How long an instance stays on the list without registering again.
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::client::log;
 use crate::error;
-use crate::platform::log;
 use crate::standin::serve;
 
 /// Faults, set by [`Handle::switch`] or `POST /switch`. What is absent stays as it is.
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -409,7 +409,7 @@
 
 #[test]
 fn processes_are_found_through_the_instance_list() {
-    use chivebend::platform::instances;
+    use chivebend::client::instances;
 
     let bench = open(&[("e1", "entry")]);
     let loopback = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -4,7 +4,7 @@
 
 use chivebend::decide::{retry, strain};
 use chivebend::direct::peer::{message, table};
-use chivebend::direct::{answer, callers, dialect, line, plan, pool, request, state};
+use chivebend::direct::{answer, callers, dialect, line, plan, pool, request, roster, state};
 use http::{HeaderName, HeaderValue};
 use proptest::prelude::*;
 use smallvec::smallvec;
@@ -308,6 +308,24 @@
     assert_eq!(peers.entries(), 2);
 }
 
+#[test]
+fn in_a_fleet_of_the_largest_size_one_missing_beat_is_no_end() {
+    // 360 entries beat every 3 s.
+    let at = |n: u16| std::net::Ipv4Addr::new(10, 0, (n / 200) as u8, (n % 200) as u8);
+    let mut peers = table::Table::new(at(0), 0, "z", Vec::new());
+    for n in 1..360_u16 {
+        let beat = message::Beat {
+            store_age_ms: 900,
+            ..beat(1)
+        };
+        peers.hear(ms(1_000), n.into(), at(n), &beat);
+    }
+    assert!(peers.expire(ms(7_500)).is_empty());
+    assert_eq!(peers.entries(), 360);
+    assert!(peers.has_fresh(ms(4_200)), "the next beat is on its way");
+    assert_eq!(peers.expire(ms(14_000)).len(), 359);
+}
+
 #[test]
 fn entries_that_hear_each_other_agree_who_decides() {
     let mut tables: Vec<_> = (0..4_u8)
@@ -369,23 +387,21 @@
             let beat = message::Beat {
                 // Others read long ago and look fresh; they are not asked.
                 store_age_ms: if other > 2 { 0 } else { u32::from(other) * 300 },
-                configuration: 5,
+                list_age_ms: if other > 2 { 0 } else { 300 - u32::from(other) },
+                configuration: u64::from(other),
                 list: u64::from(other),
                 ..beat(1)
             };
             peers.hear(ms(5_000), other.into(), address(other), &beat);
         }
         assert_eq!(peers.is_reader(), case.reader, "{}", case.name);
-        let freshest = if case.own == 1 { 2 } else { 1 };
-        assert_eq!(
-            peers.fresh(ms(5_000)),
-            Some(address(freshest)),
-            "{}",
-            case.name
-        );
-        assert_eq!(peers.fresh(ms(6_400)), None, "{}: all are old", case.name);
-        let differs = peers.differs(address(freshest), 4, u64::from(freshest));
-        assert_eq!(differs, (true, false), "{}", case.name);
+        // The second of the two has the newer configuration and read the list later.
+        let newest = if case.own == 2 { 1 } else { 2 };
+        let expected = Some((address(newest), u64::from(newest)));
+        assert_eq!(peers.newest_configuration(ms(5_000)), expected);
+        assert_eq!(peers.newest_list(ms(5_000)), expected, "{}", case.name);
+        assert!(!peers.has_fresh(ms(6_400)), "{}: all are old", case.name);
+        assert_eq!(peers.newest_list(ms(6_400)), None, "{}", case.name);
     }
 }
 
@@ -400,8 +416,8 @@
         };
         peers.hear(ms(5_000), last.into(), address(last), &beat);
     }
-    assert!(peers.fresh(ms(5_300)).is_some());
-    assert!(peers.fresh(ms(5_600)).is_none(), "too old");
+    assert!(peers.has_fresh(ms(5_300)));
+    assert!(!peers.has_fresh(ms(5_600)), "too old");
 }
 
 #[test]
@@ -484,6 +500,43 @@
     assert!(entry.rests(), "for a while");
 }
 
+#[test]
+fn a_list_that_still_differs_is_asked_for_again() {
+    let entry = entry(1);
+    entry.take(plan::News::All(vec![server("a", 5, false)]));
+    let hear = |sequence, list| {
+        let beat = message::Beat {
+            list,
+            ..beat(sequence)
+        };
+        let mut peers = entry.peers.borrow_mut();
+        peers.hear(entry.now(), 2, address(2), &beat);
+    };
+    hear(1, entry.list_digest());
+    assert!(entry.newer().is_empty(), "nothing to take over");
+    hear(2, 77);
+    let list = (address(2), roster::Topic::Backends);
+    assert_eq!(entry.newer().as_slice(), [list]);
+    entry.remember_told();
+    assert!(entry.newer().is_empty(), "it was told just now");
+    hear(3, 78);
+    assert_eq!(entry.newer().as_slice(), [list], "another list");
+}
+
+#[test]
+fn callers_that_wait_to_be_accepted_show_that_an_entry_is_behind() {
+    let entry = entry(1);
+    entry.set_callers_wait(true);
+    std::thread::sleep(strain::STRAINED);
+    entry.set_callers_wait(true);
+    entry.probed(ms(0));
+    entry.probed(ms(0));
+    assert!(entry.strain() >= strain::Level::Strained);
+    entry.set_callers_wait(false);
+    entry.probed(ms(0));
+    assert_eq!(entry.strain(), strain::Level::Calm);
+}
+
 #[test]
 fn an_id_of_any_bytes_is_kept() {
     // Ids that are no text are forwarded as they are.
--- a/tests/frames.rs
+++ b/tests/frames.rs
@@ -4,8 +4,8 @@
 use std::sync;
 
 use bytes::Bytes;
+use chivebend::client::{self, usage};
 use chivebend::control::{answer, kept};
-use chivebend::platform::{self, usage};
 use chivebend::{catalogue, code, filter, settings, wire};
 use proptest::prelude::*;
 use prost::Message;
@@ -263,7 +263,7 @@
 
     #[test]
     fn lists_of_any_text_are_refused_or_taken(text in any::<String>()) {
-        let list = serde_json::from_str::<platform::instances::List>(&text);
+        let list = serde_json::from_str::<client::instances::List>(&text);
         prop_assert!(list.is_err() || text.contains("version"));
     }
 }
--- a/tests/log.rs
+++ b/tests/log.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use chivebend::platform::{instances, log};
+use chivebend::client::{instances, log};
 use chivebend::{code, standin};
 
 const SHORT: time::Duration = time::Duration::from_millis(300);
--- a/tests/publish.rs
+++ b/tests/publish.rs
@@ -4,10 +4,10 @@
 
 use std::{collections, process, thread};
 
+use chivebend::client::log;
 use chivebend::cmd::publish::{self, Outcome};
 use chivebend::control::catalogue::history;
 use chivebend::decide::accept;
-use chivebend::platform::log;
 use chivebend::{code, standin};
 use support::{PATIENCE, node, until};
 
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -10,7 +10,7 @@
 use std::io::{BufRead, BufReader, Read};
 use std::{collections, net, process, sync, thread, time};
 
-use chivebend::{platform, standin};
+use chivebend::{client, standin};
 
 /// Longest wait for a state to come about; far beyond what any takes.
 pub const PATIENCE: time::Duration = time::Duration::from_secs(30);
@@ -340,22 +340,22 @@
 
 /// Shows a sidecar on a list.
 pub fn show(list: &standin::instances::Handle, id: &str, service: &str, address: net::SocketAddr) {
-    list.put(platform::instances::Instance {
+    list.put(client::instances::Instance {
         id: id.to_owned(),
         address,
         ops_address: None,
-        role: platform::instances::Role::Sidecar,
+        role: client::instances::Role::Sidecar,
         zone: "sala-a".to_owned(),
         region: "default".to_owned(),
         service: service.to_owned(),
-        state: platform::instances::State::Live,
+        state: client::instances::State::Live,
         incarnation: 0,
     });
 }
 
 /// Publishes a catalogue.
 pub fn publish(log: &standin::log::Handle, toml: &str) {
-    let client = platform::log::open(log.addr);
+    let client = client::log::open(log.addr);
     let request = chivebend::cmd::publish::Request {
         change_id: format!("{:x?}", &chivebend::catalogue::digest(toml)[..8]),
         base: None,
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -4,9 +4,9 @@
 
 use std::{net, time};
 
+use chivebend::client::{instances, log};
 use chivebend::control::{catalogue, exchange};
 use chivebend::decide::{accept, member};
-use chivebend::platform::{instances, log};
 use chivebend::{event, process, settings, standin};
 use tokio_stream::wrappers::TcpListenerStream;
 
