Don't name backend servers as leaving that had only lapsed

Cause: a beat names backend servers that have gone for 5 s, also one whose entry lapsed and came back within them; the others took it for leaving.

--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -198,8 +198,10 @@
         let listed = self.listed.borrow();
         let leaving = listed.values().filter(|s| s.leaving);
         let leaving = leaving.map(|s| xxh3::xxh3_64(s.id.as_bytes()));
-        let departed = departed.iter().map(|(hash, _)| *hash);
-        departed.chain(leaving.take(DEPARTED_MOST)).collect()
+        // One that lapsed may be back.
+        let gone = departed.iter().map(|(hash, _)| *hash);
+        let gone = gone.filter(|hash| self.server_by_hash(*hash).is_none());
+        gone.chain(leaving.take(DEPARTED_MOST)).collect()
     }
 
     /// Another entry named backend servers that leave. Taking over its list takes several turns of a
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -636,6 +636,9 @@
     assert_eq!(reader.departing().len(), 2);
     other.heard_departing(&reader.departing());
     assert!(leaving("b"));
+    // It had only lapsed.
+    reader.take(plan::News::Listed(server("b", 6, false)));
+    assert_eq!(reader.departing().len(), 1);
 }
 
 #[test]
