Log lost and regained neighbours and readiness, and call overload by its name

`strain` and `rest` were words of our own: overload, out of rotation.

Tried and reverted: longer rests (2 to 16 s) while a burst comes back.

--- a/src/decide/strain.rs
+++ b/src/decide/overload.rs
@@ -17,31 +17,31 @@
 /// Lateness from which requests are turned away by chance, the more the better their customers were
 /// served: a sixth of the shortest latency objective of a stream, 600 ms, goes by for the reading
 /// alone, and as much for the sending.
-pub const STRAINED: time::Duration = time::Duration::from_millis(100);
+pub const OVERLOADED: time::Duration = time::Duration::from_millis(100);
 
 /// Lateness from which four times as many are turned away: read and passed on so late, few are in time.
-pub const OVERRUN: time::Duration = time::Duration::from_millis(300);
+pub const SATURATED: time::Duration = time::Duration::from_millis(300);
 
 /// Times as many that are turned away then: of customers with a quarter of the most service, all.
-const OVERRUN_FACTOR: f64 = 4.0;
+const SATURATED_FACTOR: f64 = 4.0;
 
-/// Time for which an entry stays out of the balancer's choice after it was strained: two of the
+/// Time for which an entry stays out of the balancer's choice after it was overloaded: two of the
 /// balancer's questions, one a second.
-pub const REST: time::Duration = time::Duration::from_secs(2);
+pub const OUT_OF_ROTATION: time::Duration = time::Duration::from_secs(2);
 
 /// How far behind a process is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
 pub enum Level {
     /// It keeps up.
-    #[display("calm")]
+    #[display("normal")]
     #[default]
-    Calm,
-    /// See [`STRAINED`].
-    #[display("strained")]
-    Strained,
-    /// See [`OVERRUN`].
-    #[display("overrun")]
-    Overrun,
+    Normal,
+    /// See [`OVERLOADED`].
+    #[display("overloaded")]
+    Overloaded,
+    /// See [`SATURATED`].
+    #[display("saturated")]
+    Saturated,
 }
 
 /// Lateness of the last samples.
@@ -49,7 +49,7 @@
 pub struct Gauge {
     last: time::Duration,
     before: time::Duration,
-    strained: Option<time::Duration>,
+    since: Option<time::Duration>,
 }
 
 impl Gauge {
@@ -57,8 +57,8 @@
     pub fn sample(&mut self, now: time::Duration, late: time::Duration) {
         self.before = self.last;
         self.last = late;
-        if self.level() > Level::Calm {
-            self.strained = Some(now);
+        if self.level() > Level::Normal {
+            self.since = Some(now);
         }
     }
 
@@ -71,15 +71,15 @@
     /// How far behind the process is.
     pub fn level(&self) -> Level {
         match self.lag() {
-            lag if lag >= OVERRUN => Level::Overrun,
-            lag if lag >= STRAINED => Level::Strained,
-            _ => Level::Calm,
+            lag if lag >= SATURATED => Level::Saturated,
+            lag if lag >= OVERLOADED => Level::Overloaded,
+            _ => Level::Normal,
         }
     }
 
-    /// Whether it was strained of late, so that the balancer had better choose others.
-    pub fn rests(&self, now: time::Duration) -> bool {
-        self.strained.is_some_and(|at| now < at + REST)
+    /// Whether it was overloaded of late, so that the balancer had better choose others.
+    pub fn out_of_rotation(&self, now: time::Duration) -> bool {
+        self.since.is_some_and(|at| now < at + OUT_OF_ROTATION)
     }
 }
 
@@ -88,18 +88,18 @@
 ///
 /// A customer whose burst comes through one weak entry has no other way: with a bound at the mean it got
 /// 3.9 million tokens in six seconds, while another that was above the mean elsewhere got 8.0. And a
-/// small customer that shares that entry isn't what overruns it: turned away like all others it got 0.7
+/// small customer that shares that entry isn't what overloads it: turned away like all others it got 0.7
 /// million of the 1.7 it asked for.
 pub fn turns_away(level: Level, served: f64, draw: f64) -> bool {
     match level {
-        Level::Calm => false,
-        Level::Strained => draw < served,
-        Level::Overrun => draw < served * OVERRUN_FACTOR,
+        Level::Normal => false,
+        Level::Overloaded => draw < served,
+        Level::Saturated => draw < served * SATURATED_FACTOR,
     }
 }
 
 /// Whether an entry may stay out of the balancer's choice, when so many of the entries of its
 /// availability zone do, itself included: more than half stay, or the balancer would choose from all.
-pub fn may_rest(resting: usize, entries: usize) -> bool {
-    resting * 2 < entries
+pub fn may_leave_rotation(away: usize, entries: usize) -> bool {
+    away * 2 < entries
 }
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -9,7 +9,7 @@
 
 use super::{answer, attempt, body, refusal, request, state};
 use crate::code;
-use crate::decide::strain;
+use crate::decide::overload;
 use crate::key;
 
 /// Most bytes of an answer that is not a stream: it is read whole before it is passed on, so that
@@ -165,7 +165,7 @@
     // A process that is behind reads a request long after it was sent. Its caller's end may stand next to
     // be read: one look at the sockets ends this request then, instead of work for nobody.
     async fn check_caller(&self) -> Result<(), refusal::Refusal> {
-        if self.entry.strain() > strain::Level::Calm {
+        if self.entry.overload() > overload::Level::Normal {
             task::yield_now().await;
         }
         if self.entry.now() < self.req.deadline {
--- a/src/direct/peer/ask.rs
+++ b/src/direct/peer/ask.rs
@@ -209,7 +209,13 @@
             Err(_elapsed) => {
                 entry.meter.count("asks", "silent");
                 let now = entry.now();
-                entry.peers.borrow_mut().distrust(now, owner);
+                if entry.peers.borrow_mut().distrust(now, owner) {
+                    entry
+                        .log
+                        .line("neighbour_silent")
+                        .with("neighbour", owner)
+                        .ms("waited_ms", REPLY);
+                }
                 return Outcome::Undecided;
             }
         };
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -62,7 +62,7 @@
     pub zone: u64,
     /// Whether it has more to do than it can.
     #[prost(bool, tag = "11")]
-    pub strained: bool,
+    pub overloaded: bool,
     /// Hashes of the ids of backend servers that leave or have just gone, from an entry that follows the
     /// platform's store.
     #[prost(fixed64, repeated, tag = "12")]
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -158,7 +158,7 @@
         list_age_ms: millis(entry.topic_age(roster::Topic::Backends)),
         millicores: entry.settings.borrow().millicores,
         zone: table::zone(&entry.settings.borrow().zone),
-        strained: entry.is_strained(),
+        overloaded: entry.is_overloaded(),
         departing: entry.departing(),
     }
 }
@@ -175,6 +175,10 @@
         ask::asked(entry, datagram.sender, address, ask);
     }
     if let Some(reply) = &datagram.reply {
+        if entry.peers.borrow_mut().replied(address) {
+            let line = entry.log.line("neighbour_replies");
+            line.with("neighbour", address);
+        }
         entry.asks.replied(address, reply);
     }
 }
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3;
 
 use super::message;
-use crate::decide::{place, random, strain};
+use crate::decide::{overload, place, random};
 
 /// Silence after which an entry is gone: it is not counted in load, service and shares any more. In a
 /// large fleet, where beats are seconds apart, [`MISSED`] of them.
@@ -36,8 +36,8 @@
 /// [`FRESH`].
 const READ: time::Duration = time::Duration::from_millis(950);
 
-/// Share of the strongest entry's processor that an entry needs to do work for all. One with a fifth
-/// of it that a burst of its own callers keeps busy replies late to the whole fleet: asks of the
+/// The part of the strongest entry's processor that an entry needs to do work for all: a half. One with a
+/// fifth of it that a burst of its own callers keeps busy replies late to the whole fleet: asks of the
 /// others timed out, and each then decided by itself.
 const STRONG: u32 = 2;
 
@@ -50,13 +50,15 @@
     leaving: bool,
     millicores: u32,
     zone: u64,
-    strained: bool,
+    overloaded: bool,
     configuration: u64,
     list: u64,
     // When it last heard from the store itself, of both topics and of the backend servers.
     store: time::Duration,
     listed: time::Duration,
     distrusted: time::Duration,
+    // Whether it didn't reply to what it was asked last.
+    silent: bool,
 }
 
 /// The other entries.
@@ -107,7 +109,9 @@
             let address = net::Ipv4Addr::from_bits(*address);
             self.known.entry(address).or_insert(now);
         }
-        let distrusted = self.alive.get(&address).map(|p| p.distrusted);
+        let known = self.alive.get(&address);
+        let (distrusted, silent) =
+            known.map_or_else(Default::default, |p| (p.distrusted, p.silent));
         let peer = Peer {
             sender,
             sequence: beat.sequence,
@@ -116,12 +120,13 @@
             leaving: beat.leaving,
             millicores: beat.millicores,
             zone: beat.zone,
-            strained: beat.strained,
+            overloaded: beat.overloaded,
             configuration: beat.configuration,
             list: beat.list,
             store: now.saturating_sub(time::Duration::from_millis(beat.store_age_ms.into())),
             listed: now.saturating_sub(time::Duration::from_millis(beat.list_age_ms.into())),
-            distrusted: distrusted.unwrap_or_default(),
+            distrusted,
+            silent,
         };
         self.alive.insert(address, peer);
         Some(before.map(|(s, _)| s).filter(|s| *s != sender))
@@ -141,18 +146,26 @@
         gone
     }
 
-    /// An entry that was asked didn't reply.
-    pub fn distrust(&mut self, now: time::Duration, address: net::Ipv4Addr) {
-        if let Some(peer) = self.alive.get_mut(&address) {
-            peer.distrusted = now + DISTRUST;
-        }
+    /// An entry that was asked didn't reply; returns whether that is new.
+    pub fn distrust(&mut self, now: time::Duration, address: net::Ipv4Addr) -> bool {
+        let Some(peer) = self.alive.get_mut(&address) else {
+            return false;
+        };
+        peer.distrusted = now + DISTRUST;
+        !std::mem::replace(&mut peer.silent, true)
+    }
+
+    /// An entry replied; returns whether it was silent before.
+    pub fn replied(&mut self, address: net::Ipv4Addr) -> bool {
+        let peer = self.alive.get_mut(&address);
+        peer.is_some_and(|peer| std::mem::take(&mut peer.silent))
     }
 
-    /// Whether this entry may stay out of the balancer's choice while it is strained.
-    pub fn may_rest(&self) -> bool {
+    /// Whether this entry may stay out of the balancer's choice while it is overloaded.
+    pub fn may_leave_rotation(&self) -> bool {
         let zone = || self.alive.values().filter(|p| p.zone == self.zone);
-        let resting = zone().filter(|p| p.strained || p.leaving).count();
-        strain::may_rest(resting + 1, zone().count() + 1)
+        let away = zone().filter(|p| p.overloaded || p.leaving).count();
+        overload::may_leave_rotation(away + 1, zone().count() + 1)
     }
 
     // Entries that do work for all, in order of address, this one included if it does.
@@ -162,7 +175,8 @@
         all.extend(self.own.map(|own| (own, self.millicores)));
         all.sort_unstable();
         let most = all.iter().map(|(_, m)| *m).max().unwrap_or(0);
-        let enough = move |(a, m): (net::Ipv4Addr, u32)| (m * STRONG >= most).then_some(a);
+        let enough =
+            move |(a, m): (net::Ipv4Addr, u32)| (m.saturating_mul(STRONG) >= most).then_some(a);
         all.into_iter().filter_map(enough)
     }
 
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -205,7 +205,7 @@
     }
 
     /// Another entry named backend servers that leave. Taking over its list takes several turns of a
-    /// process, each seconds late in one that is overrun: such a one sent requests on 3 s after they
+    /// process, each seconds late in one that is overloaded: such a one sent requests on 3 s after they
     /// were known to leave.
     pub fn heard_departing(&self, hashes: &[u64]) {
         let mut changed = false;
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -13,7 +13,7 @@
 
 use super::{body, callers, conn, forward, refusal, request, state};
 use crate::code;
-use crate::decide::strain;
+use crate::decide::overload;
 
 /// Most buffered bytes of one connection beside bodies: the largest head that is let in.
 const BUFFER: usize = 16 * 1024;
@@ -30,9 +30,9 @@
 /// Time to come back while the process knows no configuration: about a start.
 const UNKNOWN: time::Duration = time::Duration::from_secs(1);
 
-/// Least time to come back from a strained process, and the most on top by chance: the balancer sends
+/// Least time to come back from an overloaded process, and the most on top by chance: the balancer sends
 /// whoever comes again to another entry, and half of the shortest objective of a stream is left then.
-const STRAINED: time::Duration = time::Duration::from_millis(150);
+const OVERLOADED: time::Duration = time::Duration::from_millis(150);
 
 /// Pause for connections to end when there are too many.
 const ROOM: time::Duration = time::Duration::from_millis(5);
@@ -59,8 +59,8 @@
     let listener = listen(address)?;
     let mut accepted = 0;
     loop {
-        accepted += 1;
-        if accepted % ACCEPTED == 0 {
+        accepted = (accepted + 1) % ACCEPTED;
+        if accepted == 0 {
             tokio::task::yield_now().await;
         }
         if !entry.callers.has_room() {
@@ -196,7 +196,7 @@
     };
     // A chunked request may hide a second one behind a contradicting length, which the library has
     // removed: nothing behind it on this connection is read.
-    if chunked || entry.is_leaving() || entry.callers.is_tight() || entry.rests() {
+    if chunked || entry.is_leaving() || entry.callers.is_tight() || entry.out_of_rotation() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -267,7 +267,7 @@
     // Only now that the body is read: a connection that is closed before is reset, and the caller may
     // not see the refusal.
     if turns_away(entry, &req) {
-        let after = STRAINED.mul_f64(1.0 + entry.rng.borrow_mut().unit());
+        let after = OVERLOADED.mul_f64(1.0 + entry.rng.borrow_mut().unit());
         return Err(refusal::Refusal::later(code::Code::EntryBusy, after));
     }
     Ok(req)
@@ -275,15 +275,15 @@
 
 // Whether a process that is behind does without this request.
 fn turns_away(entry: &state::Entry, req: &request::Request) -> bool {
-    let level = entry.strain();
-    if level == strain::Level::Calm {
+    let level = entry.overload();
+    if level == overload::Level::Normal {
         return false;
     }
     let customer = req.customer.as_deref().unwrap_or("");
     let customer = entry.customer(customer);
     let served = entry.fleet.borrow().served_share(entry.now(), customer);
     let draw = entry.rng.borrow_mut().unit();
-    strain::turns_away(level, served, draw)
+    overload::turns_away(level, served, draw)
 }
 
 /// Answers readiness questions, and figures under `/metrics`, on this address.
@@ -324,7 +324,17 @@
         return http::Response::new(Full::new(entry.meter.text().into()));
     }
     let mut response = http::Response::new(Full::default());
-    if !entry.is_ready() {
+    let ready = entry.is_ready();
+    if entry.told_ready.replace(Some(ready)) != Some(ready) {
+        entry
+            .log
+            .line("ready")
+            .with("now", ready)
+            .with("leaving", entry.is_leaving())
+            .with("out_of_rotation", entry.out_of_rotation())
+            .with("configuration", entry.plan().map_or(0, |p| p.version));
+    }
+    if !ready {
         *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
     }
     response
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -8,7 +8,7 @@
 
 use super::peer::{ask, table};
 use super::{callers, dialect, line, meter, peer, plan, pool, turns};
-use crate::decide::{health, place, random, retry, strain};
+use crate::decide::{health, overload, place, random, retry};
 use crate::key;
 
 /// Least time to come back for a request that waited in vain: about what an engine needs to read
@@ -82,7 +82,9 @@
     // How late the process was with a timer of late.
     pub(super) lag: cell::Cell<time::Duration>,
     /// How far behind the process is.
-    pub(super) strain: cell::Cell<strain::Gauge>,
+    pub(super) overload: cell::Cell<overload::Gauge>,
+    // What the balancer was told last.
+    pub(super) told_ready: cell::Cell<Option<bool>>,
     // Since when callers have been waiting to be accepted.
     pub(super) callers_wait: cell::Cell<Option<time::Duration>>,
     /// Another entry may know something newer.
@@ -153,7 +155,8 @@
             told: cell::Cell::default(),
             doubted: cell::Cell::default(),
             lag: cell::Cell::default(),
-            strain: cell::Cell::default(),
+            overload: cell::Cell::default(),
+            told_ready: cell::Cell::default(),
             callers_wait: cell::Cell::default(),
             tip: Notify::new(),
             keys: cell::RefCell::default(),
@@ -195,22 +198,22 @@
     /// Whether the process takes new connections.
     pub fn is_ready(&self) -> bool {
         let knows = self.plan.borrow().is_some() && self.list_known.get();
-        knows && !self.leaving.get() && !self.rests()
+        knows && !self.leaving.get() && !self.out_of_rotation()
     }
 
     /// Whether the balancer had better choose other entries for a while.
-    pub fn rests(&self) -> bool {
-        self.is_strained() && self.peers.borrow().may_rest()
+    pub fn out_of_rotation(&self) -> bool {
+        self.is_overloaded() && self.peers.borrow().may_leave_rotation()
     }
 
     /// Whether the process had more to do of late than it can.
-    pub fn is_strained(&self) -> bool {
-        self.strain.get().rests(self.now())
+    pub fn is_overloaded(&self) -> bool {
+        self.overload.get().out_of_rotation(self.now())
     }
 
     /// How far behind the process is.
-    pub fn strain(&self) -> strain::Level {
-        self.strain.get().level()
+    pub fn overload(&self) -> overload::Level {
+        self.overload.get().level()
     }
 
     /// Whether callers wait to be accepted.
@@ -219,9 +222,9 @@
         self.callers_wait.set(wait.then_some(since));
     }
 
-    /// A timer of [`strain::PROBE`] fired so much later than it was set for.
+    /// A timer of [`overload::PROBE`] fired so much later than it was set for.
     pub fn probed(&self, late: time::Duration) {
-        let mut gauge = self.strain.get();
+        let mut gauge = self.overload.get();
         let before = gauge.level();
         let now = self.now();
         let wait = self
@@ -229,10 +232,10 @@
             .get()
             .map(|since| now.saturating_sub(since));
         gauge.sample(now, late.max(wait.unwrap_or_default()));
-        self.strain.set(gauge);
+        self.overload.set(gauge);
         if gauge.level() != before {
             self.log
-                .line("strain")
+                .line("overload")
                 .with("before", before)
                 .with("now", gauge.level())
                 .ms("lag_ms", gauge.lag());
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use chivebend::decide::{retry, strain};
+use chivebend::decide::{overload, retry};
 use chivebend::direct::peer::{message, table};
 use chivebend::direct::{answer, callers, dialect, line, plan, pool, request, roster, state};
 use http::{HeaderName, HeaderValue};
@@ -352,9 +352,12 @@
     let (server, owner) = (0..64)
         .find_map(|s| Some((s, tables[0].owner(ms(0), s)?)))
         .expect("another decides about some");
-    tables[0].distrust(ms(0), owner);
+    assert!(tables[0].distrust(ms(0), owner), "that is new");
+    assert!(!tables[0].distrust(ms(0), owner));
     assert_eq!(tables[0].owner(ms(1), server), None);
     assert_eq!(tables[0].owner(ms(1_000), server), Some(owner));
+    assert!(tables[0].replied(owner), "it was silent");
+    assert!(!tables[0].replied(owner));
 }
 
 #[test]
@@ -456,17 +459,17 @@
 }
 
 #[test]
-fn strained_entries_rest_while_more_than_half_of_their_zone_doesnt() {
+fn overloaded_entries_leave_rotation_while_more_than_half_of_their_zone_stays() {
     let mut peers = table::Table::new(address(1), 0, "z", Vec::new());
-    assert!(!peers.may_rest(), "alone");
-    let mut hear = |last: u8, sequence, zone, strained| {
+    assert!(!peers.may_leave_rotation(), "alone");
+    let mut hear = |last: u8, sequence, zone, overloaded| {
         let beat = message::Beat {
             zone: table::zone(zone),
-            strained,
+            overloaded,
             ..beat(sequence)
         };
         peers.hear(ms(0), last.into(), address(last), &beat);
-        peers.may_rest()
+        peers.may_leave_rotation()
     };
     assert!(!hear(2, 1, "z", false), "half of the zone");
     assert!(!hear(3, 1, "other", false), "another zone");
@@ -476,16 +479,20 @@
 }
 
 #[test]
-fn an_entry_that_is_behind_says_so_and_rests_if_others_of_its_zone_serve() {
+fn an_entry_that_is_behind_says_so_and_leaves_rotation_if_others_of_its_zone_serve() {
     let started = time::Instant::now();
     let log = line::open(started).expect("a thread");
     let entry = state::Entry::new(started, settings(), names(), log, 1, Vec::new(), None);
     entry.probed(ms(400));
-    assert_eq!(entry.strain(), strain::Level::Calm, "once may be a pause");
+    assert_eq!(
+        entry.overload(),
+        overload::Level::Normal,
+        "once may be a pause"
+    );
     entry.probed(ms(400));
-    assert_eq!(entry.strain(), strain::Level::Overrun);
-    assert!(entry.is_strained());
-    assert!(!entry.rests(), "there is nobody else");
+    assert_eq!(entry.overload(), overload::Level::Saturated);
+    assert!(entry.is_overloaded());
+    assert!(!entry.out_of_rotation(), "there is nobody else");
     for last in [2, 3] {
         let beat = message::Beat {
             zone: table::zone("z"),
@@ -494,10 +501,10 @@
         let mut peers = entry.peers.borrow_mut();
         peers.hear(entry.now(), last.into(), address(last), &beat);
     }
-    assert!(entry.rests());
+    assert!(entry.out_of_rotation());
     entry.probed(ms(0));
-    assert_eq!(entry.strain(), strain::Level::Calm);
-    assert!(entry.rests(), "for a while");
+    assert_eq!(entry.overload(), overload::Level::Normal);
+    assert!(entry.out_of_rotation(), "for a while");
 }
 
 #[test]
@@ -527,14 +534,14 @@
 fn callers_that_wait_to_be_accepted_show_that_an_entry_is_behind() {
     let entry = entry(1);
     entry.set_callers_wait(true);
-    std::thread::sleep(strain::STRAINED);
+    std::thread::sleep(overload::OVERLOADED);
     entry.set_callers_wait(true);
     entry.probed(ms(0));
     entry.probed(ms(0));
-    assert!(entry.strain() >= strain::Level::Strained);
+    assert!(entry.overload() >= overload::Level::Overloaded);
     entry.set_callers_wait(false);
     entry.probed(ms(0));
-    assert_eq!(entry.strain(), strain::Level::Calm);
+    assert_eq!(entry.overload(), overload::Level::Normal);
 }
 
 #[test]
