Treat another entry's word that a backend server leaves as hearsay

In the log `backend_leaving ... leaving=false` and `=true` by turns, every second. Ruled out: load as such (it only made the server lapse), ejection by the health table (no line).

--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -17,6 +17,10 @@
 /// without it, also one that is seconds behind.
 const DEPARTED: time::Duration = time::Duration::from_secs(5);
 
+/// Time for which a backend server counts as leaving after a beat named it: several beats, after which
+/// the list says so itself, or it was said in error.
+const NAMED: time::Duration = time::Duration::from_millis(1_500);
+
 /// Most that beats name of them, 8 bytes each.
 const DEPARTED_MOST: usize = 64;
 
@@ -206,26 +210,30 @@
 
     /// Another entry named backend servers that leave. Taking over its list takes several turns of a
     /// process, each seconds late in one that is overloaded: such a one sent requests on 3 s after they
-    /// were known to leave.
+    /// were known to leave. It is hearsay: it fades, and is neither put into the list nor told again. Told
+    /// again, two entries kept a good backend server out of use for good, each on the other's word.
     pub fn heard_departing(&self, hashes: &[u64]) {
-        let mut changed = false;
-        for hash in hashes {
-            let id = self
-                .server_by_hash(*hash)
-                .and_then(|key| Some(self.backends.borrow().get(key)?.server.id.clone()));
-            let Some(id) = id else { continue };
-            if let Some(server) = self.listed.borrow_mut().get_mut(&id)
-                && !server.leaving
-            {
-                server.leaving = true;
-                changed = true;
-            }
+        let now = self.now();
+        let mut news = false;
+        for hash in hashes.iter().filter(|h| self.server_by_hash(**h).is_some()) {
+            let before = self.named.borrow_mut().insert(*hash, now + NAMED);
+            news |= before.is_none_or(|until| now >= until);
         }
-        if changed {
-            self.sync();
+        if news {
+            self.log
+                .line("backends_named")
+                .with("leaving", hashes.len());
+            self.judge();
         }
     }
 
+    fn is_named(&self, now: time::Duration, hash: u64) -> bool {
+        self.named
+            .borrow()
+            .get(&hash)
+            .is_some_and(|until| now < *until)
+    }
+
     /// The health table took nothing in for a while: the list says who lives.
     pub fn refresh(&self) {
         let now = self.now();
@@ -236,6 +244,7 @@
         health.compare();
         drop(health);
         self.fleet.borrow_mut().sweep(now);
+        self.named.borrow_mut().retain(|_, until| now < *until);
         peer::expire(self);
         ask::expire(self);
         self.judge();
@@ -339,7 +348,8 @@
             let health = self.health.borrow();
             let backends = self.backends.borrow();
             let usable = |(key, b): (key::Sidecar, &pool::Backend)| {
-                (key, !b.server.leaving && health.state(now, key).usable())
+                let leaves = b.server.leaving || self.is_named(now, b.hash);
+                (key, !leaves && health.state(now, key).usable())
             };
             backends.iter().map(usable).collect()
         };
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -72,6 +72,8 @@
     pub(super) gone: cell::RefCell<collections::HashMap<String, u64>>,
     // Hashes of the ids of those that have just gone, with when.
     pub(super) departed: cell::RefCell<collections::VecDeque<(u64, time::Duration)>>,
+    // Backend servers that other entries named as leaving, by the hashes of their ids, until when.
+    pub(super) named: cell::RefCell<collections::HashMap<u64, time::Duration>>,
     pub(super) list_known: cell::Cell<bool>,
     pub(super) list_digest: cell::Cell<u64>,
     pub(super) store_seen: cell::Cell<[Option<time::Duration>; 2]>,
@@ -149,6 +151,7 @@
             listed: cell::RefCell::default(),
             gone: cell::RefCell::default(),
             departed: cell::RefCell::default(),
+            named: cell::RefCell::default(),
             list_known: cell::Cell::default(),
             list_digest: cell::Cell::default(),
             store_seen: cell::Cell::default(),
