Tell the starts of a backend server under one id apart, and keep the list where an entry can't be read

Cause: entries were ordered by the number of the report alone, so a backend server that started again under its id was dropped until its count had caught up, and what was learned of the start before (kept parts, speed, health, connections, places) was believed of the new one.

Now a report is start and number, a new start gets a new key, and an entry of an earlier start that comes late changes nothing. An entry that can't be read names no backend server (606 entry_invalid, one line), the others hold. Entries without a start are ordered by number as before.

--- a/src/code.rs
+++ b/src/code.rs
@@ -104,6 +104,7 @@
     BadFrame 603 "bad_frame" 400 No false "A frame from another process is malformed or out of bounds." "Check that both processes run compatible versions.";
     Internal 604 "internal" 500 Unknown false "The process met a fault of its own." "Report it with the time line around it.";
     Unreachable 605 "unreachable" 503 No true "A process does not answer on its operators' port." "Check the process, its machine and the network to it.";
+    EntryInvalid 606 "entry_invalid" 500 No true "An entry of the list of backend servers names none." "Look who writes such entries; the others hold.";
 }
 
 impl Code {
--- a/src/direct/neighbour.rs
+++ b/src/direct/neighbour.rs
@@ -79,8 +79,8 @@
     slack: time::Duration,
 ) -> Option<Vec<plan::Server>> {
     let body = get(address, BACKENDS, slack).await?;
-    match serde_json::from_slice(&body) {
-        Ok(servers) => Some(servers),
+    match list(&body) {
+        Ok(list) => Some(list),
         Err(err) => {
             log::warn!(event = "neighbour_malformed", error:% = err; "");
             None
@@ -88,6 +88,20 @@
     }
 }
 
+/// Decodes a list of backend servers. An entry that can't be read, as of another version of the program,
+/// names none; the others hold.
+pub fn list(body: &[u8]) -> Result<Vec<plan::Server>, serde_json::Error> {
+    let entries: Vec<serde_json::Value> = serde_json::from_slice(body)?;
+    let decode = |entry| match serde_json::from_value(entry) {
+        Ok(server) => Some(server),
+        Err(err) => {
+            log::warn!(event = "neighbour_entry_malformed", error:% = err; "");
+            None
+        }
+    };
+    Ok(entries.into_iter().filter_map(decode).collect())
+}
+
 async fn get(address: net::SocketAddr, path: &str, slack: time::Duration) -> Option<Bytes> {
     let call = async {
         let mut conn = conn::open(address).await.ok()?;
--- a/src/direct/plan.rs
+++ b/src/direct/plan.rs
@@ -201,10 +201,32 @@
     }
 }
 
+/// Which report of a backend server this is: of an earlier start, or of the same and earlier, comes first.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    derive_more::Display,
+    serde::Deserialize,
+    serde::Serialize,
+)]
+#[display("{start}/{number}")]
+pub struct Report {
+    /// When the backend server started, in Unix milliseconds; nothing if it doesn't say.
+    pub start: u64,
+    /// Counts its reports since then.
+    pub number: u64,
+}
+
 /// A backend server as its list entry describes it.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize, serde::Serialize)]
 pub struct Server {
-    /// Id of this start of it; a restarted one has another.
+    /// Its id. One that starts again may have the same: [`Report::start`] tells its starts apart.
     pub id: String,
     /// Its service.
     pub service: String,
@@ -216,8 +238,8 @@
     pub slots: u32,
     /// Whether it takes no new requests any more.
     pub leaving: bool,
-    /// Number of its report that says so; later ones have greater numbers.
-    pub report: u64,
+    /// The report that says so.
+    pub report: Report,
 }
 
 /// News about the backend servers.
@@ -234,8 +256,19 @@
 }
 
 impl Server {
+    /// Whether this is another process than `other` under its id, of which nothing that was learned, kept
+    /// or counted holds.
+    pub fn is_another(&self, other: &Self) -> bool {
+        self.report.start != other.report.start
+            || self.address != other.address
+            || self.service != other.service
+    }
+
     /// Whether it is the same but for the number of the report.
     pub fn says_the_same(&self, other: &Self) -> bool {
+        if self.report.start != other.report.start {
+            return false;
+        }
         let report = other.report;
         *other
             == Self {
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -109,7 +109,8 @@
     fn digest_list(&self) {
         let listed = self.listed.borrow();
         let line = |s: &plan::Server| {
-            let text = format!("{} {} {} {}", s.id, s.service, s.address, s.leaving);
+            let start = s.report.start;
+            let text = format!("{} {} {} {} {start}", s.id, s.service, s.address, s.leaving);
             xxh3::xxh3_64(text.as_bytes())
         };
         // A sum, so that the order doesn't matter.
@@ -129,6 +130,10 @@
         match news {
             plan::News::Listed(server) => {
                 let mut listed = self.listed.borrow_mut();
+                let newer = |known: &plan::Server| known.report > server.report;
+                if listed.get(&server.id).is_some_and(newer) {
+                    return;
+                }
                 let known = listed.insert(server.id.clone(), server.clone());
                 drop(listed);
                 if known.is_some_and(|known| known.says_the_same(&server)) {
@@ -273,6 +278,7 @@
     }
 
     fn put(&self, plan: &plan::Plan, server: plan::Server) {
+        self.forget_earlier(&server);
         let known = self.keys.borrow().get(&server.id).copied();
         if let Some(key) = known {
             if let Some(backend) = self.backends.borrow_mut().get_mut(key) {
@@ -314,6 +320,25 @@
         self.backends.borrow_mut().insert(key, backend);
     }
 
+    // A backend server that started again holds nothing of before: its connections, places, learned
+    // speed, health and kept parts go with the key of its earlier start.
+    fn forget_earlier(&self, server: &plan::Server) {
+        let key = self.keys.borrow().get(&server.id).copied();
+        let restarted = key.is_some_and(|key| {
+            let backends = self.backends.borrow();
+            backends
+                .get(key)
+                .is_some_and(|b| b.server.is_another(server))
+        });
+        if restarted {
+            self.log
+                .line("backend_restarted")
+                .with("backend", &server.id)
+                .with("report", server.report);
+            self.remove(&server.id);
+        }
+    }
+
     fn remove(&self, id: &str) {
         let Some(key) = self.keys.borrow_mut().remove(id) else {
             return;
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -69,7 +69,7 @@
     pub(super) plan: cell::RefCell<Option<rc::Rc<plan::Plan>>>,
     pub(super) listed: cell::RefCell<collections::HashMap<String, plan::Server>>,
     // Backend servers that are gone, with their last report.
-    pub(super) gone: cell::RefCell<collections::HashMap<String, u64>>,
+    pub(super) gone: cell::RefCell<collections::HashMap<String, plan::Report>>,
     // Hashes of the ids of those that have just gone, with when.
     pub(super) departed: cell::RefCell<collections::VecDeque<(u64, time::Duration)>>,
     // Backend servers that other entries named as leaving, by the hashes of their ids, until when.
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -4,7 +4,9 @@
 
 use chivebend::decide::{overload, place, retry};
 use chivebend::direct::peer::{message, table};
-use chivebend::direct::{answer, callers, dialect, line, plan, pool, request, roster, state};
+use chivebend::direct::{
+    answer, callers, dialect, line, neighbour, plan, pool, request, roster, state,
+};
 use http::{HeaderName, HeaderValue};
 use proptest::prelude::*;
 use smallvec::smallvec;
@@ -577,7 +579,11 @@
     assert_eq!(plan.shortest_objective("c"), None);
 }
 
-fn server(id: &str, report: u64, leaving: bool) -> plan::Server {
+fn report(start: u64, number: u64) -> plan::Report {
+    plan::Report { start, number }
+}
+
+fn server(id: &str, number: u64, leaving: bool) -> plan::Server {
     plan::Server {
         id: id.into(),
         service: "s".into(),
@@ -585,7 +591,7 @@
         zone: "z".into(),
         slots: 1,
         leaving,
-        report,
+        report: report(0, number),
     }
 }
 
@@ -657,6 +663,70 @@
     assert_eq!(reader.departing().len(), 1);
 }
 
+fn started(id: &str, start: u64, number: u64) -> plan::Server {
+    plan::Server {
+        report: report(start, number),
+        ..server(id, 0, false)
+    }
+}
+
+// A backend server crashes and starts again under the id that it had, while its entry is told by the store,
+// by another entry's list, and late by a link that held it up.
+#[test]
+fn a_backend_server_that_started_again_keeps_nothing_of_before() {
+    let entry = entry(1);
+    let now = ms(1_000);
+    let key = || entry.server_by_hash(xxhash_rust::xxh3::xxh3_64(b"a"));
+    let usable = |at| entry.health.borrow().state(now, at).usable();
+    // Not the only ones: of few, none is put out of use.
+    let others = (0..9).map(|n| started(&format!("other-{n}"), 100, 1));
+    let all = others.chain([started("a", 100, 50)]).collect();
+    entry.take(plan::News::All(all));
+    let first = key().expect("it is listed");
+    for _ in 0..9 {
+        entry.judge_result(first, false, ms(0));
+    }
+    assert!(!usable(first));
+    // Its reports count anew.
+    entry.take(plan::News::Listed(started("a", 200, 1)));
+    let second = key().expect("it is listed");
+    assert_ne!(first, second);
+    assert!(usable(second));
+    assert!(entry.backends.borrow().get(first).is_none());
+    // What the earlier start said arrives late.
+    let late = plan::Server {
+        leaving: true,
+        ..started("a", 100, 60)
+    };
+    entry.take(plan::News::Listed(late.clone()));
+    assert_eq!(key(), Some(second));
+    entry.take(plan::News::Told(vec![late]));
+    assert_eq!(key(), Some(second));
+    assert!(entry.servers().expect("a list").iter().all(|s| !s.leaving));
+    // Another entry tells of the next start first.
+    entry.take(plan::News::Told(vec![started("a", 300, 1)]));
+    assert_ne!(key(), Some(second));
+}
+
+#[test]
+fn entries_that_know_different_starts_of_a_backend_server_differ() {
+    let (one, other) = (entry(1), entry(2));
+    one.take(plan::News::All(vec![started("a", 100, 7)]));
+    other.take(plan::News::All(vec![started("a", 100, 9)]));
+    assert_eq!(one.list_digest(), other.list_digest());
+    other.take(plan::News::Listed(started("a", 200, 1)));
+    assert_ne!(one.list_digest(), other.list_digest());
+}
+
+#[test]
+fn an_entry_told_by_another_that_cannot_be_read_does_not_cost_the_others() {
+    let good = serde_json::to_value(server("a", 1, false)).expect("JSON");
+    let body = serde_json::json!([{"id": "b"}, good, 7, {"id": "c", "slots": "many"}]);
+    let list = neighbour::list(body.to_string().as_bytes()).expect("a list");
+    assert_eq!(list, [server("a", 1, false)]);
+    neighbour::list(b"{").unwrap_err();
+}
+
 #[test]
 fn another_entrys_older_list_brings_nothing_back() {
     let started = time::Instant::now();
