Split the placing by job: what is placed, what is known of a backend server, the fleet

Nothing measured: the same code in three files, decide/place/{job,server,mod}.rs, with the waits as methods of what they are about.

--- /dev/null
+++ b/src/decide/place/job.rs
@@ -0,0 +1,60 @@
+//! What is to be placed, and how long it can wait.
+
+use std::time;
+
+use smallvec::SmallVec;
+
+use crate::key;
+
+/// Share of its objective that every request may wait.
+const LEAST_PATIENCE: f64 = 0.5;
+
+/// A part of a prompt: its hash covers all parts before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Hash of this part and those before it.
+    pub chain: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// What is to be placed.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Number of its service.
+    pub service: u32,
+    /// Whose it is.
+    pub customer: key::Customer,
+    /// Its prompt's parts, the last its own.
+    pub parts: SmallVec<[Part; 4]>,
+    /// Tokens that it is charged with.
+    pub cost: u64,
+    /// When its answer, or first event, is due.
+    pub due: time::Duration,
+    /// Its latency objective.
+    pub objective: time::Duration,
+    /// Backend servers that it must not go to again.
+    pub avoid: SmallVec<[key::Sidecar; 2]>,
+}
+
+impl Job {
+    // The deepest part that others share: all but the last, which is the request's own.
+    pub(super) fn home_part(&self) -> Option<u64> {
+        let at = self.parts.len().saturating_sub(2);
+        self.parts.get(at).map(|part| part.chain)
+    }
+
+    // Milliseconds until its answer is due; less than nothing if it is late.
+    pub(super) fn left_ms(&self, now: time::Duration) -> f64 {
+        (self.due.as_secs_f64() - now.as_secs_f64()) * 1e3
+    }
+
+    // Milliseconds that it may wait before its prompt of so many milliseconds is read. One that is
+    // late however soon it starts waits as long as a small one would: late answers count for less, not
+    // nothing, and else the largest requests were never served.
+    pub(super) fn patience_ms(&self, now: time::Duration, needs_ms: f64) -> f64 {
+        let objective = self.objective.as_secs_f64() * 1e3;
+        let left = self.left_ms(now);
+        (left - needs_ms).max(left - objective * (1.0 - LEAST_PATIENCE))
+    }
+}
--- a/src/decide/place.rs
+++ b/src/decide/place/mod.rs
@@ -8,7 +8,7 @@
 //! A request goes to the home of its last shared part, the backend server with the greatest hash of
 //! part and id (rendezvous hashing: Thaler and Ravishankar, 1998), so entries agree without talking
 //! and a lost backend server moves only its own parts. It is handed over while the prompt tokens
-//! that the engine has yet to read stay under [`UNREAD`]; else it waits here, the customer that was
+//! that the engine has yet to read stay under [`server::UNREAD`]; else it waits here, the customer that was
 //! served least of late first. If it can't be in time at its home, it is refused at once: at a second
 //! home it would be, but reading the part there costs the fleet more than the request gives
 //! (`docs/DECISIONS-UNDER-LOAD.md`).
@@ -18,50 +18,19 @@
 //!
 //! Time is the duration since the process started.
 
-use std::{collections, time};
+mod job;
+mod server;
+
+use std::time;
 
 use slotmap::SlotMap;
 use smallvec::SmallVec;
-use xxhash_rust::xxh3;
 
-use super::{pace, random, recent};
+pub use self::job::{Job, Part};
+use self::server::{Server, Waiting};
+use super::{random, recent};
 use crate::{code, key};
 
-/// Time's worth of prompts handed over and not yet read by an engine, in milliseconds. An engine reads
-/// a chunk a step, some 25 ms, and a prompt counts as read only with its first event, four steps
-/// later: with less an engine idles. With more, what was handed over early stands before what is more
-/// urgent now: worth fell from 0.716 and 0.731 at 100 to 0.697 and 0.707 at 250 and 0.666 and 0.684 at
-/// 400 (polling desk, feedstock logs; 0.717 and 0.730 at 60, with more refusals).
-pub const UNREAD: f64 = 100.0;
-
-/// Share of the room that an entry uses while another holds a request that goes first: enough for
-/// the engine until the other entry's turn comes, one beat later.
-const SECOND: f64 = 0.6;
-
-/// Share of its objective that every request may wait.
-const LEAST_PATIENCE: f64 = 0.5;
-
-/// Requests beyond its slots that a plain backend server is given: it starts the next while our
-/// answer travels.
-const SPARE: u32 = 1;
-
-/// Service times that a request for a plain backend server allows for its own when it comes: times vary by
-/// half of their mean, and with one mean half of those that wait to the last would be late.
-const OWN_SERVICE: f64 = 1.5;
-
-/// Weight of a new service time in the average: at full load the last half second of a backend server with
-/// six slots of 60 ms.
-const SERVICE_SMOOTHING: f64 = 0.05;
-
-/// What stands at an engine when a waiting request is handed over, in milliseconds: most of [`UNREAD`],
-/// since room is used as soon as it is there. Without it whoever waited to the last was late by it: 3,555
-/// late answers on a day of overload, 3,166 and 3,425 with it (bearing consortium, 25,000 requests, three
-/// seeds, two comparisons).
-const HANDED_AHEAD: f64 = 80.0;
-
-/// Most a believed part stays believed without use: engines yield the least recently used.
-const BELIEF: time::Duration = time::Duration::from_secs(60);
-
 /// Most requests that wait for one backend server: more than it reads in the longest objective.
 const WAITING: usize = 256;
 
@@ -71,42 +40,6 @@
 /// Least time to come back after a refusal.
 const COME_BACK: time::Duration = time::Duration::from_millis(400);
 
-/// A part of a prompt: its hash covers all parts before it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Part {
-    /// Hash of this part and those before it.
-    pub chain: u64,
-    /// Its tokens.
-    pub tokens: u32,
-}
-
-/// What is to be placed.
-#[derive(Clone, Debug)]
-pub struct Job {
-    /// Number of its service.
-    pub service: u32,
-    /// Whose it is.
-    pub customer: key::Customer,
-    /// Its prompt's parts, the last its own.
-    pub parts: SmallVec<[Part; 4]>,
-    /// Tokens that it is charged with.
-    pub cost: u64,
-    /// When its answer, or first event, is due.
-    pub due: time::Duration,
-    /// Its latency objective.
-    pub objective: time::Duration,
-    /// Backend servers that it must not go to again.
-    pub avoid: SmallVec<[key::Sidecar; 2]>,
-}
-
-impl Job {
-    // The deepest part that others share: all but the last, which is the request's own.
-    fn home_part(&self) -> Option<u64> {
-        let at = self.parts.len().saturating_sub(2);
-        self.parts.get(at).map(|part| part.chain)
-    }
-}
-
 /// A request that a backend server was given: hand it back with [`Fleet::ended`].
 #[derive(Debug)]
 pub struct Placed {
@@ -152,33 +85,6 @@
     pub least: Option<f64>,
 }
 
-#[derive(Debug)]
-struct Server {
-    service: u32,
-    hash: u64,
-    slots: u32,
-    engine: bool,
-    near: bool,
-    usable: bool,
-    own: Load,
-    others: Load,
-    pace: pace::Line,
-    // Time from hand-over to answer in milliseconds, of a plain one; nothing before the first.
-    service_ms: f64,
-    // In order of arrival.
-    waiting: Vec<Waiting>,
-    // Parts believed to be kept, with their last use.
-    kept: collections::HashMap<u64, time::Duration>,
-}
-
-#[derive(Debug)]
-struct Waiting {
-    request: u64,
-    job: Job,
-    until: time::Duration,
-    tokens: f64,
-}
-
 /// What is listed of a backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Listed<'a> {
@@ -202,90 +108,6 @@
     rng: random::Random,
 }
 
-impl Server {
-    fn running(&self) -> u32 {
-        self.own.running + self.others.running
-    }
-
-    fn unread(&self) -> f64 {
-        self.own.unread + self.others.unread
-    }
-
-    // Whether a request of a customer with so much recent service may be handed over.
-    fn has_room(&self, tokens: f64, served: f64) -> bool {
-        if !self.engine {
-            return self.running() < self.slots + SPARE;
-        }
-        // Another entry holds a request that goes first: leave it room.
-        let second = self.others.least.is_some_and(|least| least < served);
-        let share = if second { SECOND } else { 1.0 };
-        let room =
-            self.unread() + tokens <= share * self.pace.tokens(UNREAD) || self.unread() < 1.0;
-        room && self.running() < self.slots
-    }
-
-    // The waiting request that goes first: the oldest of the customer that was served least. One
-    // whose time has come leaves by itself.
-    fn first(&self, now: time::Duration, recent: &recent::Table) -> Option<(usize, f64)> {
-        let due = self
-            .waiting
-            .iter()
-            .enumerate()
-            .filter(|(_, w)| now < w.until);
-        let served = due.map(|(at, w)| (at, recent.all(now, w.job.customer)));
-        served.min_by(|(_, a), (_, b)| a.total_cmp(b))
-    }
-
-    // A plain backend server answered after so long.
-    fn took(&mut self, took: time::Duration) {
-        let ms = took.as_secs_f64() * 1e3;
-        let weight = if self.service_ms == 0.0 {
-            1.0
-        } else {
-            SERVICE_SMOOTHING
-        };
-        self.service_ms += weight * (ms - self.service_ms);
-    }
-
-    // Tokens of the job that the engine would have to read.
-    fn fresh(&self, now: time::Duration, job: &Job) -> f64 {
-        let mut kept = true;
-        let mut tokens = 0.0;
-        for part in &job.parts {
-            kept = kept && self.keeps(now, part.chain);
-            if !kept {
-                tokens += f64::from(part.tokens);
-            }
-        }
-        tokens
-    }
-
-    fn keeps(&self, now: time::Duration, chain: u64) -> bool {
-        self.kept.get(&chain).is_some_and(|at| now < *at + BELIEF)
-    }
-
-    // Milliseconds until a job's prompt would be read, behind the waiting requests of customers that
-    // are not after it.
-    fn wait_ms(&self, now: time::Duration, job: &Job, recent: &recent::Table) -> f64 {
-        let served = recent.all(now, job.customer);
-        let before = |w: &&Waiting| {
-            w.job.customer == job.customer || recent.all(now, w.job.customer) <= served
-        };
-        let waiting: f64 = self.waiting.iter().filter(before).map(|w| w.tokens).sum();
-        self.pace.read_ms(self.unread() + waiting)
-    }
-
-    // Milliseconds until a plain backend server has a slot for a job, behind the waiting requests of
-    // customers that are not after it.
-    fn slot_ms(&self, now: time::Duration, job: &Job, recent: &recent::Table) -> f64 {
-        let served = recent.all(now, job.customer);
-        let before = |w: &&Waiting| now < w.until && recent.all(now, w.job.customer) <= served;
-        let waiting = self.waiting.iter().filter(before).count() as u32;
-        let beyond = (self.running() + 1 + waiting).saturating_sub(self.slots);
-        f64::from(beyond) * self.service_ms / f64::from(self.slots)
-    }
-}
-
 impl Fleet {
     /// A fleet without backend servers.
     pub fn new(seed: u64) -> Self {
@@ -298,20 +120,7 @@
 
     /// Adds a backend server.
     pub fn add(&mut self, listed: Listed<'_>) -> key::Sidecar {
-        self.servers.insert(Server {
-            service: listed.service,
-            hash: xxh3::xxh3_64(listed.id.as_bytes()),
-            slots: listed.slots.max(1),
-            engine: listed.engine,
-            near: listed.near,
-            usable: true,
-            own: Load::default(),
-            others: Load::default(),
-            pace: pace::Line::default(),
-            service_ms: 0.0,
-            waiting: Vec::new(),
-            kept: collections::HashMap::new(),
-        })
+        self.servers.insert(Server::new(listed))
     }
 
     /// Forgets a backend server and returns the requests that waited for it.
@@ -426,7 +235,7 @@
     ) -> Verdict {
         let server = &self.servers[at];
         let ms = server.slot_ms(now, job, &self.recent);
-        let patience = left_ms(now, job.due) - OWN_SERVICE * server.service_ms;
+        let patience = server.slot_patience_ms(now, job);
         if ms <= patience.max(0.0) {
             return self.put(now, request, job, at, 0.0);
         }
@@ -444,8 +253,7 @@
         let server = &self.servers[at];
         let tokens = server.fresh(now, job);
         let ms = server.wait_ms(now, job, &self.recent);
-        let needs_ms = server.pace.read_ms(tokens) + server.pace.floor_ms();
-        let patience = patience(now, job, needs_ms);
+        let patience = server.engine_patience_ms(now, job, tokens);
         if ms <= patience || (server.waiting.is_empty() && server.has_room(tokens, recent)) {
             return self.put(now, request, job, at, tokens);
         }
@@ -496,7 +304,7 @@
         if server.waiting.is_empty() && server.has_room(tokens, recent) {
             return Verdict::Go(self.hand_over(now, at, job, tokens));
         }
-        let until = start_by(now, job, server, tokens);
+        let until = server.start_by(now, job, tokens);
         if server.waiting.len() >= WAITING {
             return Verdict::Refuse(code::Code::QueueFull, COME_BACK);
         }
@@ -605,33 +413,8 @@
     /// Drops beliefs that nobody used for long. Call it every few seconds.
     pub fn sweep(&mut self, now: time::Duration) {
         for server in self.servers.values_mut() {
-            server.kept.retain(|_, at| now < *at + BELIEF);
+            server.sweep_parts(now);
             server.waiting.retain(|w| now < w.until + LAPSED);
         }
     }
 }
-
-// Milliseconds that a job may wait before its prompt of so many milliseconds is read. One that is
-// late however soon it starts waits as long as a small one would: late answers count for less, not
-// nothing, and else the largest requests were never served.
-fn patience(now: time::Duration, job: &Job, needs_ms: f64) -> f64 {
-    let objective = job.objective.as_secs_f64() * 1e3;
-    let due = left_ms(now, job.due);
-    (due - needs_ms).max(due - objective * (1.0 - LEAST_PATIENCE))
-}
-
-// Milliseconds until then; less than nothing if it has passed.
-fn left_ms(now: time::Duration, then: time::Duration) -> f64 {
-    (then.as_secs_f64() - now.as_secs_f64()) * 1e3
-}
-
-// Until when a job may wait for its start.
-fn start_by(now: time::Duration, job: &Job, server: &Server, tokens: f64) -> time::Duration {
-    let patience = if server.engine {
-        let needs_ms = server.pace.read_ms(tokens) + server.pace.floor_ms();
-        patience(now, job, needs_ms) - HANDED_AHEAD
-    } else {
-        left_ms(now, job.due) - server.service_ms
-    };
-    now + time::Duration::from_secs_f64(patience.max(0.0) / 1e3)
-}
