--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -19,6 +19,7 @@
 pub mod drain;
 pub mod explain;
 pub mod fleet;
+pub mod late;
 pub mod publish;
 pub mod status;
 pub mod table;
@@ -56,6 +57,8 @@
     Customers(customers::Args),
     /// Shows the events of all processes in causal order.
     Timeline(timeline::Args),
+    /// Counts why answers of direct entries were late, from their logs.
+    Late(late::Args),
     /// Asks a process to leave.
     Drain(drain::Args),
     /// Explains a result code.
@@ -75,6 +78,7 @@
         Command::Status(args) => status::run(&args),
         Command::Customers(args) => customers::run(&args),
         Command::Timeline(args) => timeline::run(&args),
+        Command::Late(args) => late::run(&args),
         Command::Drain(args) => drain::run(&args),
         Command::Explain(args) => explain::run(&args),
         Command::Completions(args) => completions::run(&args),
