Say in a refusal which engine it was, what its wait was weighed against and whose request an entry turns away

No decision changed; the figures come from one more pass over the queue for each decision that another entry asks for.

--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -87,6 +87,23 @@
     pub least: Option<f64>,
 }
 
+/// What a decision about a request at a backend server was made of.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Weighed {
+    /// Milliseconds of prompts handed over and not yet read.
+    pub ahead_ms: f64,
+    /// Milliseconds until its turn, behind those and the waiting requests that go before it.
+    pub wait_ms: f64,
+    /// Milliseconds that it may wait.
+    pub patience_ms: f64,
+    /// Requests in progress there.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// What its customer was served of late, against the customer that was served most: from nothing to 1.
+    pub served: f64,
+}
+
 /// What is listed of a backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Listed<'a> {
@@ -225,6 +242,33 @@
         }
     }
 
+    /// What a decision about a request at this backend server is made of now.
+    pub fn weigh(&self, now: time::Duration, job: &Job, at: key::Sidecar) -> Weighed {
+        let Some(server) = self.servers.get(at) else {
+            return Weighed::default();
+        };
+        let (wait_ms, patience_ms) = if server.engine {
+            let tokens = server.fresh(now, job);
+            (
+                server.wait_ms(now, job, &self.recent),
+                server.engine_patience_ms(now, job, tokens),
+            )
+        } else {
+            (
+                server.slot_ms(now, job, &self.recent),
+                server.slot_patience_ms(now, job),
+            )
+        };
+        Weighed {
+            ahead_ms: server.pace.read_ms(server.unread()),
+            wait_ms,
+            patience_ms,
+            running: server.running(),
+            waiting: server.waiting.len() as u32,
+            served: self.served_share(now, job.customer),
+        }
+    }
+
     // Load pattern: a plain service at its rate or a little above. Whatever the queue, so many requests
     // are served; with a long one each of them late. So one whose turn would come too late is refused at
     // once, and the others wait little.
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -9,7 +9,7 @@
 
 use super::{answer, attempt, body, refusal, request, state};
 use crate::code;
-use crate::decide::overload;
+use crate::decide::{overload, place};
 use crate::key;
 
 /// Most bytes of an answer that is not a stream: it is read whole before it is passed on, so that
@@ -42,6 +42,8 @@
     pub service: u32,
     /// Whether the log says how it ended.
     pub told: cell::Cell<bool>,
+    /// What the last decision about a place was made of, for the log.
+    pub weighed: cell::Cell<Option<(key::Sidecar, place::Weighed)>>,
 }
 
 /// Serves a request to its final answer.
@@ -58,6 +60,7 @@
         ran: false,
         service,
         told: cell::Cell::new(false),
+        weighed: cell::Cell::default(),
     };
     let result = tokio::time::timeout_at(until, run.answer()).await;
     let refusal = match result {
@@ -122,6 +125,7 @@
             ran: self.ran,
             service: self.service,
             told: cell::Cell::new(false),
+            weighed: cell::Cell::default(),
         }
     }
 
--- a/src/direct/peer/ask.rs
+++ b/src/direct/peer/ask.rs
@@ -52,8 +52,8 @@
 pub enum Outcome {
     /// It has a place.
     Granted(Grant),
-    /// It can't be served.
-    Refused(refusal::Refusal),
+    /// It can't be served, and what that was decided by, if the deciding entry said so.
+    Refused(refusal::Refusal, Option<place::Weighed>),
     /// Nobody decided: decide here.
     Undecided,
 }
@@ -201,11 +201,15 @@
     link.send(owner, &datagram);
     let mut until = tokio::time::Instant::now() + REPLY;
     let mut waits = false;
+    let mut weighed = None;
     loop {
         let reply = match tokio::time::timeout_at(until, heard.recv()).await {
             Ok(Some(reply)) => reply,
             Ok(None) => return Outcome::Undecided,
-            Err(_elapsed) if waits => return Outcome::Refused(too_late(REPLY)),
+            Err(_elapsed) if waits => {
+                entry.meter.count("asks", "lapsed");
+                return Outcome::Refused(too_late(REPLY), weighed);
+            }
             Err(_elapsed) => {
                 entry.meter.count("asks", "silent");
                 let now = entry.now();
@@ -220,6 +224,7 @@
             }
         };
         let ms = time::Duration::from_millis(reply.ms.into());
+        weighed = reply.weighed.map(place::Weighed::from).or(weighed);
         match reply.decision() {
             message::Decision::Elsewhere => {
                 entry.meter.count("asks", "elsewhere");
@@ -244,7 +249,7 @@
                 entry.meter.count("asks", "refused");
                 let code = code::Code::from_number(reply.code);
                 let code = code.unwrap_or(code::Code::DeadlineUnreachable);
-                return Outcome::Refused(refusal::Refusal::later(code, ms));
+                return Outcome::Refused(refusal::Refusal::later(code, ms), weighed);
             }
         }
     }
@@ -304,6 +309,7 @@
         avoid: smallvec::SmallVec::new(),
     };
     let local = entry.number();
+    let weighed = entry.fleet.borrow().weigh(now, &job, server);
     let verdict = entry.fleet.borrow_mut().place_at(now, local, &job, server);
     let expires = at(ask.deadline_ms.into()) + LEFT_OVER;
     let remote = |placed, ticket| Remote {
@@ -323,7 +329,10 @@
             entry.granted.insert(asker, remote(None, Some(ticket)));
             entry.wait_for(local, asker);
             let ms = until.saturating_sub(now).as_millis() as u32;
-            reply(entry, asker, message::Decision::Wait, |r| r.ms = ms);
+            reply(entry, asker, message::Decision::Wait, |r| {
+                r.ms = ms;
+                r.weighed = Some(weighed.into());
+            });
         }
         place::Verdict::Refuse(code::Code::NoBackendServer, _) => {
             reply(entry, asker, message::Decision::Elsewhere, |_| {});
@@ -332,6 +341,7 @@
             reply(entry, asker, message::Decision::Refuse, |r| {
                 r.code = code.number().into();
                 r.ms = after.as_millis() as u32;
+                r.weighed = Some(weighed.into());
             });
         }
     }
@@ -369,6 +379,7 @@
     let (tokens, ahead_ms) = (placed.tokens, placed.ahead_ms);
     let unheard = entry.granted.fill(asker, placed);
     if let Some(placed) = unheard {
+        entry.meter.count("asks", "unheard");
         let now = entry.now();
         entry.fleet.borrow_mut().ended(now, placed, false);
         return;
@@ -402,6 +413,9 @@
 
 fn end(entry: &state::Entry, remote: Remote, served: bool) {
     if let Some(placed) = remote.placed {
+        if !served {
+            entry.meter.count("asks", "given_back");
+        }
         let now = entry.now();
         entry.fleet.borrow_mut().ended(now, placed, served);
     } else if let Some(ticket) = remote.ticket {
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -153,6 +153,58 @@
     /// Milliseconds of prompts that stand before it.
     #[prost(float, tag = "6")]
     pub ahead_ms: f32,
+    /// What a refusal or a wait was decided by.
+    #[prost(message, optional, tag = "7")]
+    pub weighed: Option<Weighed>,
+}
+
+/// What a decision was made of, for the log of the entry that asked.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Weighed {
+    /// Milliseconds of prompts handed over and not yet read.
+    #[prost(float, tag = "1")]
+    pub ahead_ms: f32,
+    /// Milliseconds until its turn.
+    #[prost(float, tag = "2")]
+    pub wait_ms: f32,
+    /// Milliseconds that it may wait.
+    #[prost(float, tag = "3")]
+    pub patience_ms: f32,
+    /// Requests in progress at the backend server.
+    #[prost(uint32, tag = "4")]
+    pub running: u32,
+    /// Requests that wait for it.
+    #[prost(uint32, tag = "5")]
+    pub waiting: u32,
+    /// Recent service of its customer against the one with the most.
+    #[prost(float, tag = "6")]
+    pub served: f32,
+}
+
+impl From<place::Weighed> for Weighed {
+    fn from(weighed: place::Weighed) -> Self {
+        Self {
+            ahead_ms: weighed.ahead_ms as f32,
+            wait_ms: weighed.wait_ms as f32,
+            patience_ms: weighed.patience_ms as f32,
+            running: weighed.running,
+            waiting: weighed.waiting,
+            served: weighed.served as f32,
+        }
+    }
+}
+
+impl From<Weighed> for place::Weighed {
+    fn from(weighed: Weighed) -> Self {
+        Self {
+            ahead_ms: weighed.ahead_ms.into(),
+            wait_ms: weighed.wait_ms.into(),
+            patience_ms: weighed.patience_ms.into(),
+            running: weighed.running,
+            waiting: weighed.waiting,
+            served: weighed.served.into(),
+        }
+    }
 }
 
 /// A decision about a request that asked.
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -42,6 +42,7 @@
             .with("id", self.id())
             .with("route", &self.req.route.name)
             .with("customer", self.req.customer.as_deref().unwrap_or("-"))
+            .with("cost", self.req.head.cost)
             .with("backend", self.backend(slot.server))
             .with("status", status)
             .with("outcome", outcome)
@@ -61,18 +62,30 @@
         let row = refusal.code.row();
         entry.meter.count("refusals", row.name);
         let now = entry.now();
-        entry
+        let line = entry
             .log
             .line("refused")
             .with("id", self.id())
             .with("route", &self.req.route.name)
             .with("customer", self.req.customer.as_deref().unwrap_or("-"))
+            .with("cost", self.req.head.cost)
             .with("code", refusal.code)
             .with("ran", row.ran)
             .with("attempts", self.tried.len())
             .with("configuration", entry.plan().map_or(0, |p| p.version))
             .ms("after_ms", refusal.after.unwrap_or_default())
             .ms("held_ms", now.saturating_sub(self.req.received));
+        if let Some((server, weighed)) = self.weighed.get() {
+            drop(
+                line.with("backend", self.backend(server))
+                    .with("ahead_ms", weighed.ahead_ms as i64)
+                    .with("wait_ms", weighed.wait_ms as i64)
+                    .with("patience_ms", weighed.patience_ms as i64)
+                    .with("running", weighed.running)
+                    .with("waiting", weighed.waiting)
+                    .with("served", format_args!("{:.3}", weighed.served)),
+            );
+        }
     }
 
     /// Logs that a backend server's failure was passed on, since no other attempt came of it.
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -11,7 +11,7 @@
 use tokio::net as tokio_net;
 use tokio::sync::Notify;
 
-use super::{body, callers, conn, forward, refusal, request, state};
+use super::{body, callers, conn, forward, line, refusal, request, state};
 use crate::code;
 use crate::decide::overload;
 
@@ -188,9 +188,9 @@
         Err(code) => Err(refusal::Refusal::new(code)),
     };
     let mut response = match outcome {
-        Ok(req) => forward::run(rc::Rc::clone(&entry), req).await,
+        Ok(req) => serve_or_turn_away(rc::Rc::clone(&entry), req).await,
         Err(refusal) => {
-            refused(&entry, id, refusal);
+            drop(refused(&entry, id, refusal));
             refusal.response(id, &entry.dialect)
         }
     };
@@ -210,7 +210,11 @@
     })
 }
 
-fn refused(entry: &state::Entry, id: Option<&HeaderValue>, refusal: refusal::Refusal) {
+fn refused<'a>(
+    entry: &'a state::Entry,
+    id: Option<&HeaderValue>,
+    refusal: refusal::Refusal,
+) -> line::Line<'a> {
     entry.meter.count("refusals", refusal.code.row().name);
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
     entry
@@ -219,7 +223,7 @@
         .with("id", id)
         .with("code", refusal.code)
         .with("ran", "no")
-        .with("configuration", entry.plan().map_or(0, |p| p.version));
+        .with("configuration", entry.plan().map_or(0, |p| p.version))
 }
 
 // Finds route and customer and reads the body.
@@ -255,7 +259,7 @@
         Ok(body) => body.map_err(refusal::Refusal::new)?,
         Err(_elapsed) => return Err(refusal::Refusal::new(code::Code::SlowCaller)),
     };
-    let req = request::Request {
+    Ok(request::Request {
         head,
         body,
         route,
@@ -263,14 +267,31 @@
         customer,
         received,
         deadline,
-    };
-    // Only now that the body is read: a connection that is closed before is reset, and the caller may
-    // not see the refusal.
-    if turns_away(entry, &req) {
-        let after = OVERLOADED.mul_f64(1.0 + entry.rng.borrow_mut().unit());
-        return Err(refusal::Refusal::later(code::Code::EntryBusy, after));
+    })
+}
+
+// Serves a request, unless this process is too far behind. Only now that the body is read: a connection
+// that is closed before is reset, and the caller may not see the refusal.
+async fn serve_or_turn_away(
+    entry: rc::Rc<state::Entry>,
+    req: request::Request,
+) -> http::Response<body::Body> {
+    if !turns_away(&entry, &req) {
+        return forward::run(entry, req).await;
     }
-    Ok(req)
+    let after = OVERLOADED.mul_f64(1.0 + entry.rng.borrow_mut().unit());
+    let refusal = refusal::Refusal::later(code::Code::EntryBusy, after);
+    let id = req.head.id.clone();
+    drop(
+        refused(&entry, Some(&id), refusal)
+            .with("route", &req.route.name)
+            .with("customer", req.customer.as_deref().unwrap_or("-"))
+            .with("cost", req.head.cost)
+            .with("overload", entry.overload())
+            .ms("lag_ms", entry.overload_lag())
+            .ms("held_ms", entry.now().saturating_sub(req.received)),
+    );
+    refusal.response(Some(&id), &entry.dialect)
 }
 
 // Whether a process that is behind does without this request.
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -139,7 +139,10 @@
                     ask::Outcome::Granted(grant) => {
                         break Slot::there(rc::Rc::clone(&entry), grant);
                     }
-                    ask::Outcome::Refused(refusal) => return Err(refusal),
+                    ask::Outcome::Refused(refusal, weighed) => {
+                        self.weighed.set(weighed.map(|weighed| (server, weighed)));
+                        return Err(refusal);
+                    }
                     ask::Outcome::Undecided => {}
                 }
             }
@@ -160,6 +163,8 @@
         let entry = &self.entry;
         let number = entry.number();
         let now = entry.now();
+        let weighed = entry.fleet.borrow().weigh(now, job, server);
+        self.weighed.set(Some((server, weighed)));
         let verdict = entry.fleet.borrow_mut().place_at(now, number, job, server);
         match verdict {
             place::Verdict::Go(placed) => Ok(Some(placed)),
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -219,6 +219,11 @@
         self.overload.get().level()
     }
 
+    /// How late the process is.
+    pub fn overload_lag(&self) -> time::Duration {
+        self.overload.get().lag()
+    }
+
     /// Whether callers wait to be accepted.
     pub fn set_callers_wait(&self, wait: bool) {
         let since = self.callers_wait.get().unwrap_or_else(|| self.now());
