--- a/src/decide/overload.rs
+++ b/src/decide/overload.rs
@@ -11,6 +11,8 @@
 
 use std::time;
 
+use crate::key;
+
 /// How often a timer is looked at. Each costs a wake-up, a few microseconds.
 pub const PROBE: time::Duration = time::Duration::from_millis(50);
 
@@ -83,6 +85,24 @@
     }
 }
 
+/// Who asks of one entry, and who is turned away there when it is behind.
+#[derive(Debug, Default)]
+pub struct Door;
+
+impl Door {
+    /// Whether a request that has just come is turned away; see [`turns_away`].
+    pub fn turns_away(
+        &mut self,
+        _now: time::Duration,
+        _customer: key::Customer,
+        level: Level,
+        served: f64,
+        draw: f64,
+    ) -> bool {
+        turns_away(level, served, draw)
+    }
+}
+
 /// Whether a request is turned away. `served` is the recent service of its customer against the
 /// customer that was served most, from nothing to 1; `draw` is out of `0.0..1.0`.
 ///
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -223,6 +223,11 @@
         Some(order[one.min(other)])
     }
 
+    /// The backend server to ask next, after those that the job avoids refused it; `None` if it is refused.
+    pub fn after_refusal(&self, _now: time::Duration, _job: &Job) -> Option<key::Sidecar> {
+        None
+    }
+
     /// Decides about a request for this backend server.
     pub fn place_at(
         &mut self,
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -13,7 +13,6 @@
 
 use super::{body, callers, conn, forward, line, refusal, request, state};
 use crate::code;
-use crate::decide::overload;
 
 /// Most buffered bytes of one connection beside bodies: the largest head that is let in.
 const BUFFER: usize = 16 * 1024;
@@ -296,15 +295,12 @@
 
 // Whether a process that is behind does without this request.
 fn turns_away(entry: &state::Entry, req: &request::Request) -> bool {
-    let level = entry.overload();
-    if level == overload::Level::Normal {
-        return false;
-    }
-    let customer = req.customer.as_deref().unwrap_or("");
-    let customer = entry.customer(customer);
-    let served = entry.fleet.borrow().served_share(entry.now(), customer);
+    let (now, level) = (entry.now(), entry.overload());
+    let customer = entry.customer(req.customer.as_deref().unwrap_or(""));
+    let served = entry.fleet.borrow().served_share(now, customer);
     let draw = entry.rng.borrow_mut().unit();
-    overload::turns_away(level, served, draw)
+    let mut door = entry.door.borrow_mut();
+    door.turns_away(now, customer, level, served, draw)
 }
 
 /// Answers readiness questions, and figures under `/metrics`, on this address.
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -85,6 +85,8 @@
     pub(super) lag: cell::Cell<time::Duration>,
     /// How far behind the process is.
     pub(super) overload: cell::Cell<overload::Gauge>,
+    /// Who is turned away then.
+    pub door: cell::RefCell<overload::Door>,
     // What the balancer was told last.
     pub(super) told_ready: cell::Cell<Option<bool>>,
     // Since when callers have been waiting to be accepted.
@@ -159,6 +161,7 @@
             doubted: cell::Cell::default(),
             lag: cell::Cell::default(),
             overload: cell::Cell::default(),
+            door: cell::RefCell::default(),
             told_ready: cell::Cell::default(),
             callers_wait: cell::Cell::default(),
             tip: Notify::new(),
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -3,6 +3,9 @@
 use std::time;
 
 use chivebend::decide::overload::{self, Level};
+use chivebend::decide::random;
+use chivebend::key;
+use slotmap::SlotMap;
 
 fn ms(n: u64) -> time::Duration {
     time::Duration::from_millis(n)
@@ -96,6 +99,65 @@
     }
 }
 
+// What was seen: a customer asked for 1.2 million tokens in six seconds and got 0.36, while another got 5.2. Both
+// came through three entries, where the second's callers sent 2,900 requests and the first's 250. The entries
+// were seconds behind, and turned away 164 of the first's requests as they did with the second's: 14
+// to 39 in 100 of the most served customer's tokens were enough for that.
+#[test]
+fn a_customer_that_asks_little_of_an_entry_is_not_turned_away_for_the_flood_of_another() {
+    struct Case {
+        level: Level,
+        // Requests a second of the one that floods and the other, and the other's service against it.
+        flood: u64,
+        little: u64,
+        served: f64,
+        // Most that may be turned away of the other, least of the one that floods.
+        most: f64,
+        least: f64,
+    }
+    let cases = [
+        (Level::Saturated, 970, 80, 0.39, 0.2, 0.9),
+        (Level::Saturated, 970, 80, 0.14, 0.2, 0.9),
+        (Level::Overloaded, 970, 80, 0.39, 0.1, 0.9),
+        (Level::Saturated, 600, 5, 1.0, 0.1, 0.9),
+    ];
+    for (level, flood, little, served, most, least) in cases {
+        let case = Case {
+            level,
+            flood,
+            little,
+            served,
+            most,
+            least,
+        };
+        let mut keys = SlotMap::<key::Customer, ()>::with_key();
+        let (floods, other) = (keys.insert(()), keys.insert(()));
+        let mut rng = random::Random::new(3);
+        let mut door = overload::Door::default();
+        let (mut away, mut came) = ([0_u64; 2], [0_u64; 2]);
+        let all = case.flood + case.little;
+        // Six seconds; the first tells who asks for how much.
+        for n in 0..all * 6 {
+            let now = ms(n * 1_000 / all);
+            let little = rng.below(all as usize) < case.little as usize;
+            let (customer, served) = if little {
+                (other, case.served)
+            } else {
+                (floods, 1.0)
+            };
+            let turned = door.turns_away(now, customer, case.level, served, rng.unit());
+            if now >= ms(1_000) {
+                came[usize::from(little)] += 1;
+                away[usize::from(little)] += u64::from(turned);
+            }
+        }
+        let share = |n: usize| away[n] as f64 / came[n] as f64;
+        let said = format!("{} of {}: {away:?} of {came:?}", case.little, case.flood);
+        assert!(share(1) <= case.most, "{said}");
+        assert!(share(0) >= case.least, "{said}");
+    }
+}
+
 #[test]
 fn more_than_half_of_a_zone_stays_in_the_balancers_choice() {
     for (away, entries, may) in [
