Turn away at an entry that is behind by who asks too much of it, too

Cause: the chance knew the customer's service in the whole fleet only. Four times as much when an entry is saturated, a quarter of the most served customer's tokens was enough to be turned away always. Now the chance is also in proportion to what the customer asked of this entry against who asked for most, so the flood is turned away as before, and others hardly. Ruled out: the engines, these requests never asked for one.

--- a/src/decide/overload.rs
+++ b/src/decide/overload.rs
@@ -11,6 +11,9 @@
 
 use std::time;
 
+use slotmap::SecondaryMap;
+
+use super::recent;
 use crate::key;
 
 /// How often a timer is looked at. Each costs a wake-up, a few microseconds.
@@ -85,26 +88,50 @@
     }
 }
 
-/// Who asks of one entry, and who is turned away there when it is behind.
+/// Who asked how much of one entry of late, and so who is turned away there when it is behind.
+///
+/// A customer's service in the fleet alone doesn't tell whose requests the entry has too many of: of one that
+/// sent 80 requests a second beside the 970 of another, with a third of its service, all were turned away, and
+/// it got a third of what it asked for.
 #[derive(Debug, Default)]
-pub struct Door;
+pub struct Door {
+    asked: SecondaryMap<key::Customer, recent::Faded>,
+    // Who asked for most. All fade alike, so only a request makes another the first, and none needs a look
+    // at all customers.
+    most: Option<key::Customer>,
+}
 
 impl Door {
-    /// Whether a request that has just come is turned away; see [`turns_away`].
+    /// Counts a request that has just come, and says whether it is turned away; see [`turns_away`].
     pub fn turns_away(
         &mut self,
-        _now: time::Duration,
-        _customer: key::Customer,
+        now: time::Duration,
+        customer: key::Customer,
         level: Level,
         served: f64,
         draw: f64,
     ) -> bool {
-        turns_away(level, served, draw)
+        // `None` is only for a key that was removed from its arena.
+        if let Some(entry) = self.asked.entry(customer) {
+            entry.or_default().add(now, 1.0);
+        }
+        let own = self.asked_by(now, customer);
+        let most = self.most.map_or(0.0, |most| self.asked_by(now, most));
+        if own >= most {
+            self.most = Some(customer);
+        }
+        level > Level::Normal && turns_away(level, served * own / own.max(most), draw)
+    }
+
+    // Requests of a customer at this entry, faded.
+    fn asked_by(&self, now: time::Duration, customer: key::Customer) -> f64 {
+        self.asked.get(customer).map_or(0.0, |f| f.now(now))
     }
 }
 
 /// Whether a request is turned away. `served` is the recent service of its customer against the
-/// customer that was served most, from nothing to 1; `draw` is out of `0.0..1.0`.
+/// customer that was served most, from nothing to 1, and less by its part in the overload; `draw` is out of
+/// `0.0..1.0`.
 ///
 /// A customer whose burst comes through one weak entry has no other way: with a bound at the mean it got
 /// 3.9 million tokens in six seconds, while another that was above the mean elsewhere got 8.0. And a
--- a/src/decide/recent.rs
+++ b/src/decide/recent.rs
@@ -21,18 +21,18 @@
 
 /// A sum that fades.
 #[derive(Clone, Copy, Debug, Default)]
-struct Faded {
+pub(super) struct Faded {
     amount: f64,
     at: time::Duration,
 }
 
 impl Faded {
-    fn now(&self, now: time::Duration) -> f64 {
+    pub(super) fn now(&self, now: time::Duration) -> f64 {
         let passed = now.saturating_sub(self.at).as_secs_f64();
         self.amount * (-passed / FADE.as_secs_f64()).exp()
     }
 
-    fn add(&mut self, now: time::Duration, amount: f64) {
+    pub(super) fn add(&mut self, now: time::Duration, amount: f64) {
         self.amount = (self.now(now) + amount).max(0.0);
         self.at = now;
     }
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -134,7 +134,7 @@
         let (floods, other) = (keys.insert(()), keys.insert(()));
         let mut rng = random::Random::new(3);
         let mut door = overload::Door::default();
-        let (mut away, mut came) = ([0_u64; 2], [0_u64; 2]);
+        let (mut away, mut asked) = ([0_u64; 2], [0_u64; 2]);
         let all = case.flood + case.little;
         // Six seconds; the first tells who asks for how much.
         for n in 0..all * 6 {
@@ -147,12 +147,12 @@
             };
             let turned = door.turns_away(now, customer, case.level, served, rng.unit());
             if now >= ms(1_000) {
-                came[usize::from(little)] += 1;
+                asked[usize::from(little)] += 1;
                 away[usize::from(little)] += u64::from(turned);
             }
         }
-        let share = |n: usize| away[n] as f64 / came[n] as f64;
-        let said = format!("{} of {}: {away:?} of {came:?}", case.little, case.flood);
+        let share = |n: usize| away[n] as f64 / asked[n] as f64;
+        let said = format!("{} of {}: {away:?} of {asked:?}", case.little, case.flood);
         assert!(share(1) <= case.most, "{said}");
         assert!(share(0) >= case.least, "{said}");
     }
