Show that an entry which is behind takes others for silent, in a test that fails, and say who decided

What callers saw: a customer whose callers come through two entries with little processor got a third of the best served one's tokens. Of 504 requests that waited in vain within six seconds 237 were decided by the asking entry itself. At each of the 22 time-outs that were looked at, the asking entry had last read what others sent before it asked, 97 to 276 ms ago; the deciding entries had replied. A refusal's line names who decided.

--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -1,6 +1,6 @@
 //! A request's attempts: placed, sent, and sent again where that is allowed.
 
-use std::{cell, rc, time};
+use std::{cell, net, rc, time};
 
 use http::{HeaderValue, header};
 use http_body_util::{BodyExt, Limited};
@@ -43,7 +43,18 @@
     /// Whether the log says how it ended.
     pub told: cell::Cell<bool>,
     /// What the last decision about a place was made of, for the log.
-    pub weighed: cell::Cell<Option<(key::Sidecar, place::Weighed)>>,
+    pub weighed: cell::Cell<Option<Weighed>>,
+}
+
+/// A decision about a place.
+#[derive(Clone, Copy, Debug)]
+pub struct Weighed {
+    /// The backend server.
+    pub server: key::Sidecar,
+    /// The entry that decided; `None` for this one.
+    pub decided_by: Option<net::Ipv4Addr>,
+    /// What it was made of.
+    pub by: place::Weighed,
 }
 
 /// Serves a request to its final answer.
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -75,9 +75,16 @@
             .with("configuration", entry.plan().map_or(0, |p| p.version))
             .ms("after_ms", refusal.after.unwrap_or_default())
             .ms("held_ms", now.saturating_sub(self.req.received));
-        if let Some((server, weighed)) = self.weighed.get() {
+        if let Some(forward::Weighed {
+            server,
+            decided_by,
+            by: weighed,
+        }) = self.weighed.get()
+        {
+            let decided_by = decided_by.map_or_else(|| "self".into(), |a| a.to_string());
             drop(
                 line.with("backend", self.backend(server))
+                    .with("decided_by", decided_by)
                     .with("ahead_ms", weighed.ahead_ms as i64)
                     .with("wait_ms", weighed.wait_ms as i64)
                     .with("patience_ms", weighed.patience_ms as i64)
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -140,7 +140,11 @@
                         break Slot::there(rc::Rc::clone(&entry), grant);
                     }
                     ask::Outcome::Refused(refusal, weighed) => {
-                        self.weighed.set(weighed.map(|weighed| (server, weighed)));
+                        self.weighed.set(weighed.map(|by| forward::Weighed {
+                            server,
+                            decided_by: Some(owner),
+                            by,
+                        }));
                         return Err(refusal);
                     }
                     ask::Outcome::Undecided => {}
@@ -163,8 +167,11 @@
         let entry = &self.entry;
         let number = entry.number();
         let now = entry.now();
-        let weighed = entry.fleet.borrow().weigh(now, job, server);
-        self.weighed.set(Some((server, weighed)));
+        self.weighed.set(Some(forward::Weighed {
+            server,
+            decided_by: None,
+            by: entry.fleet.borrow().weigh(now, job, server),
+        }));
         let verdict = entry.fleet.borrow_mut().place_at(now, number, job, server);
         match verdict {
             place::Verdict::Go(placed) => Ok(Some(placed)),
--- /dev/null
+++ b/tests/asks.rs
@@ -0,0 +1,231 @@
+//! An entry that asks another for a place, while it is behind with its own work.
+//!
+//! What was seen: a customer whose callers came through two entries with little processor asked for 11.7 million
+//! tokens in six seconds and got 3.3, while another got 8.3. The two entries were 90 to 340 ms behind and took eight other
+//! entries for silent, one after the other, for half a second each. Their replies had come after a few milliseconds and
+//! stood unread: at each time-out the asking entry had last read what others sent before it asked. It then
+//! let its requests wait in a queue of its own, for engines whose places the deciding entries went on to give
+//! to others, and half of them waited in vain.
+
+use std::sync::mpsc;
+use std::{net, rc, thread, time};
+
+use chivebend::decide::place;
+use chivebend::direct::peer::{self, ask, message};
+use chivebend::direct::{dialect, line, plan, request, state};
+use http::HeaderName;
+use prost::Message as _;
+use smallvec::SmallVec;
+use tokio::task;
+
+const OWN: net::Ipv4Addr = net::Ipv4Addr::new(127, 0, 0, 1);
+const DECIDES: net::Ipv4Addr = net::Ipv4Addr::new(127, 0, 0, 2);
+
+/// Longer than a reply, and the turn of a request that waits, are waited for.
+const BEHIND: time::Duration = time::Duration::from_millis(400);
+
+/// Datagrams of others that come before the reply: more than a task reads in one go.
+const BEATS: usize = 200;
+
+fn names() -> dialect::Dialect {
+    let name = HeaderName::from_static;
+    dialect::Dialect {
+        request_id: name("id"),
+        deadline: name("wait"),
+        api_key: name("key"),
+        customer: name("customer"),
+        expected_instance: name("expected"),
+        instance: name("instance"),
+        not_run: name("not-run"),
+        last_event: name("last-event"),
+        usage: name("usage"),
+        length_hint: name("hint"),
+        prefix: name("prefix"),
+        signature: name("signature"),
+        needed: Vec::new(),
+        reserved: Vec::new(),
+    }
+}
+
+fn settings() -> state::Settings {
+    state::Settings {
+        instance: "entry-1".into(),
+        address: OWN,
+        zone: "zone-a".into(),
+        repeat_ratio: 0.2,
+        repeat_slack: 10.0,
+        least_entries: 1,
+        repeat_window: time::Duration::from_secs(10),
+        sockets: 100,
+        millicores: 90,
+        grace: time::Duration::from_secs(8),
+    }
+}
+
+fn datagram(reply: Option<message::Reply>) -> Vec<u8> {
+    let datagram = message::Datagram {
+        sender: 2,
+        address: DECIDES.to_bits(),
+        reply,
+        ..message::Datagram::default()
+    };
+    datagram.encode_to_vec()
+}
+
+// The deciding entry: replies to the first ask at once with these decisions, behind what the others say
+// meanwhile; then it tells.
+fn decide(socket: net::UdpSocket, decisions: &'static [message::Decision]) -> mpsc::Receiver<()> {
+    let (replied, heard) = mpsc::channel();
+    thread::spawn(move || {
+        let mut buffer = [0; 4_096];
+        let (from, ask) = loop {
+            let (len, from) = socket.recv_from(&mut buffer).expect("a socket");
+            let datagram = message::Datagram::decode(&buffer[..len]).expect("a datagram");
+            if let Some(ask) = datagram.ask {
+                break (from, ask);
+            }
+        };
+        for _ in 0..BEATS {
+            socket.send_to(&datagram(None), from).expect("a beat");
+        }
+        for decision in decisions {
+            let reply = message::Reply {
+                number: ask.number,
+                decision: (*decision).into(),
+                ms: 100,
+                ..message::Reply::default()
+            };
+            let sent = socket.send_to(&datagram(Some(reply)), from);
+            sent.expect("a reply");
+        }
+        replied.send(()).expect("the test waits");
+    });
+    heard
+}
+
+fn engine() -> plan::Server {
+    plan::Server {
+        id: "engine-1".into(),
+        service: "models".into(),
+        address: net::SocketAddr::from((DECIDES, 9)),
+        zone: "zone-b".into(),
+        slots: 64,
+        leaving: false,
+        report: plan::Report {
+            start: 1,
+            number: 1,
+        },
+    }
+}
+
+async fn entry(port: u16) -> rc::Rc<state::Entry> {
+    let started = time::Instant::now();
+    let log = line::open(started).expect("a thread");
+    let place = peer::Place {
+        own: net::SocketAddrV4::new(OWN, port),
+        seeds: vec![DECIDES],
+    };
+    let link = peer::open(&place).await.expect("a socket");
+    let entry = state::Entry::new(
+        started,
+        settings(),
+        names(),
+        log,
+        1,
+        vec![DECIDES],
+        Some(link),
+    );
+    let mut plan = plan::Plan::new(1, Vec::new());
+    let service = plan::Service {
+        connections: 100,
+        engine: true,
+    };
+    plan.services.insert("models".into(), service);
+    entry.set_plan(plan);
+    entry.take(plan::News::All(vec![engine()]));
+    rc::Rc::new(entry)
+}
+
+fn request(entry: &state::Entry) -> request::Request {
+    let builder = http::Request::builder().method("POST").uri("/a/b");
+    let req = builder.header("host", "h").header("id", "1").body(());
+    let (parts, ()) = req.expect("a request").into_parts();
+    let route = plan::Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/a/".into(),
+        kind: plan::Kind::ResumableStream,
+        timeout: time::Duration::from_secs(10),
+        objective: time::Duration::from_millis(600),
+        attempts: 2,
+        shares: SmallVec::new(),
+        anonymous: false,
+    };
+    let now = entry.now();
+    request::Request {
+        head: request::read(&parts, &entry.dialect).expect("a head"),
+        body: bytes::Bytes::new(),
+        route: rc::Rc::new(route),
+        service: "models".into(),
+        customer: Some("customer".into()),
+        received: now,
+        deadline: now + time::Duration::from_secs(10),
+    }
+}
+
+fn job(entry: &state::Entry) -> place::Job {
+    let objective = time::Duration::from_millis(600);
+    place::Job {
+        service: entry.service("models"),
+        customer: entry.customer("customer"),
+        parts: SmallVec::new(),
+        cost: 1_000,
+        due: entry.now() + objective,
+        objective,
+        avoid: SmallVec::new(),
+    }
+}
+
+// Asks for a place; the thread has other work from then until long after the replies have come.
+async fn ask_while_behind(decisions: &'static [message::Decision]) -> ask::Outcome {
+    let socket = net::UdpSocket::bind((DECIDES, 0)).expect("a socket");
+    let port = socket.local_addr().expect("an address").port();
+    let entry = entry(port).await;
+    let replied = decide(socket, decisions);
+    task::spawn_local(peer::run(rc::Rc::clone(&entry)));
+    task::yield_now().await;
+    let asking = task::spawn_local(async move {
+        let (req, job) = (request(&entry), job(&entry));
+        let server = entry.fleet.borrow_mut().choose(&job).expect("an engine");
+        ask::ask(&entry, DECIDES, server, &req, &job).await
+    });
+    task::spawn_local(async move {
+        replied.recv().expect("replies");
+        thread::sleep(BEHIND);
+    });
+    asking.await.expect("an outcome")
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn an_entry_that_is_behind_reads_the_reply_that_has_come_before_it_decides_itself() {
+    struct Case {
+        name: &'static str,
+        decisions: &'static [message::Decision],
+    }
+    let cases = [
+        Case {
+            name: "a place at once",
+            decisions: &[message::Decision::Go],
+        },
+        Case {
+            name: "a place after a wait",
+            decisions: &[message::Decision::Wait, message::Decision::Go],
+        },
+    ];
+    for case in cases {
+        let tasks = task::LocalSet::new();
+        let outcome = tasks.run_until(ask_while_behind(case.decisions)).await;
+        let granted = matches!(outcome, ask::Outcome::Granted(_));
+        assert!(granted, "{}: {outcome:?}", case.name);
+    }
+}
