Let callers that come back be due anew in the model of a fleet's shares, as at the entries

The test let a caller that came back keep the due time of its first try; an entry can't tell that it came before, and counts from what it received. So the model refused all of them at once. Late is still counted from the first try.

--- a/tests/share_load.rs
+++ b/tests/share_load.rs
@@ -259,6 +259,8 @@
     }
 
     fn arrive(&mut self, now: f64, mut request: Request) {
+        // An entry can't tell that a caller has come back.
+        request.job.due = at(now + OBJECTIVE_MS);
         let account = &mut self.accounts[request.customer];
         account.asked[Self::second(now)] += request.job.cost as f64;
         account
