Let requests of customers that are owed service wait as long as their objective

Callers saw: a customer that was served far less than another was refused with 206 on arrival, again and again, while the other was handed over at the same engines. Cause: whether a request is refused was decided by time alone. One with a long prompt may wait a quarter of its objective, 150 ms, and 100 to 200 ms of prompts stand at a busy engine; the customer's place at the head of the queue helps only whoever may wait in it. Now a request of a customer with less than half of the best served one's tokens may wait for its whole objective. What the best served customer got is looked up every 50 ms, since each decision asks for it now.

--- a/src/decide/place/job.rs
+++ b/src/decide/place/job.rs
@@ -13,6 +13,14 @@
 /// first, and was 0.015 and 0.009 below that with a half on the others, where reading takes longer.
 const LEAST_PATIENCE: f64 = 0.25;
 
+/// The same for a request of a customer that is owed service, [`super::OWED`]. Its turn comes first, so what it
+/// waits for is the prompts that were handed over before it came. Refused as early as others, a customer that
+/// asked for 3.6 million tokens in six seconds got 1.6, against 11.3 of the best served one. With it worth on four
+/// days of high load of the grown polling desk rose from 0.553 to 0.578 in the mean, from 0.571 to 0.583 on one of the
+/// feedstock logs, and was 0.480 and 0.476 on three of the bearing consortium, where a late answer is worth a
+/// tenth. Twice as much gave 0.591, 0.594 and 0.459.
+const OWED_PATIENCE: f64 = 1.0;
+
 /// A part of a prompt: its hash covers all parts before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
@@ -56,9 +64,10 @@
     // Milliseconds that it may wait before its prompt of so many milliseconds is read. One that is
     // late however soon it starts waits as long as a small one would: late answers count for less, not
     // nothing, and else the largest requests were never served.
-    pub(super) fn patience_ms(&self, now: time::Duration, needs_ms: f64) -> f64 {
+    pub(super) fn patience_ms(&self, now: time::Duration, needs_ms: f64, owed: bool) -> f64 {
         let objective = self.objective.as_secs_f64() * 1e3;
         let left = self.left_ms(now);
-        (left - needs_ms).max(left - objective * (1.0 - LEAST_PATIENCE))
+        let least = if owed { OWED_PATIENCE } else { LEAST_PATIENCE };
+        (left - needs_ms).max(left - objective * (1.0 - least))
     }
 }
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -34,6 +34,10 @@
 /// Most requests that wait for one backend server: more than it reads in the longest objective.
 const WAITING: usize = 256;
 
+/// A customer that was served less than this part of the best served one's tokens is owed service: its requests
+/// are not refused for being late as soon as others' are. Half is what users compare by.
+const OWED: f64 = 0.5;
+
 /// Time after which a request that waited too long is forgotten, if nobody said that it left.
 const LAPSED: time::Duration = time::Duration::from_secs(1);
 
@@ -199,6 +203,11 @@
         }
     }
 
+    // Whether a customer's share of the fleet is behind that of the best served one.
+    fn is_owed(&self, now: time::Duration, customer: key::Customer) -> bool {
+        self.served_share(now, customer) < OWED
+    }
+
     /// What this entry served a customer of late.
     pub fn served(&self, now: time::Duration, customer: key::Customer) -> f64 {
         self.recent.own(now, customer)
@@ -256,7 +265,7 @@
             let tokens = server.fresh(now, job);
             (
                 server.wait_ms(now, job, &self.recent),
-                server.engine_patience_ms(now, job, tokens),
+                server.engine_patience_ms(now, job, tokens, self.is_owed(now, job.customer)),
             )
         } else {
             (
@@ -304,7 +313,8 @@
         let server = &self.servers[at];
         let tokens = server.fresh(now, job);
         let ms = server.wait_ms(now, job, &self.recent);
-        let patience = server.engine_patience_ms(now, job, tokens);
+        let owed = self.is_owed(now, job.customer);
+        let patience = server.engine_patience_ms(now, job, tokens, owed);
         if ms <= patience || (server.waiting.is_empty() && server.has_room(tokens, recent)) {
             return self.put(now, request, job, at, tokens);
         }
@@ -350,12 +360,13 @@
         at: key::Sidecar,
         tokens: f64,
     ) -> Verdict {
+        let owed = self.is_owed(now, job.customer);
         let server = &mut self.servers[at];
         let recent = self.recent.all(now, job.customer);
         if server.waiting.is_empty() && server.has_room(tokens, recent) {
             return Verdict::Go(self.hand_over(now, at, job, tokens));
         }
-        let until = server.start_by(now, job, tokens);
+        let until = server.start_by(now, job, tokens, owed);
         if server.waiting.len() >= WAITING {
             return Verdict::Refuse(code::Code::QueueFull, COME_BACK);
         }
--- a/src/decide/place/server.rs
+++ b/src/decide/place/server.rs
@@ -178,15 +178,27 @@
     }
 
     // Milliseconds that a job with so many tokens to read may wait here for an engine.
-    pub(super) fn engine_patience_ms(&self, now: time::Duration, job: &Job, tokens: f64) -> f64 {
+    pub(super) fn engine_patience_ms(
+        &self,
+        now: time::Duration,
+        job: &Job,
+        tokens: f64,
+        owed: bool,
+    ) -> f64 {
         let needs_ms = self.pace.read_ms(tokens) + self.pace.floor_ms();
-        job.patience_ms(now, needs_ms)
+        job.patience_ms(now, needs_ms, owed)
     }
 
     // Until when a job may wait for its start.
-    pub(super) fn start_by(&self, now: time::Duration, job: &Job, tokens: f64) -> time::Duration {
+    pub(super) fn start_by(
+        &self,
+        now: time::Duration,
+        job: &Job,
+        tokens: f64,
+        owed: bool,
+    ) -> time::Duration {
         let patience = if self.engine {
-            self.engine_patience_ms(now, job, tokens) - HANDED_AHEAD
+            self.engine_patience_ms(now, job, tokens, owed) - HANDED_AHEAD
         } else {
             job.left_ms(now) - self.service_ms
         };
--- a/src/decide/recent.rs
+++ b/src/decide/recent.rs
@@ -9,7 +9,7 @@
 //! Service counts in cost units when a request is handed over, so that ten requests handed over in
 //! one instant don't all look like the first. Time is the duration since the process started.
 
-use std::{collections, time};
+use std::{cell, collections, time};
 
 use slotmap::SecondaryMap;
 
@@ -19,6 +19,10 @@
 /// customers, so that a second without service weighs while it can still be made up for.
 pub const FADE: time::Duration = time::Duration::from_secs(3);
 
+/// How long what the best served customer got is believed not to have become less: each decision asks for it,
+/// and looking at 7,400 customers takes some 0.1 ms.
+const MOST_AGE: time::Duration = time::Duration::from_millis(50);
+
 /// A sum that fades.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Faded {
@@ -49,6 +53,14 @@
     others: collections::HashMap<u64, SecondaryMap<key::Customer, Faded>>,
     // Of all entries together.
     all: SecondaryMap<key::Customer, Faded>,
+    most: cell::Cell<Most>,
+}
+
+/// What the customer that was served most was, and when that was looked up.
+#[derive(Clone, Copy, Debug, Default)]
+struct Most {
+    served: Faded,
+    looked_up: time::Duration,
 }
 
 // `None` from the map is only for a key that was removed from its arena.
@@ -69,7 +81,7 @@
         // No more is taken back than there is, or other entries' service would go with it.
         let amount = amount.max(-self.own(now, customer));
         add(&mut self.own, now, customer, amount);
-        add(&mut self.all, now, customer, amount);
+        self.add_all(now, customer, amount);
     }
 
     /// Takes in what another entry reports: all customers that it served of late.
@@ -80,13 +92,14 @@
         served: impl IntoIterator<Item = (key::Customer, f64)>,
     ) {
         self.forget(now, entry);
-        let table = self.others.entry(entry).or_default();
+        let mut table = SecondaryMap::new();
         for (customer, amount) in served {
             if amount.is_finite() && amount >= 0.0 {
-                add(table, now, customer, amount);
-                add(&mut self.all, now, customer, amount);
+                add(&mut table, now, customer, amount);
+                self.add_all(now, customer, amount);
             }
         }
+        self.others.insert(entry, table);
     }
 
     /// Forgets an entry that is gone.
@@ -104,9 +117,32 @@
         self.own.get(customer).map_or(0.0, |f| f.now(now))
     }
 
-    /// What all entries served the customer that was served most.
+    /// What all entries served the customer that was served most; up to [`MOST_AGE`] ago it may have been more.
     pub fn most(&self, now: time::Duration) -> f64 {
-        self.all.values().map(|f| f.now(now)).fold(0.0, f64::max)
+        let known = self.most.get();
+        if known.served.amount > 0.0 && now < known.looked_up + MOST_AGE {
+            return known.served.now(now);
+        }
+        let amount = self.all.values().map(|f| f.now(now)).fold(0.0, f64::max);
+        let served = Faded { amount, at: now };
+        self.most.set(Most {
+            served,
+            looked_up: now,
+        });
+        amount
+    }
+
+    // Adds to what all entries served.
+    fn add_all(&mut self, now: time::Duration, customer: key::Customer, amount: f64) {
+        add(&mut self.all, now, customer, amount);
+        let served = self.all(now, customer);
+        let known = self.most.get_mut();
+        if served > known.served.now(now) {
+            known.served = Faded {
+                amount: served,
+                at: now,
+            };
+        }
     }
 
     /// What all entries served.
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -127,14 +127,34 @@
 }
 
 #[test]
-fn a_request_larger_than_the_objective_may_wait_a_quarter_of_it() {
-    // Tokens that stand at the engine, 45 a millisecond, and whether 600 ms allow to wait for them.
-    for (ahead, waits) in [(5_600, true), (6_800, false)] {
+fn a_request_larger_than_the_objective_may_wait_a_quarter_of_it_or_all_if_its_customer_is_owed() {
+    struct Case {
+        // Tokens that stand at the engine, 45 a millisecond.
+        ahead: u32,
+        // Whether the request's customer was served nothing, or as much as any.
+        owed: bool,
+        // Whether 600 ms allow to wait for them.
+        waits: bool,
+    }
+    let cases = [
+        (5_600, false, true),
+        (6_800, false, false),
+        (6_800, true, true),
+        (26_000, true, true),
+        (28_000, true, false),
+    ]
+    .map(|(ahead, owed, waits)| Case { ahead, owed, waits });
+    for case in cases {
         let mut world = world(1, 2, true);
-        world.place(0, &job(world.customers[0], 1, 2, ahead - 1_000, 0));
-        let (_, verdict) = world.place(0, &job(world.customers[1], 1, 3, 80_000, 0));
+        world.place(0, &job(world.customers[0], 1, 2, case.ahead - 1_000, 0));
+        let customer = world.customers[usize::from(case.owed)];
+        let (_, verdict) = world.place(0, &job(customer, 1, 3, 80_000, 0));
         let waited = matches!(verdict, place::Verdict::Wait(..));
-        assert_eq!(waited, waits, "{ahead}: {verdict:?}");
+        assert_eq!(
+            waited, case.waits,
+            "{}, owed {}: {verdict:?}",
+            case.ahead, case.owed
+        );
     }
 }
 
