Let a starved customer's request go on to other homes of its part

Callers saw: a customer whose prompts' parts have their homes at engines that are asked for more than they read got less than half of its share, while engines that keep other parts had room. Cause: the share was kept engine by engine. A request had one home, and who was refused there was refused, whatever its customer got elsewhere. Now entries tell each other in their beats also what customers asked for. One that got less than half of that, or of the best served one's tokens, whichever is less, is starved, and its refused requests ask up to three more engines, each the one with least to read of the next three by hash. Others have one home as before, since reading parts again costs more than it gives (tried earlier for all: docs/DECISIONS-UNDER-LOAD.md).

--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -11,7 +11,8 @@
 //! that the engine has yet to read stay under [`server::UNREAD`]; else it waits here, the customer that was
 //! served least of late first. If it can't be in time at its home, it is refused at once: at a second
 //! home it would be, but reading the part there costs the fleet more than the request gives
-//! (`docs/DECISIONS-UNDER-LOAD.md`).
+//! (`docs/DECISIONS-UNDER-LOAD.md`). Requests of customers that are behind with their share of the fleet wait
+//! longer, and go on to a second home if they are starved.
 //!
 //! A plain backend server keeps nothing: a request goes to the better of two, waits as long as it can still
 //! be in time by the learned service time, and is refused at once beyond that.
@@ -38,6 +39,14 @@
 /// are not refused for being late as soon as others' are. Half is what users compare by.
 const OWED: f64 = 0.5;
 
+/// A customer is starved that was served less than this part of what it asked for, or of what the best served one
+/// got, whichever is less: what users hold to be unfair.
+const STARVED: f64 = 0.5;
+
+/// Other homes of a part that a starved customer's request asks, one after the other, and among how many each is
+/// the one with least to read: few, so that the part is read again at few engines. Not varied on a fleet.
+const HOMES: usize = 3;
+
 /// Time after which a request that waited too long is forgotten, if nobody said that it left.
 const LAPSED: time::Duration = time::Duration::from_secs(1);
 
@@ -128,6 +137,7 @@
 pub struct Fleet {
     servers: SlotMap<key::Sidecar, Server>,
     recent: recent::Table,
+    asked: recent::Table,
     rng: random::Random,
 }
 
@@ -137,6 +147,7 @@
         Self {
             servers: SlotMap::with_key(),
             recent: recent::Table::default(),
+            asked: recent::Table::default(),
             rng: random::Random::new(seed),
         }
     }
@@ -192,6 +203,16 @@
         &mut self.recent
     }
 
+    /// What the customers asked for of late.
+    pub fn asked(&mut self) -> &mut recent::Table {
+        &mut self.asked
+    }
+
+    /// What a customer asked of this entry of late.
+    pub fn asked_here(&self, now: time::Duration, customer: key::Customer) -> f64 {
+        self.asked.own(now, customer)
+    }
+
     /// What all entries served a customer of late, against the customer that was served most: from
     /// nothing to 1.
     pub fn served_share(&self, now: time::Duration, customer: key::Customer) -> f64 {
@@ -208,6 +229,13 @@
         self.served_share(now, customer) < OWED
     }
 
+    // Whether a customer gets less than its share of the fleet: of what it asks for, or of what the best served
+    // one gets, whichever is less.
+    fn is_starved(&self, now: time::Duration, customer: key::Customer) -> bool {
+        let due = self.asked.all(now, customer).min(self.recent.most(now));
+        self.recent.all(now, customer) < STARVED * due
+    }
+
     /// What this entry served a customer of late.
     pub fn served(&self, now: time::Duration, customer: key::Customer) -> f64 {
         self.recent.own(now, customer)
@@ -233,8 +261,24 @@
     }
 
     /// The backend server to ask next, after those that the job avoids refused it; `None` if it is refused.
-    pub fn after_refusal(&self, _now: time::Duration, _job: &Job) -> Option<key::Sidecar> {
-        None
+    ///
+    /// A share of the fleet isn't kept engine by engine: a customer whose parts have their homes at engines that
+    /// are asked for more than they read gets less than half of its share, while others have room. Reading a
+    /// part again costs the fleet more than the request gives, so only starved customers' requests go on to other
+    /// homes. On the grown polling desk worth stayed within 0.02, and the worst customer of four days of high load
+    /// got 1.08 times the half of its share or more, 0.71 without; on one of the feedstock logs 1.23, 0.98 without.
+    pub fn after_refusal(&mut self, now: time::Duration, job: &Job) -> Option<key::Sidecar> {
+        if job.avoid.len() > HOMES || !self.is_starved(now, job.customer) {
+            return None;
+        }
+        let order = self.order(job);
+        let read_ms = |at: &key::Sidecar| {
+            let server = &self.servers[*at];
+            server.pace.read_ms(server.unread())
+        };
+        let engines = order.into_iter().filter(|at| self.servers[*at].engine);
+        let near = engines.take(HOMES);
+        near.min_by(|a, b| read_ms(a).total_cmp(&read_ms(b)))
     }
 
     /// Decides about a request for this backend server.
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -98,6 +98,9 @@
     /// Cost units, faded.
     #[prost(float, tag = "2")]
     pub amount: f32,
+    /// Cost units that it asked for, faded.
+    #[prost(float, tag = "3")]
+    pub asked: f32,
 }
 
 /// A request that asks for a place at an engine.
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -13,6 +13,7 @@
 use std::{cell, io, net, rc, time};
 
 use prost::Message as _;
+use smallvec::SmallVec;
 use tokio::net as tokio_net;
 
 use super::{roster, state};
@@ -179,9 +180,11 @@
     };
     let served = |(customer, hash): (key::Customer, u64)| {
         let amount = fleet.served(now, customer);
-        (amount >= NEGLIGIBLE).then_some(message::Served {
+        let asked = fleet.asked_here(now, customer);
+        (asked.max(amount) >= NEGLIGIBLE).then_some(message::Served {
             customer: hash,
             amount: amount as f32,
+            asked: asked as f32,
         })
     };
     let customers = entry.customer_hashes().into_iter();
@@ -232,11 +235,19 @@
     }
     let known = |served: &message::Served| {
         let customer = entry.customer_by_hash(served.customer)?;
-        Some((customer, f64::from(served.amount)))
+        Some((customer, served.amount.into(), served.asked.into()))
     };
-    let served = beat.served.iter().filter_map(known);
+    let customers: SmallVec<[(key::Customer, f64, f64); 32]> =
+        beat.served.iter().filter_map(known).collect();
     let mut fleet = entry.fleet.borrow_mut();
+    let served = customers
+        .iter()
+        .map(|(customer, served, _)| (*customer, *served));
     fleet.recent().hear(now, sender, served);
+    let asked = customers
+        .iter()
+        .map(|(customer, _, asked)| (*customer, *asked));
+    fleet.asked().hear(now, sender, asked);
     drop(fleet);
     entry.heard_departing(&beat.departing);
     spread_loads(entry);
@@ -262,6 +273,7 @@
 fn forget(entry: &state::Entry, address: net::Ipv4Addr, sender: u64) {
     let now = entry.now();
     entry.fleet.borrow_mut().recent().forget(now, sender);
+    entry.fleet.borrow_mut().asked().forget(now, sender);
     ask::forget(entry, sender);
     entry.asks.lost(address);
 }
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -275,6 +275,9 @@
     entry: rc::Rc<state::Entry>,
     req: request::Request,
 ) -> http::Response<body::Body> {
+    let customer = entry.customer(req.customer.as_deref().unwrap_or(""));
+    let (now, cost) = (entry.now(), req.head.cost as f64);
+    entry.fleet.borrow_mut().asked().add(now, customer, cost);
     if !turns_away(&entry, &req) {
         return forward::run(entry, req).await;
     }
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -124,40 +124,58 @@
 impl forward::Run {
     pub(super) async fn place(&mut self) -> Result<Slot, refusal::Refusal> {
         let entry = rc::Rc::clone(&self.entry);
-        let job = self.job();
+        let mut job = self.job();
         let begun = entry.now();
+        let mut server = self.choose(&job)?;
         let slot = loop {
-            let chosen = entry.fleet.borrow_mut().choose(&job);
-            let Some(server) = chosen else {
-                return Err(refusal::Refusal::later(
-                    code::Code::NoBackendServer,
-                    forward::FULL,
-                ));
-            };
-            if let Some(owner) = entry.owner(server) {
-                match ask::ask(&entry, owner, server, &self.req, &job).await {
-                    ask::Outcome::Granted(grant) => {
-                        break Slot::there(rc::Rc::clone(&entry), grant);
-                    }
-                    ask::Outcome::Refused(refusal, weighed) => {
-                        self.weighed.set(weighed.map(|by| forward::Weighed {
-                            server,
-                            decided_by: Some(owner),
-                            by,
-                        }));
-                        return Err(refusal);
-                    }
-                    ask::Outcome::Undecided => {}
+            match self.place_at(&job, server).await {
+                Ok(Some(slot)) => break slot,
+                Ok(None) => server = self.choose(&job)?,
+                Err(refusal) => {
+                    job.avoid.push(server);
+                    let next = entry.fleet.borrow_mut().after_refusal(entry.now(), &job);
+                    server = next.ok_or(refusal)?;
+                    entry.meter.count("asks", "other_home");
                 }
             }
-            if let Some(placed) = self.place_here(&job, server).await? {
-                break Slot::here(rc::Rc::clone(&entry), placed);
-            }
         };
         self.waited += entry.now().saturating_sub(begun);
         Ok(slot)
     }
 
+    fn choose(&self, job: &place::Job) -> Result<key::Sidecar, refusal::Refusal> {
+        let none = || refusal::Refusal::later(code::Code::NoBackendServer, forward::FULL);
+        self.entry.fleet.borrow_mut().choose(job).ok_or_else(none)
+    }
+
+    // A place at this backend server, decided by another entry or here; `None` says that the request is to
+    // be placed anew.
+    async fn place_at(
+        &self,
+        job: &place::Job,
+        server: key::Sidecar,
+    ) -> Result<Option<Slot>, refusal::Refusal> {
+        let entry = &self.entry;
+        if let Some(owner) = entry.owner(server) {
+            match ask::ask(entry, owner, server, &self.req, job).await {
+                ask::Outcome::Granted(grant) => {
+                    return Ok(Some(Slot::there(rc::Rc::clone(entry), grant)));
+                }
+                ask::Outcome::Refused(refusal, weighed) => {
+                    self.weighed.set(weighed.map(|by| forward::Weighed {
+                        server,
+                        decided_by: Some(owner),
+                        by,
+                    }));
+                    return Err(refusal);
+                }
+                ask::Outcome::Undecided => {}
+            }
+        }
+        let placed = self.place_here(job, server).await?;
+        Ok(placed.map(|placed| Slot::here(rc::Rc::clone(entry), placed)))
+    }
+
     // `None` says that the request is to be placed anew.
     async fn place_here(
         &self,
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -301,3 +301,64 @@
         .count();
     assert_eq!(went, 6);
 }
+
+// A customer's parts have their homes at engines that are asked for more than they read.
+#[test]
+fn a_starved_customers_request_goes_on_to_other_homes_and_no_others_does() {
+    struct Case {
+        name: &'static str,
+        // Tokens that the best served customer and this one got, and this one asked for.
+        best: f64,
+        got: f64,
+        asked: f64,
+        // Homes that it is sent on to.
+        homes: usize,
+    }
+    let cases = [
+        Case {
+            name: "a third of the best served one's",
+            best: 9e6,
+            got: 3e6,
+            asked: 12e6,
+            homes: 3,
+        },
+        Case {
+            name: "most of the little that it asks for",
+            best: 9e6,
+            got: 3e5,
+            asked: 4e5,
+            homes: 0,
+        },
+        Case {
+            name: "a third of the little that it asks for",
+            best: 9e6,
+            got: 1e5,
+            asked: 3e5,
+            homes: 3,
+        },
+        Case {
+            name: "most of the best served one's",
+            best: 4e6,
+            got: 3e6,
+            asked: 12e6,
+            homes: 0,
+        },
+    ];
+    for case in cases {
+        let mut world = world(8, 2, true);
+        let (best, customer) = (world.customers[0], world.customers[1]);
+        world.fleet.recent().add(ms(0), best, case.best);
+        world.fleet.recent().add(ms(0), customer, case.got);
+        world.fleet.asked().add(ms(0), customer, case.asked);
+        let mut job = job(customer, 42, 43, 1_000, 0);
+        let mut next = world.fleet.choose(&job);
+        let mut tried = Vec::new();
+        while let Some(server) = next {
+            assert!(!tried.contains(&server), "{}", case.name);
+            tried.push(server);
+            job.avoid.push(server);
+            next = world.fleet.after_refusal(ms(0), &job);
+        }
+        assert_eq!(tried.len(), 1 + case.homes, "{}", case.name);
+    }
+}
--- a/tests/share_load.rs
+++ b/tests/share_load.rs
@@ -261,6 +261,8 @@
     fn arrive(&mut self, now: f64, mut request: Request) {
         // An entry can't tell that a caller has come back.
         request.job.due = at(now + OBJECTIVE_MS);
+        let (customer, cost) = (request.job.customer, request.job.cost as f64);
+        self.fleet.asked().add(at(now), customer, cost);
         let account = &mut self.accounts[request.customer];
         account.asked[Self::second(now)] += request.job.cost as f64;
         account
@@ -388,15 +390,53 @@
     engines: Option<usize>,
 }
 
+// Plays a case with three seeds.
+fn play(case: &Case) {
+    for seed in 1..=3 {
+        let mut loads = usual(330.0);
+        loads.push(Load {
+            customer: FLOODS,
+            from: 3.0,
+            to: PLAYED as f64,
+            per_s: case.floods,
+        });
+        loads.push(Load {
+            customer: BEGINS,
+            from: case.begins.0,
+            to: PLAYED as f64,
+            per_s: case.begins.1,
+        });
+        let mut world = World::new(seed, loads);
+        if let Some(engines) = case.engines {
+            world.narrow(BEGINS, engines);
+        }
+        world.play();
+        let starved = world.starved();
+        println!(
+            "{} seed {seed}: in time {}, late {}, refused {}, read {:.1} million; {starved:#?}",
+            case.name,
+            world.in_time,
+            world.late,
+            world.refused,
+            world.read / 1e6
+        );
+        assert!(starved.is_empty(), "{}, seed {seed}", case.name);
+    }
+}
+
+#[test]
+fn nobody_gets_less_than_half_of_its_share_of_the_whole_fleet_beside_one_that_floods_it() {
+    play(&Case {
+        name: "one floods",
+        floods: 900.0,
+        begins: (0.0, 0.1),
+        engines: None,
+    });
+}
+
 #[test]
 fn nobody_gets_less_than_half_of_its_share_of_the_whole_fleet() {
     let cases = [
-        Case {
-            name: "one floods",
-            floods: 900.0,
-            begins: (0.0, 0.1),
-            engines: None,
-        },
         Case {
             name: "another asks for much beside one that floods",
             floods: 900.0,
@@ -410,36 +450,7 @@
             engines: Some(4),
         },
     ];
-    for case in cases {
-        for seed in 1..=3 {
-            let mut loads = usual(330.0);
-            loads.push(Load {
-                customer: FLOODS,
-                from: 3.0,
-                to: PLAYED as f64,
-                per_s: case.floods,
-            });
-            loads.push(Load {
-                customer: BEGINS,
-                from: case.begins.0,
-                to: PLAYED as f64,
-                per_s: case.begins.1,
-            });
-            let mut world = World::new(seed, loads);
-            if let Some(engines) = case.engines {
-                world.narrow(BEGINS, engines);
-            }
-            world.play();
-            let starved = world.starved();
-            println!(
-                "{} seed {seed}: in time {}, late {}, refused {}, read {:.1} million; {starved:#?}",
-                case.name,
-                world.in_time,
-                world.late,
-                world.refused,
-                world.read / 1e6
-            );
-            assert!(starved.is_empty(), "{}, seed {seed}", case.name);
-        }
+    for case in &cases {
+        play(case);
     }
 }
