Refuse a stream's request whose caller must have left before it is sent

Cause: before it sends, an entry looks at the caller's deadline, 8 s, and at its connection, whose end stands unread where it is behind. Callers of a stream leave after 2 s or four objectives without an event. Now the time that a request was held and the lateness of the process, by which it stood unread, are held against that.

--- a/src/decide/overload.rs
+++ b/src/decide/overload.rs
@@ -34,6 +34,11 @@
 /// balancer's questions, one a second.
 pub const OUT_OF_ROTATION: time::Duration = time::Duration::from_secs(2);
 
+/// Time without an event after which callers of a stream leave, by the users' word: so long at least, and so many
+/// of its objectives.
+const LEAVES: time::Duration = time::Duration::from_secs(2);
+const LEAVES_OBJECTIVES: u32 = 4;
+
 /// How far behind a process is.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
 pub enum Level {
@@ -146,9 +151,10 @@
 }
 
 /// Whether the caller of a stream has left by now, whose request was read so long ago by a process that is so
-/// late.
-pub fn has_left(_held: time::Duration, _lag: time::Duration, _objective: time::Duration) -> bool {
-    false
+/// late. The process hears of it only when it reads the connection's end, so late again; work that is handed over
+/// meanwhile is for nobody.
+pub fn has_left(held: time::Duration, lag: time::Duration, objective: time::Duration) -> bool {
+    held + lag >= LEAVES.max(objective * LEAVES_OBJECTIVES)
 }
 
 /// Whether an entry may stay out of the balancer's choice, when so many of the entries of its
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -183,7 +183,8 @@
         if self.entry.overload() > overload::Level::Normal {
             task::yield_now().await;
         }
-        if self.entry.now() < self.req.deadline {
+        let now = self.entry.now();
+        if now < self.req.deadline && !self.has_left(now) {
             return Ok(());
         }
         Err(refusal::Refusal::later(
@@ -192,6 +193,14 @@
         ))
     }
 
+    // Whether the caller of a stream that has not begun must have left.
+    fn has_left(&self, now: time::Duration) -> bool {
+        let held = now.saturating_sub(self.req.received);
+        let route = &self.req.route;
+        let waits = route.kind.streams() && !self.ran;
+        waits && overload::has_left(held, self.entry.overload_lag(), route.objective)
+    }
+
     /// Whether the request may be sent once more; counts it if so.
     pub fn may_repeat(&self) -> bool {
         self.tried.len() < self.req.route.attempts as usize && self.entry.take_repeat(self.service)
