--- a/src/decide/place/job.rs
+++ b/src/decide/place/job.rs
@@ -13,7 +13,7 @@
 /// first, and was 0.015 and 0.009 below that with a half on the others, where reading takes longer.
 const LEAST_PATIENCE: f64 = 0.25;
 
-/// The same for a request of a customer that is owed service, [`super::OWED`]. Its turn comes first, so what it
+/// The same for a request of a customer that is owed service, [`super::share::OWED`]. Its turn comes first, so what it
 /// waits for is the prompts that were handed over before it came. Refused as early as others, a customer that
 /// asked for 3.6 million tokens in six seconds got 1.6, against 11.3 of the best served one. With it worth on four
 /// days of high load of the grown polling desk rose from 0.553 to 0.578 in the mean, from 0.571 to 0.583 on one of the
