--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -71,6 +71,31 @@
     assert!(!gauge.out_of_rotation(ms(3_250)));
 }
 
+// What was seen: a customer whose callers come through two entries with little processor asked for 11.7 million tokens in six
+// seconds and got 3.2, against 7.9 of the best served one. The entries were 40 to 90 ms behind for four of the six
+// seconds and overloaded only then; the balancer went on to send them that customer's new connections.
+#[test]
+fn a_process_leaves_rotation_before_it_turns_anybody_away() {
+    struct Case {
+        late: u64,
+        level: Level,
+        away: bool,
+    }
+    let cases = [
+        (20, Level::Normal, false),
+        (60, Level::Normal, true),
+        (150, Level::Overloaded, true),
+    ]
+    .map(|(late, level, away)| Case { late, level, away });
+    for case in cases {
+        let mut gauge = overload::Gauge::default();
+        gauge.sample(ms(1_000), ms(case.late));
+        gauge.sample(ms(1_050), ms(case.late));
+        assert_eq!(gauge.level(), case.level, "{}", case.late);
+        assert_eq!(gauge.out_of_rotation(ms(1_100)), case.away, "{}", case.late);
+    }
+}
+
 #[test]
 fn those_that_were_served_most_are_turned_away_first() {
     struct Case {
