Decide about a place by the very figures that its log line names

Cause: wait and patience were worked out twice, once for the decision and once for the line, in two pieces of code that could part; on a deciding entry each look at a queue was paid for twice. A datagram's error ended the reading of a late time-out, whatever stood behind it. Change: what is weighed is worked out once, handed to the decision and to the log, with the tokens that the engine would read. Errors while catching up are logged and passed over. The beat's field that says "busy" is named so, and an entry looks its customer up once.

--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -104,6 +104,8 @@
     pub waiting: u32,
     /// What its customer was served of late, against the customer that was served most: from nothing to 1.
     pub served: f64,
+    /// Prompt tokens that an engine would have to read for it.
+    pub tokens: f64,
 }
 
 /// What is listed of a backend server.
@@ -214,15 +216,8 @@
         job: &Job,
         at: key::Sidecar,
     ) -> Verdict {
-        let server = self.servers.get(at).filter(|s| s.usable);
-        let Some(server) = server else {
-            return Verdict::Refuse(code::Code::NoBackendServer, COME_BACK);
-        };
-        if server.engine {
-            self.place_at_engine(now, request, job, at)
-        } else {
-            self.place_at_plain(now, request, job, at)
-        }
+        let weighed = self.weigh(now, job, at);
+        self.decide(now, request, job, at, weighed)
     }
 
     /// What a decision about a request at this backend server is made of now.
@@ -230,19 +225,24 @@
         let Some(server) = self.servers.get(at) else {
             return Weighed::default();
         };
+        let tokens = if server.engine {
+            server.fresh(now, job)
+        } else {
+            0.0
+        };
+        // Load pattern of a plain service: requests at its rate or a little above. Whatever the queue, so many
+        // are served; with a long one each of them late. So one whose turn would come too late is refused at
+        // once, and the others wait little.
         let (wait_ms, patience_ms) = if server.engine {
-            let tokens = server.fresh(now, job);
-            (
-                server.wait_ms(now, job, &self.recent),
-                server.engine_patience_ms(now, job, tokens, self.is_owed(now, job.customer)),
-            )
+            let owed = self.is_owed(now, job.customer);
+            let patience = server.engine_patience_ms(now, job, tokens, owed);
+            (server.wait_ms(now, job, &self.recent), patience)
         } else {
-            (
-                server.slot_ms(now, job, &self.recent),
-                server.slot_patience_ms(now, job),
-            )
+            let patience = server.slot_patience_ms(now, job);
+            (server.slot_ms(now, job, &self.recent), patience)
         };
         Weighed {
+            tokens,
             ahead_ms: server.pace.read_ms(server.unread()),
             wait_ms,
             patience_ms,
@@ -252,42 +252,31 @@
         }
     }
 
-    // Load pattern: a plain service at its rate or a little above. Whatever the queue, so many requests
-    // are served; with a long one each of them late. So one whose turn would come too late is refused at
-    // once, and the others wait little.
-    fn place_at_plain(
+    /// Decides about a request for this backend server by what was weighed just now.
+    pub fn decide(
         &mut self,
         now: time::Duration,
         request: u64,
         job: &Job,
         at: key::Sidecar,
+        weighed: Weighed,
     ) -> Verdict {
-        let server = &self.servers[at];
-        let ms = server.slot_ms(now, job, &self.recent);
-        let patience = server.slot_patience_ms(now, job);
-        if ms <= patience.max(0.0) {
-            return self.put(now, request, job, at, 0.0);
-        }
-        self.refuse(ms - patience)
-    }
-
-    fn place_at_engine(
-        &mut self,
-        now: time::Duration,
-        request: u64,
-        job: &Job,
-        at: key::Sidecar,
-    ) -> Verdict {
-        let recent = self.recent.all(now, job.customer);
-        let server = &self.servers[at];
-        let tokens = server.fresh(now, job);
-        let ms = server.wait_ms(now, job, &self.recent);
-        let owed = self.is_owed(now, job.customer);
-        let patience = server.engine_patience_ms(now, job, tokens, owed);
-        if ms <= patience || (server.waiting.is_empty() && server.has_room(tokens, recent)) {
-            return self.put(now, request, job, at, tokens);
+        let server = self.servers.get(at).filter(|s| s.usable);
+        let Some(server) = server else {
+            return Verdict::Refuse(code::Code::NoBackendServer, COME_BACK);
+        };
+        let (wait, patience) = (weighed.wait_ms, weighed.patience_ms);
+        let in_time = if server.engine {
+            let recent = self.recent.all(now, job.customer);
+            let idle = server.waiting.is_empty() && server.has_room(weighed.tokens, recent);
+            wait <= patience || idle
+        } else {
+            wait <= patience.max(0.0)
+        };
+        if in_time {
+            return self.put(now, request, job, at, weighed.tokens);
         }
-        self.refuse(ms - patience)
+        self.refuse(wait - patience)
     }
 
     // Refuses a request that would wait so many milliseconds too long. Callers are spread over as much
--- a/src/direct/peer/ask.rs
+++ b/src/direct/peer/ask.rs
@@ -315,8 +315,10 @@
         avoid: smallvec::SmallVec::new(),
     };
     let local = entry.number();
-    let weighed = entry.fleet.borrow().weigh(now, &job, server);
-    let verdict = entry.fleet.borrow_mut().place_at(now, local, &job, server);
+    let mut fleet = entry.fleet.borrow_mut();
+    let weighed = fleet.weigh(now, &job, server);
+    let verdict = fleet.decide(now, local, &job, server, weighed);
+    drop(fleet);
     let expires = at(ask.deadline_ms.into()) + LEFT_OVER;
     let remote = |placed, ticket| Remote {
         server,
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -62,7 +62,7 @@
     pub zone: u64,
     /// Whether it has about as much to do as it can.
     #[prost(bool, tag = "11")]
-    pub overloaded: bool,
+    pub busy: bool,
     /// Hashes of the ids of backend servers that leave or have just gone, from an entry that follows the
     /// platform's store.
     #[prost(fixed64, repeated, tag = "12")]
@@ -182,6 +182,9 @@
     /// Recent service of its customer against the one with the most.
     #[prost(float, tag = "6")]
     pub served: f32,
+    /// Prompt tokens that an engine would have to read for it.
+    #[prost(float, tag = "7")]
+    pub tokens: f32,
 }
 
 impl From<place::Weighed> for Weighed {
@@ -193,6 +196,7 @@
             running: weighed.running,
             waiting: weighed.waiting,
             served: weighed.served as f32,
+            tokens: weighed.tokens as f32,
         }
     }
 }
@@ -206,6 +210,7 @@
             running: weighed.running,
             waiting: weighed.waiting,
             served: weighed.served.into(),
+            tokens: weighed.tokens.into(),
         }
     }
 }
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -125,11 +125,12 @@
     let socket = socket2::SockRef::from(&link.socket);
     let mut buffer = vec![0; DATAGRAM];
     for _ in 0..CAUGHT_UP {
-        // An error is that there is no more, or what the network says of one that was sent.
-        let Ok(len) = (&*socket).read(&mut buffer) else {
-            return;
-        };
-        read(entry, &buffer[..len]);
+        match (&*socket).read(&mut buffer) {
+            Ok(len) => read(entry, &buffer[..len]),
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return,
+            // What the network says of an earlier datagram; there may be more to read behind it.
+            Err(err) => log::debug!(event = "datagram_failed", error:% = err; ""),
+        }
     }
 }
 
@@ -200,7 +201,7 @@
         list_age_ms: millis(entry.topic_age(roster::Topic::Backends)),
         millicores: entry.settings.borrow().millicores,
         zone: table::zone(&entry.settings.borrow().zone),
-        overloaded: entry.is_busy(),
+        busy: entry.is_busy(),
         departing: entry.departing(),
     }
 }
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -50,7 +50,7 @@
     leaving: bool,
     millicores: u32,
     zone: u64,
-    overloaded: bool,
+    busy: bool,
     configuration: u64,
     list: u64,
     // When it last heard from the store itself, of both topics and of the backend servers.
@@ -120,7 +120,7 @@
             leaving: beat.leaving,
             millicores: beat.millicores,
             zone: beat.zone,
-            overloaded: beat.overloaded,
+            busy: beat.busy,
             configuration: beat.configuration,
             list: beat.list,
             store: now.saturating_sub(time::Duration::from_millis(beat.store_age_ms.into())),
@@ -161,10 +161,10 @@
         peer.is_some_and(|peer| std::mem::take(&mut peer.silent))
     }
 
-    /// Whether this entry may stay out of the balancer's choice while it is overloaded.
+    /// Whether this entry may stay out of the balancer's choice while it is busy.
     pub fn may_leave_rotation(&self) -> bool {
         let zone = || self.alive.values().filter(|p| p.zone == self.zone);
-        let away = zone().filter(|p| p.overloaded || p.leaving).count();
+        let away = zone().filter(|p| p.busy || p.leaving).count();
         overload::may_leave_rotation(away + 1, zone().count() + 1)
     }
 
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -85,6 +85,7 @@
             drop(
                 line.with("backend", self.backend(server))
                     .with("decided_by", decided_by)
+                    .with("tokens", weighed.tokens as u64)
                     .with("ahead_ms", weighed.ahead_ms as i64)
                     .with("wait_ms", weighed.wait_ms as i64)
                     .with("patience_ms", weighed.patience_ms as i64)
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -275,9 +275,6 @@
     entry: rc::Rc<state::Entry>,
     req: request::Request,
 ) -> http::Response<body::Body> {
-    let customer = entry.customer(req.customer.as_deref().unwrap_or(""));
-    let (now, cost) = (entry.now(), req.head.cost as f64);
-    entry.fleet.borrow_mut().asked().add(now, customer, cost);
     if !turns_away(&entry, &req) {
         return forward::run(entry, req).await;
     }
@@ -296,11 +293,14 @@
     refusal.response(Some(&id), &entry.dialect)
 }
 
-// Whether a process that is behind does without this request.
+// Counts what a customer asks for, and says whether a process that is behind does without this request.
 fn turns_away(entry: &state::Entry, req: &request::Request) -> bool {
     let (now, level) = (entry.now(), entry.overload());
     let customer = entry.customer(req.customer.as_deref().unwrap_or(""));
-    let served = entry.fleet.borrow().served_share(now, customer);
+    let mut fleet = entry.fleet.borrow_mut();
+    fleet.asked().add(now, customer, req.head.cost as f64);
+    let served = fleet.served_share(now, customer);
+    drop(fleet);
     let draw = entry.rng.borrow_mut().unit();
     let mut arrivals = entry.arrivals.borrow_mut();
     arrivals.turns_away(now, customer, level, served, draw)
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -185,12 +185,16 @@
         let entry = &self.entry;
         let number = entry.number();
         let now = entry.now();
+        let (by, verdict) = {
+            let mut fleet = entry.fleet.borrow_mut();
+            let by = fleet.weigh(now, job, server);
+            (by, fleet.decide(now, number, job, server, by))
+        };
         self.weighed.set(Some(forward::Weighed {
             server,
             decided_by: None,
-            by: entry.fleet.borrow().weigh(now, job, server),
+            by,
         }));
-        let verdict = entry.fleet.borrow_mut().place_at(now, number, job, server);
         match verdict {
             place::Verdict::Go(placed) => Ok(Some(placed)),
             place::Verdict::Wait(ticket, until) => self.wait(number, ticket, until).await,
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -461,13 +461,13 @@
 }
 
 #[test]
-fn overloaded_entries_leave_rotation_while_more_than_half_of_their_zone_stays() {
+fn busy_entries_leave_rotation_while_more_than_half_of_their_zone_stays() {
     let mut peers = table::Table::new(address(1), 0, "z", Vec::new());
     assert!(!peers.may_leave_rotation(), "alone");
-    let mut hear = |last: u8, sequence, zone, overloaded| {
+    let mut hear = |last: u8, sequence, zone, busy| {
         let beat = message::Beat {
             zone: table::zone(zone),
-            overloaded,
+            busy,
             ..beat(sequence)
         };
         peers.hear(ms(0), last.into(), address(last), &beat);
