Split being asked for a place from asking for one

Change: what this entry granted to others is direct/peer/lease.rs, in the field's word, since it holds until the holder says that the request ended or its deadline has passed; names follow.

--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -6,6 +6,7 @@
 //! itself, from the load in the beats.
 
 pub mod ask;
+pub mod lease;
 pub mod message;
 pub mod table;
 
@@ -212,10 +213,10 @@
         hear_beat(entry, datagram.sender, address, beat);
     }
     for note in &datagram.notes {
-        ask::noted(entry, datagram.sender, note);
+        lease::noted(entry, datagram.sender, note);
     }
     if let Some(ask) = &datagram.ask {
-        ask::asked(entry, datagram.sender, address, ask);
+        lease::asked(entry, datagram.sender, address, ask);
     }
     if let Some(reply) = &datagram.reply {
         if entry.peers.borrow_mut().replied(address) {
@@ -275,7 +276,7 @@
     let now = entry.now();
     entry.fleet.borrow_mut().recent().forget(now, sender);
     entry.fleet.borrow_mut().asked().forget(now, sender);
-    ask::forget(entry, sender);
+    lease::forget(entry, sender);
     entry.asks.lost(address);
 }
 
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -5,7 +5,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3;
 
-use super::peer::ask;
+use super::peer::lease;
 use super::{peer, plan, pool, state};
 use crate::decide::place;
 use crate::key;
@@ -252,7 +252,7 @@
         self.fleet.borrow_mut().sweep(now);
         self.named.borrow_mut().retain(|_, until| now < *until);
         peer::expire(self);
-        ask::expire(self);
+        lease::expire(self);
         self.judge();
     }
 
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3;
 
-use super::peer::{ask, table};
+use super::peer::{ask, lease, table};
 use super::{callers, dialect, line, meter, peer, plan, pool, turns};
 use crate::decide::{health, overload, place, random, retry};
 use crate::key;
@@ -104,7 +104,7 @@
     /// Requests of this entry that ask them for a place.
     pub asks: ask::Asks,
     /// Places that their requests have.
-    pub granted: ask::Granted,
+    pub leases: lease::Table,
     /// Backend servers.
     pub backends: cell::RefCell<slotmap::SecondaryMap<key::Sidecar, pool::Backend>>,
     /// Where work goes.
@@ -171,7 +171,7 @@
             peers: cell::RefCell::new(peers),
             link,
             asks: ask::Asks::default(),
-            granted: ask::Granted::default(),
+            leases: lease::Table::default(),
             backends: cell::RefCell::default(),
             fleet: cell::RefCell::new(place::Fleet::new(seed)),
             health: cell::RefCell::default(),
--- a/src/direct/turns.rs
+++ b/src/direct/turns.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::oneshot;
 
-use super::peer::ask;
+use super::peer::lease;
 use super::state;
 use crate::decide::place;
 use crate::key;
@@ -13,7 +13,7 @@
     /// It waits in this process; `None` says that it is to be placed anew.
     Here(oneshot::Sender<Option<place::Placed>>),
     /// Another entry asked for it.
-    There(ask::Asker),
+    There(lease::Holder),
 }
 
 impl state::Entry {
@@ -25,7 +25,7 @@
                     // One that left in this moment needs no turn.
                     let _left = turn.send(None);
                 }
-                Some(Turn::There(asker)) => ask::send_elsewhere(self, asker),
+                Some(Turn::There(holder)) => lease::send_elsewhere(self, holder),
                 None => {}
             }
         }
@@ -46,8 +46,8 @@
     }
 
     /// Another entry's request waits for its turn.
-    pub fn wait_for(&self, request: u64, asker: ask::Asker) {
-        let turn = Turn::There(asker);
+    pub fn wait_for(&self, request: u64, holder: lease::Holder) {
+        let turn = Turn::There(holder);
         self.turns.borrow_mut().insert(request, turn);
     }
 
@@ -68,8 +68,8 @@
             let turn = self.turns.borrow_mut().remove(&request);
             let unheard = match turn {
                 Some(Turn::Here(turn)) => turn.send(Some(placed)).err().flatten(),
-                Some(Turn::There(asker)) => {
-                    ask::turn(self, asker, placed);
+                Some(Turn::There(holder)) => {
+                    lease::turn(self, holder, placed);
                     None
                 }
                 None => Some(placed),
