Sum what other entries put on backend servers as each tells it

What callers saw: weak entries were behind sooner than their callers' requests explain. Cause: with each beat that an entry heard, 120 a second among 68, it summed up all entries' loads anew in a map, told them to all backend servers and tried all queues; each decision sorted all entries to find the strong ones; each beat took a customer's service out of the sums and put it in again.

Now what changes is what the sender said: loads are kept by backend server, strong entries are found when one comes, goes or changes, service is replaced in place, and all queues are tried once in 80 ms.

Ruled out: that news is older for it; a backend server of which something new is said is looked at at once.

--- a/src/decide/recent.rs
+++ b/src/decide/recent.rs
@@ -91,14 +91,28 @@
         entry: u64,
         served: impl IntoIterator<Item = (key::Customer, f64)>,
     ) {
-        self.forget(now, entry);
-        let mut table = SecondaryMap::new();
+        let mut table = self.others.remove(&entry).unwrap_or_default();
         for (customer, amount) in served {
-            if amount.is_finite() && amount >= 0.0 {
-                add(&mut table, now, customer, amount);
-                self.add_all(now, customer, amount);
+            if !(amount.is_finite() && amount >= 0.0) {
+                continue;
             }
+            // `None` is only for a key that was removed from its arena.
+            let Some(said) = table.entry(customer) else {
+                continue;
+            };
+            let said = said.or_default();
+            let before = said.now(now);
+            *said = Faded { amount, at: now };
+            self.add_all(now, customer, amount - before);
         }
+        let all = &mut self.all;
+        table.retain(|customer, said| {
+            let told = said.at == now;
+            if !told {
+                add(all, now, customer, -said.now(now));
+            }
+            told
+        });
         self.others.insert(entry, table);
     }
 
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod ask;
 pub mod lease;
+pub mod loads;
 pub mod message;
 pub mod table;
 
@@ -58,6 +59,8 @@
     own: net::SocketAddrV4,
     // When a time-out that came late last read what others had sent.
     caught_up: cell::Cell<time::Duration>,
+    // When all waiting requests were last looked at for their turn.
+    pumped: cell::Cell<time::Duration>,
 }
 
 impl Link {
@@ -79,6 +82,7 @@
         socket: tokio_net::UdpSocket::bind(place.own).await?,
         own: place.own,
         caught_up: cell::Cell::default(),
+        pumped: cell::Cell::default(),
     })
 }
 
@@ -211,8 +215,8 @@
 
 fn hear(entry: &rc::Rc<state::Entry>, datagram: &message::Datagram) {
     let address = net::Ipv4Addr::from_bits(datagram.address);
-    if let Some(beat) = &datagram.beat {
-        hear_beat(entry, datagram.sender, address, beat);
+    if let (Some(beat), Some(link)) = (&datagram.beat, &entry.link) {
+        hear_beat(entry, link, datagram.sender, address, beat);
     }
     for note in &datagram.notes {
         lease::noted(entry, datagram.sender, note);
@@ -229,7 +233,13 @@
     }
 }
 
-fn hear_beat(entry: &state::Entry, sender: u64, address: net::Ipv4Addr, beat: &message::Beat) {
+fn hear_beat(
+    entry: &state::Entry,
+    link: &Link,
+    sender: u64,
+    address: net::Ipv4Addr,
+    beat: &message::Beat,
+) {
     let now = entry.now();
     let before = entry.peers.borrow().entries();
     let heard = entry.peers.borrow_mut().hear(now, sender, address, beat);
@@ -254,7 +264,7 @@
     fleet.asked().hear(now, sender, asked);
     drop(fleet);
     entry.heard_departing(&beat.departing);
-    spread_loads(entry);
+    spread_loads(entry, link);
     tell_change(entry, before);
     if entry.relies_on_others() {
         entry.tip.notify_one();
@@ -268,8 +278,8 @@
     for (address, sender) in &gone {
         forget(entry, *address, *sender);
     }
-    if !gone.is_empty() {
-        spread_loads(entry);
+    if let (false, Some(link)) = (gone.is_empty(), &entry.link) {
+        spread_loads(entry, link);
         tell_change(entry, before);
     }
 }
@@ -293,13 +303,23 @@
     }
 }
 
-// Tells the placing what others do, and hands over what has room now.
-fn spread_loads(entry: &state::Entry) {
-    let loads = entry.peers.borrow().loads();
-    for (server, hash) in entry.server_hashes() {
-        let load = loads.get(&hash).copied().unwrap_or_default();
+// Tells the placing what others do, and hands over what has room now: at the backend servers of which something
+// new was said, and everywhere once a while, since a customer's service elsewhere changes whose turn it is.
+fn spread_loads(entry: &state::Entry, link: &Link) {
+    let changed = entry.peers.borrow_mut().take_changed();
+    for hash in changed {
+        let Some(server) = entry.server_by_hash(hash) else {
+            continue;
+        };
+        let load = entry.peers.borrow().load(hash);
         entry.fleet.borrow_mut().set_others(server, load);
+        entry.pump(server);
+    }
+    let now = entry.now();
+    if now < link.pumped.get() + BEAT {
+        return;
     }
+    link.pumped.set(now);
     let waiting = entry.fleet.borrow().with_waiting();
     for server in waiting {
         entry.pump(server);
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -5,7 +5,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3;
 
-use super::message;
+use super::{loads, message};
 use crate::decide::{place, random, rotation};
 
 /// Silence after which an entry is gone: it is not counted in load, service and shares any more. In a
@@ -88,6 +88,9 @@
     // Entries of the own zone that fell silent without leaving, with when.
     missing: collections::HashMap<net::Ipv4Addr, time::Duration>,
     seeds: Vec<net::Ipv4Addr>,
+    loads: loads::Loads,
+    // Entries that do work for all, in order of address, this one included if it does.
+    strong: Vec<net::Ipv4Addr>,
 }
 
 /// An availability zone as beats name it.
@@ -104,6 +107,7 @@
             millicores,
             zone: self::zone(zone),
             seeds,
+            strong: vec![own],
             ..Self::default()
         }
     }
@@ -131,6 +135,8 @@
         let known = self.alive.get(&address);
         let (distrusted, silent) =
             known.map_or_else(Default::default, |p| (p.distrusted, p.silent));
+        let same = |p: &Peer| p.leaving == beat.leaving && p.millicores == beat.millicores;
+        let as_strong = known.is_some_and(same);
         let peer = Peer {
             sender,
             sequence: beat.sequence,
@@ -149,7 +155,12 @@
             distrusted,
             silent,
         };
-        self.alive.insert(address, peer);
+        let said = self.alive.insert(address, peer).map(|p| p.loads);
+        self.loads
+            .replace(address, &said.unwrap_or_default(), &beat.loads);
+        if !as_strong {
+            self.find_strong();
+        }
         Some(before.map(|(s, _)| s).filter(|s| *s != sender))
     }
 
@@ -163,11 +174,17 @@
         let gone: Vec<_> = self.alive.iter().filter_map(silent).collect();
         self.missing.retain(|_, since| now < *since + MISSING);
         for (address, _) in &gone {
-            let peer = self.alive.remove(address);
-            if peer.is_some_and(|p| p.zone == self.zone && !p.leaving) {
+            let Some(peer) = self.alive.remove(address) else {
+                continue;
+            };
+            self.loads.replace(*address, &peer.loads, &[]);
+            if peer.zone == self.zone && !peer.leaving {
                 self.missing.insert(*address, now);
             }
         }
+        if !gone.is_empty() {
+            self.find_strong();
+        }
         gone
     }
 
@@ -208,30 +225,30 @@
         rotation::reason(&zone, address)
     }
 
-    // Entries that do work for all, in order of address, this one included if it does: one with a fifth of the
-    // strongest one's processor that a burst of its own callers keeps busy replies late to the whole fleet.
-    fn strong(&self) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
+    // Finds the entries that do work for all: one with a fifth of the strongest one's processor that a burst of its own
+    // callers keeps busy replies late to the whole fleet. Kept, since each decision and each beat asks for them.
+    fn find_strong(&mut self) {
         let takes = self.alive.iter().filter(|(_, p)| !p.leaving);
         let mut all: Vec<_> = takes.map(|(a, p)| (*a, p.millicores)).collect();
         all.extend(self.own.map(|own| (own, self.millicores)));
         all.sort_unstable();
         let most = all.iter().map(|(_, m)| *m).max().unwrap_or(0);
-        let enough = move |(a, m): (net::Ipv4Addr, u32)| rotation::is_strong(m, most).then_some(a);
-        all.into_iter().filter_map(enough)
+        all.retain(|(_, m)| rotation::is_strong(*m, most));
+        self.strong = all.into_iter().map(|(a, _)| a).collect();
     }
 
     /// The other entry that decides about an engine, by the hash of its id; `None` if it is this one
     /// or can't be asked now. Entries that hear the same others agree (rendezvous hashing).
     pub fn owner(&self, now: time::Duration, server: u64) -> Option<net::Ipv4Addr> {
         let rank = |a: &net::Ipv4Addr| random::Random::new(server ^ u64::from(a.to_bits())).bits();
-        let owner = self.strong().max_by_key(rank)?;
+        let owner = *self.strong.iter().max_by_key(|a| rank(a))?;
         let peer = self.alive.get(&owner)?;
         (now >= peer.distrusted).then_some(owner)
     }
 
     // Those that follow the platform's store for all: the few strong ones with the least addresses.
     fn readers(&self) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
-        self.strong().take(READERS)
+        self.strong.iter().copied().take(READERS)
     }
 
     /// Whether this entry follows the platform's store for all.
@@ -285,17 +302,13 @@
         all.into_iter().collect()
     }
 
-    /// Load that all others decided about on each backend server, by the hash of its id.
-    pub fn loads(&self) -> collections::HashMap<u64, place::Load> {
-        let mut sums: collections::HashMap<u64, place::Load> = collections::HashMap::new();
-        for load in self.alive.values().flat_map(|p| &p.loads) {
-            let sum = sums.entry(load.server).or_default();
-            sum.running += load.running;
-            sum.unread += f64::from(load.unread);
-            let least = load.least.map_or(f64::INFINITY, f64::from);
-            let known = sum.least.unwrap_or(f64::INFINITY);
-            sum.least = Some(known.min(least)).filter(|l| l.is_finite());
-        }
-        sums
+    /// Load that all others decided about on a backend server, by the hash of its id.
+    pub fn load(&self, server: u64) -> place::Load {
+        self.loads.sum(server)
+    }
+
+    /// Backend servers, by the hashes of their ids, of which others said something since this was asked last.
+    pub fn take_changed(&mut self) -> Vec<u64> {
+        self.loads.take_changed()
     }
 }
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -317,6 +317,8 @@
             server,
             idle: Vec::new(),
         };
+        let load = self.peers.borrow().load(backend.hash);
+        self.fleet.borrow_mut().set_others(key, load);
         self.hashes.borrow_mut().insert(backend.hash, key);
         self.backends.borrow_mut().insert(key, backend);
     }
--- a/tests/neighbours.rs
+++ b/tests/neighbours.rs
@@ -383,3 +383,40 @@
     }
     assert!(entry.slack() < support::ms(10), "{:?}", entry.slack());
 }
+
+#[test]
+fn what_others_put_on_a_backend_server_is_what_each_said_last() {
+    let mut peers = table::Table::new(support::address(1), 0, "z", Vec::new());
+    let mut hear = |last: u8, sequence, loads: &[(u64, u32, Option<f32>)]| {
+        let load = |(server, running, least): &(u64, u32, Option<f32>)| message::Load {
+            server: *server,
+            running: *running,
+            unread: 10,
+            least: *least,
+        };
+        let beat = message::Beat {
+            loads: loads.iter().map(load).collect(),
+            ..beat(sequence)
+        };
+        peers.hear(support::ms(0), last.into(), support::address(last), &beat);
+        let mut changed = peers.take_changed();
+        changed.sort_unstable();
+        changed.dedup();
+        let load = |server| {
+            let load = peers.load(server);
+            (load.running, load.least)
+        };
+        (changed, load(7), load(8))
+    };
+    let told = hear(2, 1, &[(7, 3, Some(5.0)), (8, 1, None)]);
+    assert_eq!(told, (vec![7, 8], (3, Some(5.0)), (1, None)));
+    let told = hear(3, 1, &[(7, 2, Some(4.0))]);
+    assert_eq!(told, (vec![7], (5, Some(4.0)), (1, None)));
+    let told = hear(3, 2, &[(7, 1, None)]);
+    assert_eq!(told, (vec![7], (4, Some(5.0)), (1, None)));
+    let told = hear(2, 2, &[(8, 2, None)]);
+    assert_eq!(told, (vec![7, 8], (1, None), (2, None)));
+    peers.expire(table::SILENT);
+    assert_eq!(peers.take_changed().len(), 2);
+    assert_eq!(peers.load(7).running + peers.load(8).running, 0);
+}
