Keep a strong entry in the balancer's choice while its zone has weak ones

What callers saw: on some plays a thousand tries and more found no connection or ended at the deadline after the burst had already come to a strong entry. Cause: a strong one that was 40 ms behind left for another strong one; the balancer's order is the caller's, and the next entry in it was a weak one. Now it stays and turns away what it can't bear, unless all entries of its zone are strong.

--- a/src/decide/rotation.rs
+++ b/src/decide/rotation.rs
@@ -111,17 +111,20 @@
         self.busy_ago.is_some_and(|ago| ago < MOST_AWAY) && most > self.bears()
     }
 
-    // Whether one that isn't busy has as strong a processor: what a strong one can't bear, weak ones can't either.
-    fn has_substitute(&self, zone: &[Self]) -> bool {
-        let able = |m: &Self| !m.gone && !m.is_busy() && m.millicores >= self.millicores;
-        zone.iter().any(able)
+    // Whether what comes to it may come to one that bears as much and isn't busy. A strong one stays while there are weak
+    // ones, to which its burst might come next.
+    fn has_substitute(&self, zone: &[Self], strongest: u32) -> bool {
+        let here = || zone.iter().filter(|m| !m.gone);
+        let bears_as_much = !is_strong(self.millicores, strongest)
+            || here().all(|m| is_strong(m.millicores, strongest));
+        bears_as_much && here().any(|m| !m.is_busy())
     }
 
     fn reason(&self, zone: &[Self], bursts: bool, strongest: u32) -> Option<Reason> {
         if self.gone {
             Some(Reason::Gone)
         } else if self.is_busy() {
-            self.has_substitute(zone).then_some(Reason::Busy)
+            self.has_substitute(zone, strongest).then_some(Reason::Busy)
         } else if self.is_relieved(zone) {
             Some(Reason::Relieved)
         } else {
--- a/tests/rotation.rs
+++ b/tests/rotation.rs
@@ -129,6 +129,27 @@
             ],
             away: vec![(2, Reason::Weak)],
         },
+        // Its burst came to a weak one next, and found neither there.
+        Case {
+            name: "a strong one stays while weak ones are in the balancer's choice",
+            zone: vec![
+                member(1, strong, 1_400, Some(0)),
+                member(2, weak, 5, None),
+                member(3, strong, 5, None),
+                member(4, weak, 5, None),
+                member(5, weak, 5, None),
+            ],
+            away: vec![(2, Reason::Weak), (4, Reason::Weak)],
+        },
+        Case {
+            name: "one of strong ones only leaves",
+            zone: vec![
+                member(1, strong, 1_400, Some(0)),
+                member(2, strong, 5, None),
+                member(3, strong, 5, None),
+            ],
+            away: vec![(1, Reason::Busy)],
+        },
         Case {
             name: "all are alike and busy",
             zone: vec![
