--- a/src/decide/overload.rs
+++ b/src/decide/overload.rs
@@ -20,9 +20,7 @@
 pub const PROBE: time::Duration = time::Duration::from_millis(50);
 
 /// Lateness from which the balancer had better choose others, and callers are told to connect anew: before anybody
-/// is turned away, since the balancer needs two seconds to notice. A customer behind two weak entries that were 40 to 90 ms late
-/// for four of six seconds kept its share on a day of high load in four plays of four, and lost it in four of six
-/// without; worth was 0.492 to 0.514, and 0.502 to 0.512.
+/// is turned away, since the balancer needs two seconds to notice.
 const BUSY: time::Duration = time::Duration::from_millis(40);
 
 /// Lateness from which requests are turned away by chance, the more the better their customers were
@@ -37,9 +35,8 @@
 const SATURATED_FACTOR: f64 = 4.0;
 
 /// Times as many that an overloaded entry turns away of whoever asks most of it, since it spares those that ask little.
-/// Without it an entry with 0.09 cores went from 150 to 470 ms behind within a second and worked on for callers
-/// that had left, in one of three plays of a day of high load; with it in none of four. When saturated it turns
-/// away all of them in any case.
+/// Without it a weak entry falls further behind within a second, and works on for callers that have left. When saturated it
+/// turns away all of them in any case.
 const FLOOD_FACTOR: f64 = 2.0;
 
 /// Time without an event after which callers of a stream leave, by the users' word: so long at least, and so many
--- a/src/decide/pace.rs
+++ b/src/decide/pace.rs
@@ -2,8 +2,7 @@
 //!
 //! Load pattern: engines of different hardware, and single ones that turn slow or recover. A fixed
 //! figure that is too low refuses requests that would have been in time; one that is too high hands
-//! over more than can be. Measured with a fixed 40 tokens a millisecond, an engine that read 51 was
-//! believed to need 370 ms for what took it 211.
+//! over more than can be.
 //!
 //! The time from hand-over to first event is taken as a line over the prompt tokens that stood before
 //! it and its own: least squares, with samples that fade.
--- a/src/decide/place/job.rs
+++ b/src/decide/place/job.rs
@@ -7,18 +7,11 @@
 use crate::key;
 
 /// Share of its objective that every request may wait, also one whose prompt is read too late then: late answers
-/// count for less, not nothing. The more, the more of an overloaded engine goes to late answers: against
-/// a half, the worth that was earned rose by 0.02 on three days of the bearing consortium, by 0.003 and 0.005 on
-/// those of the polling desk and the feedstock logs (three seeds). With none, worth rose by another 0.02 on the
-/// first, and was 0.015 and 0.009 below that with a half on the others, where reading takes longer.
+/// count for less, not nothing, and the more of them an overloaded engine reads, the fewer are in time.
 const LEAST_PATIENCE: f64 = 0.25;
 
-/// The same for a request of a customer that is owed service, [`super::share::OWED`]. Its turn comes first, so what it
-/// waits for is the prompts that were handed over before it came. Refused as early as others, a customer that
-/// asked for 3.6 million tokens in six seconds got 1.6, against 11.3 of the best served one. With it worth on four
-/// days of high load of the grown polling desk rose from 0.553 to 0.578 in the mean, from 0.571 to 0.583 on one of the
-/// feedstock logs, and was 0.480 and 0.476 on three of the bearing consortium, where a late answer is worth a
-/// tenth. Twice as much gave 0.591, 0.594 and 0.459.
+/// The same for a request of a customer that is owed service, [`super::share::OWED`]. Its turn comes first, so it waits
+/// for the prompts that were handed over before it came, and no longer.
 const OWED_PATIENCE: f64 = 1.0;
 
 /// A part of a prompt: its hash covers all parts before it.
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -40,9 +40,7 @@
 /// Time after which a request that waited too long is forgotten, if nobody said that it left.
 const LAPSED: time::Duration = time::Duration::from_secs(1);
 
-/// Least time to come back after a refusal. With 150 ms worth rose by 0.0045 on small fleets, but with 30 entries, some
-/// with 0.09 cores, a new configuration came into force 0.3 s too late on a busy day in three of five plays, in none
-/// of three with 400.
+/// Least time to come back after a refusal: a prompt or two are read meanwhile, and weak entries bear the tries.
 const COME_BACK: time::Duration = time::Duration::from_millis(400);
 
 /// A request that a backend server was given: hand it back with [`Fleet::ended`].
--- a/src/decide/place/server.rs
+++ b/src/decide/place/server.rs
@@ -11,8 +11,7 @@
 /// Time's worth of prompts handed over and not yet read by an engine, in milliseconds. An engine reads
 /// a chunk a step, some 25 ms, and a prompt counts as read only with its first event, four steps
 /// later: with less an engine idles. With more, what was handed over early stands before what is more
-/// urgent now: worth fell from 0.716 and 0.731 at 100 to 0.697 and 0.707 at 250 and 0.666 and 0.684 at
-/// 400 (polling desk, feedstock logs; 0.717 and 0.730 at 60, with more refusals).
+/// urgent now.
 pub const UNREAD: f64 = 100.0;
 
 /// Share of the room that an entry uses while another holds a request that goes first: enough for
@@ -24,17 +23,15 @@
 const SPARE: u32 = 1;
 
 /// Service times that a request for a plain backend server allows for its own when it comes: with one, about
-/// half of those that wait to the last are late, since theirs is above the mean. Not varied by itself.
+/// half of those that wait to the last are late, since theirs is above the mean.
 const OWN_SERVICE: f64 = 1.5;
 
 /// Weight of a new service time in the average: about the last twenty, a fifth of a second of a backend server
-/// with six slots of 60 ms at full load. Not varied by itself.
+/// with six slots of 60 ms at full load.
 const SERVICE_SMOOTHING: f64 = 0.05;
 
 /// What stands at an engine when a waiting request is handed over, in milliseconds: most of [`UNREAD`],
-/// since room is used as soon as it is there. Without it whoever waited to the last was late by it: 3,555
-/// late answers on a day of overload, 3,166 and 3,425 with it (bearing consortium, 25,000 requests, three
-/// seeds, two comparisons).
+/// since room is used as soon as it is there. Without it whoever waits to the last is late by it.
 const HANDED_AHEAD: f64 = 80.0;
 
 /// Most a believed part stays believed without use: engines yield the least recently used.
--- a/src/decide/place/share.rs
+++ b/src/decide/place/share.rs
@@ -19,7 +19,7 @@
 const STARVED: f64 = 0.5;
 
 /// Other homes of a part that a starved customer's request asks, one after the other, and among how many each is
-/// the one with least to read: few, so that the part is read again at few engines. Not varied on a fleet.
+/// the one with least to read: few, so that the part is read again at few engines.
 const HOMES: usize = 3;
 
 impl Fleet {
@@ -71,8 +71,7 @@
     /// A share of the fleet isn't kept engine by engine: a customer whose parts have their homes at engines that
     /// are asked for more than they read gets less than half of its share, while others have room. Reading a
     /// part again costs the fleet more than the request gives, so only starved customers' requests go on to other
-    /// homes. On the grown polling desk worth stayed within 0.02, and the worst customer of four days of high load
-    /// got 1.08 times the half of its share or more, 0.71 without; on one of the feedstock logs 1.23, 0.98 without.
+    /// homes.
     pub fn after_refusal(&mut self, now: time::Duration, job: &Job) -> Option<key::Sidecar> {
         if job.avoid.len() > HOMES || !self.is_starved(now, job.customer) {
             return None;
--- a/src/direct/parts.rs
+++ b/src/direct/parts.rs
@@ -8,7 +8,8 @@
 
 use super::plan;
 
-/// Backend servers in a part, about: a digest of 8 bytes is asked for each, and one that differs costs them all.
+/// Backend servers in a part, about: each part costs a digest of 8 bytes in a question, and one that differs all of its
+/// backend servers in the answer.
 const SIZE: usize = 8;
 
 /// Most parts: two kilobytes of digests.
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -1,8 +1,8 @@
 //! What entries tell each other: load, customers' service, who else there is, and who gets a place.
 //!
 //! For each engine one entry decides who gets a place at it; the others ask ([`ask`]). Beside that
-//! every entry sends all others one datagram a beat ([`message::Beat`]). A lost one costs nothing:
-//! the next says it all again. An entry that can't be asked is gone around: the asking entry decides
+//! every entry sends all others one datagram a beat ([`message::Beat`]). A lost one costs little: the next says all
+//! again but for customers of whom nothing is new, and what is known of these fades within seconds. An entry that can't be asked is gone around: the asking entry decides
 //! itself, from the load in the beats.
 
 pub mod ask;
@@ -123,9 +123,8 @@
 /// After a time-out that was due at `until`: reads what others have sent by now.
 ///
 /// A process that is behind has much to read when a time-out of its own comes due, and the time-out has its
-/// turn before the reader. On a day of high load 22 of 22 time-outs of weak entries found their reply unread:
-/// each then took a deciding entry for silent, and decided by itself for half a second. A process that is on
-/// time has read all there was, and pays nothing.
+/// turn before the reader: it would take a deciding entry for silent whose reply stands unread, and decide by itself
+/// for half a second. A process that is on time has read all there was, and pays nothing.
 fn catch_up(entry: &rc::Rc<state::Entry>, link: &Link, until: tokio::time::Instant) {
     let now = entry.now();
     if until.elapsed() < LATE || now < link.caught_up.get() + LATE {
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -28,8 +28,8 @@
 const READERS: usize = 2;
 
 /// Age up to which another entry's knowledge of the store counts as fresh. A reader hears from the
-/// store every 0.9 s, and with 30 entries tells a quarter of a second later; a bound below the sum made
-/// all entries call the store by turns, 30 calls a second. Beyond it an entry calls itself, so that a
+/// store every 0.9 s, and among 30 entries tells a quarter of a second later; with a bound below the sum all
+/// entries would call the store by turns. Beyond it an entry calls itself, so that a
 /// leaving backend server and a new configuration are known within two seconds in any case.
 const FRESH: time::Duration = time::Duration::from_millis(1_400);
 
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -48,9 +48,8 @@
 const LINGER: time::Duration = time::Duration::from_secs(3);
 
 /// Connections accepted in one turn of the thread. All that wait would each put their reads, decisions
-/// and writes before those of requests in progress: an entry with 0.09 cores that 700 new callers a
-/// second came to was 0.5 s and more late with everything, and sent requests on after their callers had
-/// left. So many are 30 ms of work there; the rest wait with the system, where they cost nothing.
+/// and writes before those of requests in progress, which would be sent on after their callers had left. So
+/// many are 30 ms of work for a weak entry; the rest wait with the system, where they cost nothing.
 const ACCEPTED: u32 = 16;
 
 /// Accepts callers on this address until the process ends. While it shuts down new ones still come,
