Let callers that are turned away come back as soon as the balancer has noticed

The time to come back was spread over as much again as the balancer needs, up to two seconds more than is of use to the caller. Now only the 150 ms on top are spread.

--- a/src/direct/neighbour.rs
+++ b/src/direct/neighbour.rs
@@ -78,7 +78,7 @@
 fn tell(entry: &state::Entry, digests: Option<Vec<u64>>) -> Option<Bytes> {
     let servers = entry.servers()?;
     let told = match digests {
-        Some(digests) => serde_json::to_vec(&Told::from(entry.differing(&digests))),
+        Some(digests) => serde_json::to_vec(&Answer::from(entry.differing(&digests))),
         None => serde_json::to_vec(&servers),
     };
     // What is listed was decoded from text, so it can be written as such.
@@ -121,7 +121,7 @@
         let list = list(body)?;
         return Ok((plan::News::Told(list.servers), list.unreadable));
     }
-    let told: Told<serde_json::Value> = serde_json::from_slice(body)?;
+    let told: Answer<serde_json::Value> = serde_json::from_slice(body)?;
     let list = readable(told.listed);
     let parts = plan::Parts {
         of: told.of,
@@ -131,15 +131,15 @@
     Ok((plan::News::Parts(parts), list.unreadable))
 }
 
-/// [`plan::Parts`] as they are sent, with entries that may be unreadable.
-#[derive(Debug, serde::Deserialize, serde::Serialize)]
-pub struct Told<T> {
+// [`plan::Parts`] as they are sent, with entries that may be unreadable.
+#[derive(serde::Deserialize, serde::Serialize)]
+struct Answer<T> {
     of: usize,
     parts: Vec<usize>,
     listed: Vec<T>,
 }
 
-impl From<plan::Parts> for Told<plan::Server> {
+impl From<plan::Parts> for Answer<plan::Server> {
     fn from(parts: plan::Parts) -> Self {
         Self {
             of: parts.of,
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! For each engine one entry decides who gets a place at it; the others ask ([`ask`]). Beside that
 //! every entry sends all others one datagram a beat ([`message::Beat`]). A lost one costs little: the next says all
-//! again but for customers of whom nothing is new, and what is known of these fades within seconds. An entry that can't be asked is gone around: the asking entry decides
-//! itself, from the load in the beats.
+//! again but for customers of whom nothing is new, and what is known of these fades within seconds. An entry
+//! that can't be asked is gone around: the asking entry decides itself, from the load in the beats.
 
 pub mod ask;
 pub mod lease;
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -279,9 +279,9 @@
     if !turns_away(&entry, &req) {
         return forward::run(entry, req).await;
     }
-    let elsewhere = entry.left_ago().map(rotation::unnoticed);
-    let after = elsewhere.unwrap_or_default() + OVERLOADED;
-    let after = after.mul_f64(1.0 + entry.rng.borrow_mut().unit());
+    let unnoticed = entry.left_ago().map(rotation::unnoticed);
+    let spread = OVERLOADED.mul_f64(1.0 + entry.rng.borrow_mut().unit());
+    let after = unnoticed.unwrap_or_default() + spread;
     let refusal = refusal::Refusal::later(code::Code::EntryBusy, after);
     let id = req.head.id.clone();
     drop(
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -87,9 +87,11 @@
     pub(super) overload: cell::Cell<overload::Gauge>,
     /// Who asked how much of this entry of late, and so who is turned away then.
     pub arrivals: cell::RefCell<overload::Arrivals>,
+    // Requests that come.
     rate: cell::Cell<rotation::Rate>,
     // Since when the process is out of the balancer's choice for its load.
     left: cell::Cell<Option<time::Duration>>,
+    // Whether it was out of the balancer's choice when that was looked at last.
     sends_away: cell::Cell<bool>,
     // What the balancer was told last.
     pub(super) told_ready: cell::Cell<Option<bool>>,
