Let half of a zone's entries leave the balancer's choice, as its rule allows

Cause: our bound was stricter than the balancer's rule, which chooses from all with fewer than half in its choice.

Ruled out: that strong entries accept too few connections a turn (trial, five times as many: as bad, GONE broken once, reverted).

--- a/src/decide/rotation.rs
+++ b/src/decide/rotation.rs
@@ -165,8 +165,8 @@
     NOTICED.saturating_sub(left_ago)
 }
 
-/// Whether so many of a zone's entries may be out of the balancer's choice: more than half stay, or the balancer
+/// Whether so many of a zone's entries may be out of the balancer's choice: with fewer than half in it, the balancer
 /// would choose from all.
 pub fn may_leave(away: usize, entries: usize) -> bool {
-    away * 2 < entries
+    away * 2 <= entries
 }
