Decide in decide/ when a caller comes back and since when an entry stays away

Found by reading the change from caller to engine and back. Cause: when a caller that is turned away is to come back was put together in direct/serve.rs from a constant there and one of decide/rotation.rs, and since when an entry stays out of the balancer's choice was kept by direct/state.rs and, written a second time, by the model in tests/rotation_load.rs.

Now rotation::come_back and rotation::Absence decide, and entry and model use them; tests/rotation.rs holds both by cases.

Nothing that is decided changes: same constants, same draw.

--- a/src/decide/rotation.rs
+++ b/src/decide/rotation.rs
@@ -19,6 +19,10 @@
 /// Time after which the balancer has noticed that an entry left: two of its questions.
 const NOTICED: time::Duration = time::Duration::from_secs(2);
 
+/// Least time to come back from an entry that turned a caller away, and the most on top by chance, so that they don't come
+/// back as one burst: half of the shortest objective of a stream is left then.
+const COME_BACK: time::Duration = time::Duration::from_millis(150);
+
 /// Longest time out of the balancer's choice after an entry was last busy, whatever the others bear: the burst's
 /// callers may have other entries by then.
 pub const MOST_AWAY: time::Duration = time::Duration::from_secs(20);
@@ -88,12 +92,31 @@
 }
 
 impl Reason {
-    /// Whether it is for what came to the entry itself.
-    pub fn is_load(self) -> bool {
+    // Whether it is for what came to the entry itself.
+    fn is_load(self) -> bool {
         matches!(self, Self::Busy | Self::Relieved)
     }
 }
 
+/// Since when an entry stays out of the balancer's choice for what came to it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Absence {
+    since: Option<time::Duration>,
+}
+
+impl Absence {
+    /// Takes in why it stays out now, if it does.
+    pub fn note(&mut self, now: time::Duration, reason: Option<Reason>) {
+        let stays_out = reason.is_some_and(Reason::is_load);
+        self.since = stays_out.then(|| self.since.unwrap_or(now));
+    }
+
+    /// How long it has stayed out.
+    pub fn ago(&self, now: time::Duration) -> Option<time::Duration> {
+        self.since.map(|since| now.saturating_sub(since))
+    }
+}
+
 impl Member {
     fn is_busy(&self) -> bool {
         !self.gone && self.busy_ago.is_some_and(|ago| ago < AWAY)
@@ -159,10 +182,12 @@
     own.map(|(reason, ..)| *reason)
 }
 
-/// Time in which the balancer may still send callers to an entry that left its choice so long ago. Whoever is turned away
-/// there and comes back sooner finds the same entry, and doubles what it has to do.
-pub fn unnoticed(left_ago: time::Duration) -> time::Duration {
-    NOTICED.saturating_sub(left_ago)
+/// When a caller that is turned away is to come back, to an entry that left the balancer's choice so long ago, if it did;
+/// `draw` is out of `0.0..1.0`. Until the balancer has noticed, the caller would find the same entry and double what it
+/// has to do.
+pub fn come_back(left_ago: Option<time::Duration>, draw: f64) -> time::Duration {
+    let unnoticed = left_ago.map(|ago| NOTICED.saturating_sub(ago));
+    unnoticed.unwrap_or_default() + COME_BACK.mul_f64(1.0 + draw)
 }
 
 /// Whether so many of a zone's entries may be out of the balancer's choice: with fewer than half in it, the balancer
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -30,10 +30,6 @@
 /// Time to come back while the process knows no configuration: about a start.
 const UNKNOWN: time::Duration = time::Duration::from_secs(1);
 
-/// Least time to come back from an overloaded process, and the most on top by chance: the balancer sends
-/// whoever comes again to another entry, and half of the shortest objective of a stream is left then.
-const OVERLOADED: time::Duration = time::Duration::from_millis(150);
-
 /// Pause for connections to end when there are too many.
 const ROOM: time::Duration = time::Duration::from_millis(5);
 
@@ -279,9 +275,7 @@
     if !turns_away(&entry, &req) {
         return forward::run(entry, req).await;
     }
-    let unnoticed = entry.left_ago().map(rotation::unnoticed);
-    let spread = OVERLOADED.mul_f64(1.0 + entry.rng.borrow_mut().unit());
-    let after = unnoticed.unwrap_or_default() + spread;
+    let after = rotation::come_back(entry.left_ago(), entry.rng.borrow_mut().unit());
     let refusal = refusal::Refusal::later(code::Code::EntryBusy, after);
     let id = req.head.id.clone();
     drop(
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -89,8 +89,7 @@
     pub arrivals: cell::RefCell<overload::Arrivals>,
     // Requests that come.
     rate: cell::Cell<rotation::Rate>,
-    // Since when the process is out of the balancer's choice for its load.
-    left: cell::Cell<Option<time::Duration>>,
+    absence: cell::Cell<rotation::Absence>,
     // Whether it was out of the balancer's choice when that was looked at last.
     sends_away: cell::Cell<bool>,
     // What the balancer was told last.
@@ -169,7 +168,7 @@
             overload: cell::Cell::default(),
             arrivals: cell::RefCell::default(),
             rate: cell::Cell::default(),
-            left: cell::Cell::default(),
+            absence: cell::Cell::default(),
             sends_away: cell::Cell::default(),
             told_ready: cell::Cell::default(),
             callers_wait: cell::Cell::default(),
@@ -234,16 +233,15 @@
 
     /// Time since the process left the balancer's choice for its load, if it stays out.
     pub fn left_ago(&self) -> Option<time::Duration> {
-        let left = self.left.get();
-        left.map(|at| self.now().saturating_sub(at))
+        self.absence.get().ago(self.now())
     }
 
     // Looks whether the process stays in the balancer's choice.
     fn choose_rotation(&self) {
         let away = self.away();
-        let since = self.left.get().unwrap_or_else(|| self.now());
-        self.left
-            .set(away.is_some_and(rotation::Reason::is_load).then_some(since));
+        let mut absence = self.absence.get();
+        absence.note(self.now(), away);
+        self.absence.set(absence);
         self.sends_away.set(away.is_some());
     }
 
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -3,10 +3,8 @@
 #[path = "support/direct.rs"]
 mod support;
 
-use std::time;
-
 use chivebend::decide::place;
-use chivebend::direct::{line, neighbour, parts, plan, pool, state};
+use chivebend::direct::{neighbour, parts, plan, pool, state};
 use smallvec::smallvec;
 
 #[test]
@@ -135,17 +133,7 @@
 
 #[test]
 fn another_entrys_older_list_brings_nothing_back() {
-    let started = time::Instant::now();
-    let log = line::open(started).expect("a thread");
-    let entry = state::Entry::new(
-        started,
-        support::settings(),
-        support::names(),
-        log,
-        1,
-        Vec::new(),
-        None,
-    );
+    let entry = support::empty_entry(1);
     let known = || {
         let mut servers = entry.servers().expect("a list");
         servers.sort_by(|a, b| a.id.cmp(&b.id));
--- a/tests/neighbours.rs
+++ b/tests/neighbours.rs
@@ -3,11 +3,9 @@
 #[path = "support/direct.rs"]
 mod support;
 
-use std::time;
-
 use chivebend::decide::{overload, rotation};
 use chivebend::direct::peer::{message, table};
-use chivebend::direct::{line, plan, roster, state};
+use chivebend::direct::{plan, roster};
 
 fn beat(sequence: u64) -> message::Beat {
     message::Beat {
@@ -293,17 +291,7 @@
 
 #[test]
 fn an_entry_that_is_behind_says_so_and_leaves_rotation_if_others_of_its_zone_serve() {
-    let started = time::Instant::now();
-    let log = line::open(started).expect("a thread");
-    let entry = state::Entry::new(
-        started,
-        support::settings(),
-        support::names(),
-        log,
-        1,
-        Vec::new(),
-        None,
-    );
+    let entry = support::empty_entry(1);
     entry.probed(support::ms(400));
     assert_eq!(
         entry.overload(),
@@ -367,17 +355,7 @@
 
 #[test]
 fn a_process_that_is_late_allows_others_more_time() {
-    let started = time::Instant::now();
-    let log = line::open(started).expect("a thread");
-    let entry = state::Entry::new(
-        started,
-        support::settings(),
-        support::names(),
-        log,
-        1,
-        Vec::new(),
-        None,
-    );
+    let entry = support::empty_entry(1);
     assert_eq!(entry.slack(), support::ms(0));
     entry.fired_late(support::ms(500));
     assert_eq!(entry.slack(), support::ms(2_000));
--- a/tests/rotation.rs
+++ b/tests/rotation.rs
@@ -213,7 +213,29 @@
 
 #[test]
 fn who_is_turned_away_comes_back_once_the_balancer_has_noticed() {
-    assert_eq!(rotation::unnoticed(ms(0)), ms(2_000));
-    assert_eq!(rotation::unnoticed(ms(1_500)), ms(500));
-    assert_eq!(rotation::unnoticed(ms(9_000)), ms(0));
+    for (left_ago, draw, after) in [
+        (None, 0.0, 150),
+        (None, 1.0, 300),
+        (Some(0), 0.0, 2_150),
+        (Some(1_500), 0.0, 650),
+        (Some(9_000), 1.0, 300),
+    ] {
+        let came = rotation::come_back(left_ago.map(ms), draw);
+        assert_eq!(came, ms(after), "{left_ago:?} {draw}");
+    }
+}
+
+#[test]
+fn an_entry_is_absent_from_its_first_reason_on_and_not_to_make_way() {
+    let mut absence = rotation::Absence::default();
+    for (now, reason, ago) in [
+        (1_000, Some(Reason::Weak), None),
+        (2_000, Some(Reason::Busy), Some(0)),
+        (5_000, Some(Reason::Relieved), Some(3_000)),
+        (6_000, None, None),
+        (7_000, Some(Reason::Relieved), Some(0)),
+    ] {
+        absence.note(ms(now), reason);
+        assert_eq!(absence.ago(ms(now)), ago.map(ms), "{now}");
+    }
 }
--- a/tests/rotation_load.rs
+++ b/tests/rotation_load.rs
@@ -106,7 +106,7 @@
     gauge: overload::Gauge,
     arrivals: overload::Arrivals,
     rate: rotation::Rate,
-    left: Option<time::Duration>,
+    absence: rotation::Absence,
     unread: collections::VecDeque<Request>,
     working: bool,
     sequence: u64,
@@ -124,7 +124,7 @@
             gauge: overload::Gauge::default(),
             arrivals: overload::Arrivals::default(),
             rate: rotation::Rate::default(),
-            left: None,
+            absence: rotation::Absence::default(),
             unread: collections::VecDeque::new(),
             working: false,
             sequence: 0,
@@ -139,7 +139,7 @@
     }
 
     fn left_ago(&self, now: f64) -> Option<time::Duration> {
-        self.left.map(|left| at(now).saturating_sub(left))
+        self.absence.ago(at(now))
     }
 
     fn away(&self, now: f64) -> Option<rotation::Reason> {
@@ -156,9 +156,7 @@
     fn probe(&mut self, now: f64) {
         let late = self.late_ms(now);
         self.gauge.sample(at(now), at(late));
-        let left = self.left.unwrap_or(at(now));
-        let away = self.away(now);
-        self.left = away.is_some_and(rotation::Reason::is_load).then_some(left);
+        self.absence.note(at(now), self.away(now));
     }
 
     fn beat(&mut self, now: f64) -> message::Beat {
@@ -397,17 +395,11 @@
             (_, true) => REFUSED_MS,
             _ => SERVED_MS,
         };
-        let unnoticed = entry
-            .left_ago(now)
-            .map(rotation::unnoticed)
-            .unwrap_or_default();
+        let come_back = rotation::come_back(entry.left_ago(now), 0.5).as_secs_f64() * 1e3;
         let end = now + cost * 1e3 / f64::from(entry.millicores);
         self.plan(end, Event::Work(n));
         if refused && !req.again {
-            self.plan(
-                end + COME_BACK_MS + unnoticed.as_secs_f64() * 1e3,
-                Event::Try(Request { again: true, ..req }),
-            );
+            self.plan(end + come_back, Event::Try(Request { again: true, ..req }));
         }
         if left || refused {
             return;
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -75,9 +75,7 @@
 
 /// An entry whose configuration has the service of [`server`].
 pub fn entry(start: u64) -> state::Entry {
-    let started = time::Instant::now();
-    let log = line::open(started).expect("a thread");
-    let entry = state::Entry::new(started, settings(), names(), log, start, Vec::new(), None);
+    let entry = empty_entry(start);
     let mut plan = plan::Plan::new(1, Vec::new());
     let service = plan::Service {
         connections: 9,
@@ -88,3 +86,10 @@
     entry.set_plan(plan);
     entry
 }
+
+/// The same, but it knows nothing yet.
+pub fn empty_entry(start: u64) -> state::Entry {
+    let started = time::Instant::now();
+    let log = line::open(started).expect("a thread");
+    state::Entry::new(started, settings(), names(), log, start, Vec::new(), None)
+}
