--- /dev/null
+++ b/src/decide/evacuation.rs
@@ -0,0 +1,165 @@
+//! Which availability zones are evacuated.
+//!
+//! Load pattern: an operator empties a zone before its power or network is worked on. All entries stop sending
+//! there within seconds, whoever they learn it from: the store, an entry that has read the store, or one that has not yet
+//! heard that the zone is back in use. The newest record on a zone counts, in the order of the operator's log; without
+//! that order two entries would keep a zone out of use on each other's outdated record.
+//!
+//! A store that comes back from an older copy may have lost the evacuation, which the operator was
+//! told is in force. So a zone that is missing from such a copy stays evacuated until the operator returns it.
+
+use std::collections;
+
+use xxhash_rust::xxh3;
+
+/// Zones that are remembered, evacuated or returned: several times those of the largest fleet.
+pub const MAX_ZONES: usize = 64;
+
+/// Position of a record in the operator's log. Later ones count.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display,
+)]
+#[display("{era}/{offset}")]
+pub struct Position {
+    /// How often the log has come back from an older copy.
+    pub era: u64,
+    /// Offset within this era.
+    pub offset: u64,
+}
+
+/// Whether a zone was evacuated by a record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The zone.
+    pub zone: String,
+    /// Where the record is.
+    pub position: Position,
+    /// Whether the zone is evacuated; otherwise it was returned.
+    pub is_evacuated: bool,
+}
+
+/// A zone whose state has changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The zone.
+    pub zone: String,
+    /// Whether it is evacuated from now on.
+    pub is_evacuated: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    position: Position,
+    is_evacuated: bool,
+}
+
+/// The newest record of each zone.
+#[derive(Debug, Default)]
+pub struct Table {
+    zones: collections::BTreeMap<String, Entry>,
+    digest: u64,
+}
+
+impl Table {
+    /// Whether nothing is to be sent to a zone.
+    pub fn contains(&self, zone: &str) -> bool {
+        self.zones.get(zone).is_some_and(|e| e.is_evacuated)
+    }
+
+    /// Digest of all records: tables with the same records have the same, and one without records 0.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// The records, by zone.
+    pub fn records(&self) -> impl Iterator<Item = Record> + '_ {
+        self.zones.iter().map(|(zone, entry)| Record {
+            zone: zone.clone(),
+            position: entry.position,
+            is_evacuated: entry.is_evacuated,
+        })
+    }
+
+    /// Takes in a record, unless a later one of its zone is known; returns whether the zone's state changed.
+    pub fn take(&mut self, record: Record) -> Option<Change> {
+        let known = self.zones.get(&record.zone);
+        if known.is_some_and(|known| known.position >= record.position) {
+            return None;
+        }
+        let was_evacuated = known.is_some_and(|known| known.is_evacuated);
+        if known.is_none() && !self.make_room(record.is_evacuated) {
+            return None;
+        }
+        let entry = Entry {
+            position: record.position,
+            is_evacuated: record.is_evacuated,
+        };
+        self.zones.insert(record.zone.clone(), entry);
+        self.update_digest();
+        (was_evacuated != record.is_evacuated).then_some(Change {
+            zone: record.zone,
+            is_evacuated: record.is_evacuated,
+        })
+    }
+
+    /// Takes in all records that a log has at a position of its current era; a zone without one was returned, if its evacuation is
+    /// of this era. Returns the zones whose state changed.
+    pub fn take_all(&mut self, end: Position, records: Vec<Record>) -> Vec<Change> {
+        let is_listed = |zone: &str| records.iter().any(|r| r.zone == zone);
+        let is_returned = |(zone, entry): &(&String, &Entry)| {
+            entry.is_evacuated && entry.position.era == end.era && !is_listed(zone)
+        };
+        let returned: Vec<String> = self
+            .zones
+            .iter()
+            .filter(is_returned)
+            .map(|(zone, _)| zone.clone())
+            .collect();
+        let returns = returned.into_iter().map(|zone| Record {
+            zone,
+            // The record that returned it is before the end.
+            position: Position {
+                offset: end.offset.saturating_sub(1),
+                ..end
+            },
+            is_evacuated: false,
+        });
+        let all: Vec<Record> = returns.chain(records).collect();
+        all.into_iter().filter_map(|r| self.take(r)).collect()
+    }
+
+    /// Zones that are evacuated by a record of an era before this one, which the log has lost since.
+    pub fn unconfirmed(&self, era: u64) -> impl Iterator<Item = &str> {
+        let is_lost = move |e: &Entry| e.is_evacuated && e.position.era < era;
+        let lost = self.zones.iter().filter(move |(_, e)| is_lost(e));
+        lost.map(|(zone, _)| zone.as_str())
+    }
+
+    // Drops the oldest returned zone if there are too many; evacuated ones stay.
+    fn make_room(&mut self, is_evacuated: bool) -> bool {
+        if self.zones.len() < MAX_ZONES {
+            return true;
+        }
+        let returned = self.zones.iter().filter(|(_, e)| !e.is_evacuated);
+        let oldest = returned.min_by_key(|(_, e)| e.position);
+        let Some(oldest) = oldest.map(|(zone, _)| zone.clone()) else {
+            return false;
+        };
+        if is_evacuated {
+            self.zones.remove(&oldest);
+        }
+        is_evacuated
+    }
+
+    fn update_digest(&mut self) {
+        let hash = |(zone, entry): (&String, &Entry)| {
+            let Entry {
+                position,
+                is_evacuated,
+            } = entry;
+            xxh3::xxh3_64(format!("{zone} {position} {is_evacuated}").as_bytes())
+        };
+        let sum = self.zones.iter().map(hash);
+        self.digest = sum.fold(0, u64::wrapping_add);
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 pub mod admit;
 pub mod drain;
 pub mod era;
+pub mod evacuation;
 pub mod health;
 pub mod home;
 pub mod keys;
--- a/src/direct/leaving.rs
+++ b/src/direct/leaving.rs
@@ -131,7 +131,8 @@
     /// Whether a backend server may be sent a request now; it may have changed since its place was granted.
     pub fn takes_requests(&self, server: key::Sidecar) -> bool {
         let (now, backends) = (self.now(), self.backends.borrow());
-        let takes = |b: &pool::Backend| !self.leaves(b) && b.takes(now);
+        let is_open = |b: &pool::Backend| !self.leaves(b) && !self.zones.contain(&b.server);
+        let takes = |b: &pool::Backend| is_open(b) && b.takes(now);
         backends.get(server).is_some_and(takes)
     }
 
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -17,6 +17,7 @@
 pub mod conn;
 pub mod dialect;
 pub mod ended;
+pub mod evacuation;
 pub mod forward;
 pub mod leaving;
 pub mod line;
--- a/src/direct/neighbour.rs
+++ b/src/direct/neighbour.rs
@@ -15,9 +15,10 @@
 use prost::Message as _;
 use tokio::{net as tokio_net, task};
 
-use super::peer::case;
-use super::{conn, parts, plan, state};
+use super::peer::{case, message};
+use super::{conn, evacuation, parts, plan, state};
 use crate::code;
+use crate::decide;
 
 /// Path of the configuration.
 const CONFIGURATION: &str = "/configuration";
@@ -28,6 +29,9 @@
 /// Path of what is known of requests under which backend servers ended.
 const CASES: &str = "/cases";
 
+/// Path of the evacuated zones.
+const EVACUATIONS: &str = "/evacuations";
+
 /// Most bytes of a question.
 const ASKED: usize = 4 * 1024;
 
@@ -71,6 +75,10 @@
             tell(entry, digests)
         }
         CASES => Some(case::all(entry).into()),
+        EVACUATIONS => {
+            let evacuations = entry.zones.records();
+            Some(message::Evacuations { evacuations }.encode_to_vec().into())
+        }
         _ => None,
     };
     let mut response = http::Response::new(Full::new(known.clone().unwrap_or_default()));
@@ -114,6 +122,29 @@
     }
 }
 
+/// Takes over the evacuations that another entry knows of. Without them an entry that starts while the store is away would send
+/// requests to an evacuated zone until the first heartbeat comes.
+pub async fn evacuations(entry: &state::Entry, address: net::SocketAddr) {
+    let body = get(address, EVACUATIONS, Bytes::new(), entry.slack()).await;
+    match body.map(message::Evacuations::decode) {
+        Some(Ok(told)) => {
+            let records = told.evacuations.iter();
+            let records = records.map(decide::evacuation::Record::from);
+            entry.on_evacuations(evacuation::Source::Peer, records);
+        }
+        Some(Err(err)) => drop(
+            entry
+                .log
+                .line("neighbour_malformed")
+                .with("neighbour", address)
+                .with("code", code::Code::EntryInvalid)
+                .with("error", err),
+        ),
+        // It knows of none, or can't be asked; heartbeats carry what is missing.
+        None => {}
+    }
+}
+
 /// What another entry knows of the backend servers beyond what this one does.
 pub async fn backends(entry: &state::Entry, address: net::SocketAddr) -> Option<plan::News> {
     let servers = entry.servers().map_or(0, |servers| servers.len());
--- a/src/direct/operator.rs
+++ b/src/direct/operator.rs
@@ -16,6 +16,9 @@
 /// Path of the requests that are held back, for operators.
 const HELD: &str = "/held";
 
+/// Path of the evacuated zones, for operators.
+const EVACUATIONS: &str = "/evacuations";
+
 /// Answers readiness questions, and figures under `/metrics`, on this address.
 pub async fn readiness(entry: rc::Rc<state::Entry>, address: net::SocketAddr) -> io::Result<()> {
     let listener = serve::listen(address)?;
@@ -54,6 +57,9 @@
     if let Some(path) = path.strip_prefix(HELD) {
         return answer_held(entry, method, path);
     }
+    if path == EVACUATIONS {
+        return http::Response::new(Full::new(entry.evacuations().into()));
+    }
     if path.ends_with("/metrics") {
         entry.meter.set("active", entry.active.get() as u64);
         let waiting = entry.fleet.borrow().waiting() as u64;
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -3,7 +3,7 @@
 use smallvec::SmallVec;
 
 use super::case;
-use crate::decide::{place, quarantine};
+use crate::decide::{evacuation, place, quarantine};
 
 /// Cost units in which service is told: a fraction of a short request, so that most take two bytes.
 pub const GRAIN: f64 = 16.0;
@@ -35,6 +35,58 @@
     /// Backend servers that said in an answer that they leave, by [`crate::direct::plan::Server::process`].
     #[prost(fixed64, repeated, tag = "8")]
     pub leaving: Vec<u64>,
+    /// Availability zones that were evacuated or returned.
+    #[prost(message, repeated, tag = "9")]
+    pub evacuations: Vec<Evacuation>,
+}
+
+/// Whether an availability zone is evacuated, by the newest record that the sender has.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Evacuation {
+    /// The zone.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// Era of the record.
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
+    /// Its offset in the operator's log.
+    #[prost(uint64, tag = "3")]
+    pub offset: u64,
+    /// Whether it evacuates the zone; otherwise it returns it.
+    #[prost(bool, tag = "4")]
+    pub is_evacuated: bool,
+}
+
+impl From<evacuation::Record> for Evacuation {
+    fn from(record: evacuation::Record) -> Self {
+        Self {
+            zone: record.zone,
+            era: record.position.era,
+            offset: record.position.offset,
+            is_evacuated: record.is_evacuated,
+        }
+    }
+}
+
+impl From<&Evacuation> for evacuation::Record {
+    fn from(told: &Evacuation) -> Self {
+        Self {
+            zone: told.zone.clone(),
+            position: evacuation::Position {
+                era: told.era,
+                offset: told.offset,
+            },
+            is_evacuated: told.is_evacuated,
+        }
+    }
+}
+
+/// The evacuations that an entry knows of.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Evacuations {
+    /// A record for each zone.
+    #[prost(message, repeated, tag = "1")]
+    pub evacuations: Vec<Evacuation>,
 }
 
 /// What an entry tells everybody.
@@ -104,6 +156,9 @@
     /// The newest era of the platform's store that it has seen.
     #[prost(uint64, tag = "23")]
     pub era: u64,
+    /// Digest of the evacuations that it knows of.
+    #[prost(fixed64, tag = "24")]
+    pub evacuations: u64,
 }
 
 /// Load on one backend server.
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -20,6 +20,7 @@
 use tokio::net as tokio_net;
 
 use super::{source, state};
+use crate::decide::evacuation;
 use crate::key;
 
 /// Time between two beats among few entries. Backend servers read 4,000 prompt tokens in it, a
@@ -168,6 +169,7 @@
         let own = message::Datagram {
             beat: introduction(entry, *address, entries),
             notes: entry.asks.notes_again(*address),
+            evacuations: entry.evacuations_for(*address),
             ..message::Datagram::default()
         };
         bytes.extend_from_slice(&own.encode_to_vec());
@@ -252,6 +254,7 @@
         departing: entry.departing(),
         held: entry.quarantine.borrow().digest(),
         era: entry.store_era(),
+        evacuations: entry.zones.digest(),
     }
 }
 
@@ -262,6 +265,8 @@
     }
     case::hear(entry, &datagram.cases);
     entry.heard_leaving(&datagram.leaving);
+    let evacuations = datagram.evacuations.iter().map(evacuation::Record::from);
+    entry.on_evacuations(super::evacuation::Source::Peer, evacuations);
     for note in &datagram.notes {
         lease::noted(entry, datagram.sender, note);
     }
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -62,6 +62,8 @@
     listed: time::Duration,
     // The newest era of the store that it has seen.
     era: u64,
+    // Digest of the evacuations that it knows of.
+    evacuations: u64,
     distrusted: time::Duration,
     // Whether it didn't reply to what it was asked last.
     silent: bool,
@@ -159,6 +161,7 @@
             store: ago(beat.store_age_ms),
             listed: ago(beat.list_age_ms),
             era: beat.era,
+            evacuations: beat.evacuations,
             distrusted,
             silent,
         };
@@ -316,6 +319,11 @@
         self.alive.get(&address).map(|p| p.list)
     }
 
+    /// Digest of the evacuations that another entry knows of.
+    pub fn evacuations_of(&self, address: net::Ipv4Addr) -> Option<u64> {
+        self.alive.get(&address).map(|p| p.evacuations)
+    }
+
     /// What another entry said last of whom it hears: a digest, and how many.
     pub fn heard_by(&self, address: net::Ipv4Addr) -> Option<(u64, usize)> {
         let peer = self.alive.get(&address)?;
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -295,7 +295,7 @@
             let backends = self.backends.borrow();
             let usable = |(key, b): (key::Sidecar, &pool::Backend)| {
                 let leaves = self.leaves(b) || self.is_named(now, b.hash);
-                let takes = !leaves && b.takes(now);
+                let takes = !leaves && !self.zones.contain(&b.server) && b.takes(now);
                 (key, takes && health.state(now, key).usable())
             };
             backends.iter().map(usable).collect()
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -149,9 +149,17 @@
     }
 
     fn choose(&self, job: &place::Job) -> Result<key::Sidecar, refusal::Refusal> {
-        let after = || self.entry.come_back(self.service).unwrap_or(forward::FULL);
-        let none = || refusal::Refusal::later(code::Code::NoBackendServer, after());
-        self.entry.fleet.borrow_mut().choose(job).ok_or_else(none)
+        let server = self.entry.fleet.borrow_mut().choose(job);
+        server.ok_or_else(|| self.no_server())
+    }
+
+    fn no_server(&self) -> refusal::Refusal {
+        let (entry, service) = (&self.entry, self.service);
+        if let Some(after) = entry.evacuated_retry_after(service) {
+            return refusal::Refusal::later(code::Code::ZoneEvacuated, after);
+        }
+        let after = entry.come_back(service).unwrap_or(forward::FULL);
+        refusal::Refusal::later(code::Code::NoBackendServer, after)
     }
 
     // A place at this backend server, decided by another entry or here; `None` says that the request is to
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -7,7 +7,9 @@
 use xxhash_rust::xxh3;
 
 use super::peer::{ask, case, lease, table};
-use super::{callers, dialect, ended, leaving, line, meter, peer, plan, pool, source, turns};
+use super::{
+    callers, dialect, ended, evacuation, leaving, line, meter, peer, plan, pool, source, turns,
+};
 use crate::decide::{health, overload, place, quarantine, random, retry, rotation};
 use crate::key;
 
@@ -76,6 +78,7 @@
     pub(super) named: cell::RefCell<collections::HashMap<u64, time::Duration>>,
     // Backend servers that said in an answer that they leave.
     pub(super) backends_leaving: leaving::Table,
+    pub(super) zones: evacuation::Zones,
     pub(super) list_known: cell::Cell<bool>,
     pub(super) list_digest: cell::Cell<u64>,
     // The newest era of the store that was seen.
@@ -177,6 +180,7 @@
             departed: cell::RefCell::default(),
             named: cell::RefCell::default(),
             backends_leaving: leaving::Table::default(),
+            zones: evacuation::Zones::default(),
             list_known: cell::Cell::default(),
             list_digest: cell::Cell::default(),
             store_era: cell::Cell::default(),
