--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -24,6 +24,7 @@
 pub mod random;
 pub mod reach;
 pub mod recent;
+pub mod restart;
 pub mod retry;
 pub mod rotation;
 pub mod route;
--- a/src/decide/place/cold.rs
+++ b/src/decide/place/cold.rs
@@ -2,27 +2,42 @@
 //!
 //! Load pattern: a backend server that has just started, or lost what it keeps, bears a few requests a second for some
 //! seconds and crashes well above that, while the parts that have their home at it are asked for as before.
+//!
+//! Only the entry that decides about it sends it requests, or gives others a place there. Others that can't ask that entry go to other
+//! backend servers: the rate is the sum over all entries, and two that each keep a part of it by themselves exceed it.
 
 use std::time;
 
 /// Requests that it gets at once: what comes late by an entry's turn or two still keeps the rate within a second.
 const AT_ONCE: f64 = 2.0;
 
+/// The same after a while without any, in which another entry may have decided about it.
+const AT_ONCE_IDLE: f64 = 1.0;
+
+/// Such a while.
+const IDLE: time::Duration = time::Duration::from_secs(1);
+
+/// Share of its part of the rate that an entry uses while others are lost: each part's own bursts add up.
+const SPLIT_SHARE: f64 = 0.8;
+
 /// A cold backend server, and what is left of its rate.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Cold {
     until: time::Duration,
     per_s: f64,
+    // Part of the rate that this entry uses.
+    share: f64,
     left: f64,
     at: time::Duration,
 }
 
 impl Cold {
-    pub(super) fn new(now: time::Duration, until: time::Duration, per_s: f64) -> Self {
+    pub(super) fn new(now: time::Duration, until: time::Duration, per_s: f64, share: f64) -> Self {
         Self {
             until,
             per_s,
-            left: AT_ONCE,
+            share,
+            left: AT_ONCE_IDLE,
             at: now,
         }
     }
@@ -32,14 +47,36 @@
         self.until = until;
     }
 
+    // From now on this entry uses this part of the rate.
+    pub(super) fn set_share(&mut self, now: time::Duration, share: f64) {
+        self.left = self.left(now);
+        self.at = now;
+        self.share = share;
+    }
+
+    pub(super) fn is_over(&self, now: time::Duration) -> bool {
+        now >= self.until
+    }
+
+    // Time for which it stays cold.
+    pub(super) fn left_for(&self, now: time::Duration) -> time::Duration {
+        self.until.saturating_sub(now)
+    }
+
+    fn rate(&self) -> f64 {
+        self.per_s * self.share
+    }
+
     fn left(&self, now: time::Duration) -> f64 {
-        let gained = now.saturating_sub(self.at).as_secs_f64() * self.per_s;
-        (self.left + gained).min(AT_ONCE)
+        let idle = now.saturating_sub(self.at);
+        let is_whole = idle < IDLE && self.share >= 1.0;
+        let most = if is_whole { AT_ONCE } else { AT_ONCE_IDLE };
+        (self.left + idle.as_secs_f64() * self.rate()).min(most)
     }
 
     // Whether it may get one now.
     pub(super) fn has_room(&self, now: time::Duration) -> bool {
-        now >= self.until || self.left(now) >= 1.0
+        self.is_over(now) || self.left(now) >= 1.0
     }
 
     // Counts one that it gets.
@@ -50,11 +87,20 @@
 
     // Milliseconds until it may get one behind so many others.
     pub(super) fn wait_ms(&self, now: time::Duration, before: usize) -> f64 {
-        if now >= self.until {
+        if self.is_over(now) {
             return 0.0;
         }
         let missing = before as f64 + 1.0 - self.left(now);
-        let warm_ms = self.until.saturating_sub(now).as_secs_f64() * 1e3;
-        (missing / self.per_s * 1e3).clamp(0.0, warm_ms)
+        let warm_ms = self.left_for(now).as_secs_f64() * 1e3;
+        (missing / self.rate() * 1e3).clamp(0.0, warm_ms)
+    }
+}
+
+/// Share of a cold backend server's rate that an entry uses that hears so many entries, itself included, and has lost so many others: these
+/// may run on, and decide about it for themselves.
+pub fn share(heard: usize, lost: usize) -> f64 {
+    if lost == 0 {
+        return 1.0;
     }
+    SPLIT_SHARE * heard as f64 / (heard + lost) as f64
 }
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -29,6 +29,7 @@
 use slotmap::SlotMap;
 use smallvec::SmallVec;
 
+pub use self::cold::share as cold_share;
 pub use self::job::{Job, Part, due, objective};
 use self::server::{Server, Waiting};
 use super::{quarantine, random, recent};
@@ -130,6 +131,8 @@
     recent: recent::Table,
     asked: recent::Table,
     rng: random::Random,
+    // Part of the rate of cold backend servers that this entry uses.
+    cold_share: f64,
 }
 
 impl Fleet {
@@ -140,6 +143,7 @@
             recent: recent::Table::default(),
             asked: recent::Table::default(),
             rng: random::Random::new(seed),
+            cold_share: 1.0,
         }
     }
 
@@ -182,10 +186,26 @@
         match &mut known.cold {
             cold if until <= now => *cold = None,
             Some(cold) => cold.extend(until),
-            cold @ None => *cold = Some(cold::Cold::new(now, until, per_s)),
+            cold @ None => *cold = Some(cold::Cold::new(now, until, per_s, self.cold_share)),
         }
     }
 
+    /// Part of the rate of cold backend servers that this entry uses from now on ([`cold_share`]).
+    pub fn set_cold_share(&mut self, now: time::Duration, share: f64) {
+        if (share - self.cold_share).abs() < f64::EPSILON {
+            return;
+        }
+        self.cold_share = share;
+        let cold = self.servers.values_mut().filter_map(|s| s.cold.as_mut());
+        cold.for_each(|cold| cold.set_share(now, share));
+    }
+
+    /// Time for which a backend server stays cold, as far as is known; zero if it is warm.
+    pub fn cold_for(&self, now: time::Duration, server: key::Sidecar) -> time::Duration {
+        let cold = self.servers.get(server).and_then(|s| s.cold);
+        cold.map_or(time::Duration::ZERO, |cold| cold.left_for(now))
+    }
+
     /// Load of this entry on a backend server.
     pub fn own(&self, now: time::Duration, server: key::Sidecar) -> Load {
         let Some(known) = self.servers.get(server) else {
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -4,7 +4,8 @@
 //! try takes a backend server away for seconds, with all that it runs. Without a memory of what ran where, one caller
 //! takes down a fleet; with a careless one, whoever ran beside it is refused too.
 //!
-//! A request is a suspect once two backend servers have ended under it. From then on it runs beside no other
+//! A request is a suspect once two backend servers have ended under it, or connections were lost under it for unknown reasons: a process that
+//! has started again within milliseconds is known for another one seconds later. From then on it runs beside no other
 //! suspect, and one try of it at a time. An end under it counts as evidence only then, with the chance that the
 //! backend server would have ended within that time without it. Such chances multiply, and a run to the end proves a request innocent,
 //! so that a suspect which has nothing to do with the ends is refused once in [`MISTAKES`] cases at most (Wald, 1945; Ville, 1939), or
@@ -36,6 +37,12 @@
 /// Time after a request was last tried, or ended a backend server, until it is forgotten.
 pub const MEMORY: time::Duration = time::Duration::from_secs(600);
 
+/// Time for which a lost connection whose cause isn't known counts.
+const UNEXPLAINED: time::Duration = time::Duration::from_secs(10);
+
+/// Time after such a loss in which a suspect isn't tried again: the list has a process that has started again by then.
+const EXPLAINED_WITHIN: time::Duration = time::Duration::from_millis(2_500);
+
 /// Time for which it is remembered that a request was found innocent or let go: until all entries have heard of it.
 const CLEARED: time::Duration = time::Duration::from_secs(60);
 
@@ -43,6 +50,10 @@
 const CASES: usize = 2_048;
 const CUSTOMER_CASES: usize = 256;
 
+/// Ends of one process within this time are the same end, found by several entries. A process that says when it started ends
+/// once; of others the next start may end as well.
+const SAME_END: time::Duration = time::Duration::from_millis(200);
+
 /// Ends remembered of one request.
 const ENDS: usize = 8;
 
@@ -86,7 +97,7 @@
 /// A backend server that ended under a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct End {
-    /// Hash of the id of its start.
+    /// Hash that tells its process from others, as far as they say when they started.
     pub server: u64,
     /// When.
     pub at: time::Duration,
@@ -101,6 +112,9 @@
 pub struct Case {
     /// Backend servers that ended under it since it was last found innocent.
     pub ends: SmallVec<[End; 4]>,
+    /// When connections were lost under it of late of which it isn't known whether the process ended. They make a suspect, and are no
+    /// evidence.
+    pub unexplained: SmallVec<[time::Duration; 2]>,
     /// Since when it is held back, if it is.
     pub held: Option<time::Duration>,
     /// When it was last found innocent or let go.
@@ -114,7 +128,7 @@
     pub fn standing(&self) -> Standing {
         match self.held {
             Some(_) => Standing::Held,
-            None if self.ends.len() >= SUSPECT => Standing::Suspect,
+            None if self.ends.len().max(self.unexplained.len()) >= SUSPECT => Standing::Suspect,
             None => Standing::Clear,
         }
     }
@@ -126,8 +140,10 @@
     }
 
     fn add(&mut self, end: End) {
-        if self.ends.len() < ENDS && self.ends.iter().all(|e| e.server != end.server) {
+        let is_known = |e: &End| is_same_end((e.server, e.at), (end.server, end.at));
+        if self.ends.len() < ENDS && !self.ends.iter().any(is_known) {
             self.ends.push(end);
+            self.unexplained.clear();
         }
     }
 
@@ -143,21 +159,30 @@
     fn forget_cleared(&mut self) {
         let Some(cleared) = self.cleared else { return };
         self.ends.retain(|end| end.at > cleared);
+        self.unexplained.retain(|at| *at > cleared);
         self.held = self.held.filter(|held| *held > cleared);
     }
 
+    fn is_open(&self) -> bool {
+        !self.ends.is_empty() || !self.unexplained.is_empty() || self.held.is_some()
+    }
+
     fn is_over(&self, now: time::Duration) -> bool {
         let fresh = self.cleared.is_some_and(|at| now < at + CLEARED);
-        let open = !self.ends.is_empty() || self.held.is_some();
+        let open = self.is_open();
         !fresh && (!open || now >= self.seen + MEMORY)
     }
 }
 
+fn is_same_end(one: (u64, time::Duration), other: (u64, time::Duration)) -> bool {
+    one.0 == other.0 && one.1.abs_diff(other.1) < SAME_END
+}
+
 /// All requests under which backend servers ended of late.
 #[derive(Debug, Default)]
 pub struct Table {
     cases: collections::HashMap<Fingerprint, Case>,
-    // Backend servers that ended of late, by the hashes of their ids.
+    // Backend servers that ended of late, by the hashes of their processes.
     ends: collections::VecDeque<(u64, time::Duration)>,
     digest: u64,
 }
@@ -169,6 +194,13 @@
         case.map_or(Standing::Clear, Case::standing)
     }
 
+    /// Whether a suspect isn't tried now, since it may soon be known that its last try crashed a backend server.
+    pub fn awaits_cause(&self, now: time::Duration, request: Fingerprint) -> bool {
+        let case = self.cases.get(&request);
+        let last = case.and_then(|case| case.unexplained.iter().max());
+        last.is_some_and(|at| now < *at + EXPLAINED_WITHIN)
+    }
+
     /// Whether no backend server ended under any request of late, so that all may run.
     pub fn is_empty(&self) -> bool {
         self.cases.is_empty()
@@ -196,7 +228,7 @@
         }
     }
 
-    /// One of so many backend servers, by the hash of the id of its start, ended under a request that it had run for so
+    /// One of so many backend servers, by the hash of its process, ended under a request that it had run for so
     /// long, `alone` among suspects.
     pub fn ended(
         &mut self,
@@ -222,12 +254,23 @@
         self.count();
     }
 
+    /// A connection was lost under a request, and it isn't known whether the process at its other end has ended.
+    pub fn lost(&mut self, now: time::Duration, request: Fingerprint) {
+        self.make_room(request);
+        let case = self.cases.entry(request).or_default();
+        case.seen = now;
+        if case.unexplained.len() >= SUSPECT {
+            case.unexplained.remove(0);
+        }
+        case.unexplained.push(now);
+    }
+
     /// A request ran to its end. Returns whether it was suspected of anything.
     pub fn survived(&mut self, now: time::Duration, request: Fingerprint) -> bool {
         let Some(case) = self.cases.get_mut(&request) else {
             return false;
         };
-        if case.ends.is_empty() || case.held.is_some() {
+        if (case.ends.is_empty() && case.unexplained.is_empty()) || case.held.is_some() {
             return false;
         }
         case.cleared = Some(now);
@@ -250,8 +293,7 @@
 
     /// Takes in what another entry knows of a request. Returns whether that changes how it may run.
     pub fn hear(&mut self, request: Fingerprint, told: &Case) -> bool {
-        let open = !told.ends.is_empty() || told.held.is_some();
-        if !open && !self.cases.contains_key(&request) {
+        if !told.is_open() && !self.cases.contains_key(&request) {
             return false;
         }
         let before = self.standing(request);
@@ -266,6 +308,9 @@
         for end in &told.ends {
             case.add(*end);
         }
+        if told.unexplained.len() > case.unexplained.len() {
+            case.unexplained.clone_from(&told.unexplained);
+        }
         case.forget_cleared();
         case.judge(told.seen);
         self.count();
@@ -276,6 +321,10 @@
     pub fn sweep(&mut self, now: time::Duration) {
         self.ends.retain(|(_, at)| now < *at + RATE_WINDOW);
         let before = self.cases.len();
+        for case in self.cases.values_mut() {
+            let is_recent = |at: &mut time::Duration| now < *at + UNEXPLAINED;
+            case.unexplained.retain(is_recent);
+        }
         self.cases.retain(|_, case| !case.is_over(now));
         if self.cases.len() != before {
             self.count();
@@ -283,7 +332,11 @@
     }
 
     fn note_end(&mut self, at: time::Duration, server: u64) {
-        if self.ends.iter().all(|(known, _)| *known != server) {
+        if !self
+            .ends
+            .iter()
+            .any(|known| is_same_end(*known, (server, at)))
+        {
             self.ends.push_back((server, at));
         }
         if self.ends.len() > CASES {
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use super::{conn, forward, slot};
+use super::{conn, ended, forward, inspect, slot};
 use crate::decide::pause;
 use crate::key;
 
@@ -46,6 +46,9 @@
         let once = !self.req.route.kind.repeatable();
         let entry = rc::Rc::clone(&self.entry);
         let server = slot.server;
+        if ended::has_restarted(&entry, server).await {
+            return Outcome::Unwanted;
+        }
         loop {
             let (mut conn, reused) = match entry.connect(server, once).await {
                 Ok(conn) => conn,
@@ -124,7 +127,8 @@
         let (names, headers) = (&self.entry.dialect, response.headers());
         let leaves = headers.get(&names.leaving).is_some_and(|says| says != "0");
         let pause = asks_for_pause(response.status(), headers);
-        if !leaves && pause.is_none() {
+        let cold = inspect::cold(names, headers);
+        if !leaves && pause.is_none() && cold.is_none() {
             return;
         }
         let id = self.backend(server);
@@ -135,6 +139,9 @@
         if leaves {
             self.entry.said_leaving(server);
         }
+        if let Some(cold) = cold {
+            self.entry.said_cold(server, cold);
+        }
         if let Some(pause) = pause {
             self.entry.asked_for_pause(server, pause);
         }
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -21,6 +21,12 @@
     pub not_run: HeaderName,
     /// In an answer: the backend server leaves and wants no new requests.
     pub leaving: HeaderName,
+    /// In an answer: milliseconds for which the backend server stays cold.
+    pub cold: HeaderName,
+    /// Where a model engine describes itself; empty if it doesn't.
+    pub report_path: &'static str,
+    /// When a model engine started by its own description, in Unix milliseconds; `None` if it doesn't say.
+    pub report_start: fn(&[u8]) -> Option<u64>,
     /// Id of the last event that the caller has seen.
     pub last_event: HeaderName,
     /// Prompt tokens and most output tokens, `IN,OUT`.
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -40,6 +40,8 @@
     pub ran: bool,
     /// Number of its service.
     pub service: u32,
+    /// Whether it was lost while it ran alone as a suspect.
+    pub lost_alone: cell::Cell<bool>,
     /// Whether the log says how it ended.
     pub told: cell::Cell<bool>,
     /// What the last decision about a place was made of, for the log.
@@ -70,6 +72,7 @@
         missed: SmallVec::new(),
         ran: false,
         service,
+        lost_alone: cell::Cell::default(),
         told: cell::Cell::new(false),
         weighed: cell::Cell::default(),
     };
@@ -135,6 +138,7 @@
             missed: self.missed.clone(),
             ran: self.ran,
             service: self.service,
+            lost_alone: self.lost_alone.clone(),
             told: cell::Cell::new(false),
             weighed: cell::Cell::default(),
         }
@@ -208,13 +212,18 @@
         waits && overload::has_left(held, self.entry.overload_lag(), route.objective)
     }
 
-    /// Whether the request may be sent once more; counts it if so.
+    /// Whether the request may be sent once more; counts it if so. A suspect that was lost while it ran alone is not: it may have
+    /// crashed that backend server as well, which is known by its caller's next try.
     pub fn may_repeat(&self) -> bool {
-        self.tried.len() < self.req.route.attempts as usize && self.entry.take_repeat(self.service)
+        let attempts = self.req.route.attempts as usize;
+        !self.lost_alone.get()
+            && self.tried.len() < attempts
+            && self.entry.take_repeat(self.service)
     }
 
     /// The connection of an attempt was lost.
     pub fn lost(&self, slot: &slot::Slot) {
+        self.lost_alone.set(self.lost_alone.get() || slot.alone);
         let loss = ended::Loss {
             fingerprint: self.req.fingerprint(),
             ran: self.entry.now().saturating_sub(slot.since),
--- a/src/direct/leaving.rs
+++ b/src/direct/leaving.rs
@@ -9,18 +9,15 @@
 use prost::Message as _;
 use xxhash_rust::xxh3;
 
-use super::peer::{self, message};
+use super::peer::{self, message, outbox};
 use super::{pool, roster, state};
 use crate::key;
 
 /// Processes remembered: more than leave while their list entries last, in the largest fleet.
 const REMEMBERED: usize = 4_096;
 
-/// How often others are told with beats, since a datagram may be lost.
-const SAID: u32 = 3;
-
-/// Processes told with one beat.
-const BEAT_MOST: usize = 64;
+/// Processes that an entry hears of that has just started.
+const SENT_AGAIN: usize = 64;
 
 /// Time for which beats name a backend server that has gone: until every entry has taken over the list
 /// without it, also one that is seconds behind.
@@ -35,7 +32,7 @@
 pub struct Table {
     known: cell::RefCell<collections::HashSet<u64>>,
     order: cell::RefCell<collections::VecDeque<u64>>,
-    news: cell::RefCell<Vec<(u64, u32)>>,
+    pub(super) unsent: outbox::Outbox<u64>,
 }
 
 impl Table {
@@ -54,29 +51,17 @@
         true
     }
 
-    // Tells the newest again, for an entry that has just started.
-    fn tell_again(&self) {
+    // Sends the newest once more, for an entry that has just started.
+    fn send_again(&self) {
         let order = self.order.borrow();
-        let newest = order.iter().rev().take(BEAT_MOST);
-        *self.news.borrow_mut() = newest.map(|process| (*process, SAID)).collect();
+        self.unsent
+            .replace(order.iter().rev().take(SENT_AGAIN).copied());
     }
 
     pub(super) fn holds(&self, process: u64) -> bool {
         let known = self.known.borrow();
         !known.is_empty() && known.contains(&process)
     }
-
-    /// What is to be told with the next beat.
-    pub(super) fn take_news(&self) -> Vec<u64> {
-        let mut news = self.news.borrow_mut();
-        let told = news.iter().take(BEAT_MOST).map(|(process, _)| *process);
-        let told = told.collect();
-        for (_, left) in news.iter_mut().take(BEAT_MOST) {
-            *left -= 1;
-        }
-        news.retain(|(_, left)| *left > 0);
-        told
-    }
 }
 
 impl state::Entry {
@@ -87,10 +72,7 @@
             return;
         };
         self.tell_leaving(process, "answer");
-        self.backends_leaving
-            .news
-            .borrow_mut()
-            .push((process, SAID));
+        self.backends_leaving.unsent.add(process);
         if let Some(link) = &self.link {
             let datagram = message::Datagram {
                 leaving: vec![process],
@@ -120,7 +102,7 @@
 
     /// Another entry has started: it hears what the others know.
     pub fn tell_leaving_again(&self) {
-        self.backends_leaving.tell_again();
+        self.backends_leaving.send_again();
     }
 
     /// Whether a backend server leaves, by its own word or by the list's.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -19,6 +19,7 @@
 pub mod ended;
 pub mod evacuation;
 pub mod forward;
+pub mod inspect;
 pub mod leaving;
 pub mod line;
 pub mod meter;
--- a/src/direct/peer/case.rs
+++ b/src/direct/peer/case.rs
@@ -42,6 +42,9 @@
     /// Milliseconds since it was last tried.
     #[prost(uint32, tag = "6")]
     pub seen_ms: u32,
+    /// Milliseconds since connections were lost under it for unknown reasons.
+    #[prost(uint32, repeated, tag = "7")]
+    pub unexplained_ms: Vec<u32>,
 }
 
 /// A backend server that ended under a request.
@@ -96,6 +99,7 @@
             held_ms: case.held.map(ago),
             cleared_ms: case.cleared.map(ago),
             seen_ms: ago(case.seen),
+            unexplained_ms: case.unexplained.iter().map(|at| ago(*at)).collect(),
         }
     }
 
@@ -119,6 +123,7 @@
             held: self.held_ms.map(at),
             cleared: self.cleared_ms.map(at),
             seen: at(self.seen_ms),
+            unexplained: self.unexplained_ms.iter().map(|ms| at(*ms)).collect(),
         }
     }
 }
--- a/src/direct/peer/lease.rs
+++ b/src/direct/peer/lease.rs
@@ -50,6 +50,7 @@
         number: ask.number,
     };
     let server = entry.server_by_hash(ask.server);
+    let server = server.filter(|server| !entry.leaves_to_decider(*server));
     let (Some(server), false) = (server, entry.is_leaving()) else {
         return reply(entry, holder, message::Decision::Elsewhere, |_| {});
     };
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -38,6 +38,26 @@
     /// Availability zones that were evacuated or returned.
     #[prost(message, repeated, tag = "9")]
     pub evacuations: Vec<Evacuation>,
+    /// Backend servers whose processes ended, or that were asked about themselves since.
+    #[prost(message, repeated, tag = "10")]
+    pub inspections: Vec<Inspection>,
+}
+
+/// What became of a backend server's process.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Inspection {
+    /// Hash of the backend server's id.
+    #[prost(fixed64, tag = "1")]
+    pub server: u64,
+    /// Whether it ended; otherwise it answered, and the rest counts.
+    #[prost(bool, tag = "2")]
+    pub ended: bool,
+    /// When it started, in Unix milliseconds; 0 if that isn't known.
+    #[prost(uint64, tag = "3")]
+    pub start: u64,
+    /// Milliseconds for which it stays cold.
+    #[prost(uint32, tag = "4")]
+    pub cold_ms: u32,
 }
 
 /// Whether an availability zone is evacuated, by the newest record that the sender has.
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -10,6 +10,7 @@
 pub mod lease;
 pub mod loads;
 pub mod message;
+pub mod outbox;
 pub mod table;
 
 use std::io::Read as _;
@@ -159,7 +160,8 @@
     let all = message::Datagram {
         beat: Some(beat),
         cases: case::news(entry),
-        leaving: entry.backends_leaving.take_news(),
+        leaving: entry.backends_leaving.unsent.take(),
+        inspections: entry.inspections.take(),
         ..envelope(entry, link)
     };
     let all = all.encode_to_vec();
@@ -265,6 +267,9 @@
     }
     case::hear(entry, &datagram.cases);
     entry.heard_leaving(&datagram.leaving);
+    for inspection in &datagram.inspections {
+        entry.on_inspection(inspection);
+    }
     let evacuations = datagram.evacuations.iter().map(evacuation::Record::from);
     entry.on_evacuations(super::evacuation::Source::Peer, evacuations);
     for note in &datagram.notes {
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -91,8 +91,8 @@
     alive: collections::BTreeMap<net::Ipv4Addr, Peer>,
     // Addresses to write to, with when something was last heard of them.
     known: collections::HashMap<net::Ipv4Addr, time::Duration>,
-    // Entries of the own zone that fell silent without leaving, with when.
-    missing: collections::HashMap<net::Ipv4Addr, time::Duration>,
+    // Entries that fell silent without leaving, with their zones and when.
+    missing: collections::HashMap<net::Ipv4Addr, (u64, time::Duration)>,
     seeds: Vec<net::Ipv4Addr>,
     loads: loads::Loads,
     // Entries that do work for all, in order of address, this one included if it does.
@@ -182,14 +182,14 @@
             (now >= p.heard + most).then_some((*address, p.sender))
         };
         let gone: Vec<_> = self.alive.iter().filter_map(silent).collect();
-        self.missing.retain(|_, since| now < *since + MISSING);
+        self.missing.retain(|_, (_, since)| now < *since + MISSING);
         for (address, _) in &gone {
             let Some(peer) = self.alive.remove(address) else {
                 continue;
             };
             self.loads.replace(*address, &peer.loads, &[]);
-            if peer.zone == self.zone && !peer.leaving {
-                self.missing.insert(*address, now);
+            if !peer.leaving {
+                self.missing.insert(*address, (peer.zone, now));
             }
         }
         if !gone.is_empty() {
@@ -218,7 +218,11 @@
     pub fn away(&self, now: time::Duration, own: rotation::Member) -> Option<rotation::Reason> {
         let address = self.own.map_or(0, net::Ipv4Addr::to_bits);
         let near = self.alive.iter().filter(|(_, p)| p.zone == self.zone);
-        let missing = self.missing.keys().map(|a| rotation::Member {
+        let near_missing = self
+            .missing
+            .iter()
+            .filter(|(_, (zone, _))| *zone == self.zone);
+        let missing = near_missing.map(|(a, _)| rotation::Member {
             address: a.to_bits(),
             gone: true,
             ..rotation::Member::default()
@@ -250,12 +254,26 @@
     /// The other entry that decides about an engine, by the hash of its id; `None` if it is this one
     /// or can't be asked now. Entries that hear the same others agree (rendezvous hashing).
     pub fn owner(&self, now: time::Duration, server: u64) -> Option<net::Ipv4Addr> {
-        let rank = |a: &net::Ipv4Addr| random::Random::new(server ^ u64::from(a.to_bits())).bits();
-        let owner = *self.strong.iter().max_by_key(|a| rank(a))?;
+        let owner = self.decider(server)?;
         let peer = self.alive.get(&owner)?;
         (now >= peer.distrusted).then_some(owner)
     }
 
+    /// Whether this entry decides about a backend server, by the hash of its id.
+    pub fn decides(&self, server: u64) -> bool {
+        self.decider(server) == self.own
+    }
+
+    fn decider(&self, server: u64) -> Option<net::Ipv4Addr> {
+        let rank = |a: &net::Ipv4Addr| random::Random::new(server ^ u64::from(a.to_bits())).bits();
+        self.strong.iter().copied().max_by_key(rank)
+    }
+
+    /// Entries that fell silent of late without leaving.
+    pub fn lost(&self) -> usize {
+        self.missing.len()
+    }
+
     // Those that follow the platform's store for all: the few strong ones with the least addresses.
     fn readers(&self) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
         self.strong.iter().copied().take(READERS)
--- a/src/direct/plan.rs
+++ b/src/direct/plan.rs
@@ -100,7 +100,7 @@
 }
 
 /// A pool of backend servers.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Service {
     /// Connections that one backend server accepts from all callers together.
     pub connections: u32,
@@ -108,6 +108,17 @@
     pub engine: bool,
     /// Requests a second that a cold one bears; nothing if it bears any.
     pub cold_per_s: f64,
+    /// Time for which one stays cold from its start on.
+    pub cold_start: time::Duration,
+    /// Where one says how it is; empty if it doesn't.
+    pub health_path: String,
+}
+
+impl Service {
+    /// Whether a backend server that starts again is asked for how long it stays cold.
+    pub fn tells_cold(&self) -> bool {
+        self.cold_per_s > 0.0 && !self.health_path.is_empty()
+    }
 }
 
 /// A customer that a key belongs to.
--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to backend servers, and how well each serves.
 
-use std::{io, time};
+use std::{io, rc, time};
 
 use super::{conn, plan, state};
 use crate::decide::{health, pause};
@@ -32,6 +32,10 @@
     pub(super) ended: time::Duration,
     /// Until when it wants nothing from this entry, if it asked for a pause.
     pub(super) paused: time::Duration,
+    /// Whether its process may be another one than before, so that it must be asked how cold it is.
+    pub(super) unverified: bool,
+    /// Whether that is being done.
+    pub(super) is_asked: bool,
     /// Which process it is, by [`plan::Server::process`].
     pub process: u64,
 }
@@ -39,7 +43,7 @@
 impl Backend {
     /// Whether it is there and hasn't asked for a pause, as far as this entry knows.
     pub(super) fn takes(&self, now: time::Duration) -> bool {
-        now >= self.paused && now >= self.ended
+        now >= self.paused && now >= self.ended && !self.unverified
     }
 
     /// It reported again. Returns whether it was believed to have ended.
@@ -73,6 +77,18 @@
         conn::open(address).await.map(|conn| (conn, false))
     }
 
+    /// Time since a backend server was last known to be there, if it has closed all idle connections before their time. It may have
+    /// started again with no request in progress. Drops those connections.
+    pub(super) fn closed_idle(&self, server: key::Sidecar) -> Option<time::Duration> {
+        let now = self.now();
+        let mut backends = self.backends.borrow_mut();
+        let idle = &mut backends.get_mut(server)?.idle;
+        let is_early = |c: &conn::Conn| !c.is_open() && now < c.used + c.keep.unwrap_or(KEEP);
+        let used = idle.iter().filter(|c| is_early(c)).map(|c| c.used).max()?;
+        idle.retain(conn::Conn::is_open);
+        idle.is_empty().then(|| now.saturating_sub(used))
+    }
+
     fn kept(&self, server: key::Sidecar, once: bool) -> Option<conn::Conn> {
         let now = self.now();
         let mut backends = self.backends.borrow_mut();
@@ -156,7 +172,7 @@
     }
 
     /// A backend server's address refused a connection: nobody listens there, whatever the list says still.
-    pub fn refused_connection(&self, server: key::Sidecar) {
+    pub fn refused_connection(self: &rc::Rc<Self>, server: key::Sidecar) {
         let mut backends = self.backends.borrow_mut();
         let Some(backend) = backends.get_mut(server) else {
             return;
@@ -165,6 +181,7 @@
         backend.idle.clear();
         drop(backends);
         self.judge();
+        self.suspend(server, true);
     }
 
     /// How a request at a backend server went.
--- a/src/direct/quarantine.rs
+++ b/src/direct/quarantine.rs
@@ -11,6 +11,9 @@
 use crate::decide::quarantine;
 use crate::key;
 
+/// Time to come back for a suspect whose last try may soon be explained.
+const TRIED_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Time in which an entry that differs isn't asked again.
 const ASKED: time::Duration = time::Duration::from_millis(500);
 
@@ -22,13 +25,19 @@
 
     /// A backend server ended under a request.
     pub fn ended_under(&self, server: key::Sidecar, loss: &ended::Loss) {
-        let Some(hash) = self.server_hash(server) else {
-            return;
-        };
+        let process = self.backends.borrow().get(server).map(|b| b.process);
+        let Some(process) = process else { return };
         let (now, servers) = (self.now(), self.backends.borrow().len());
         let before = self.standing(loss.fingerprint);
         let mut table = self.quarantine.borrow_mut();
-        table.ended(now, loss.fingerprint, hash, servers, loss.ran, loss.alone);
+        table.ended(
+            now,
+            loss.fingerprint,
+            process,
+            servers,
+            loss.ran,
+            loss.alone,
+        );
         drop(table);
         let after = self.tell_standing(loss.fingerprint, before);
         if before != after && after == quarantine::Standing::Held {
@@ -37,6 +46,14 @@
         case::tell(self, loss.fingerprint, after != quarantine::Standing::Clear);
     }
 
+    /// A connection was lost under a request, and it isn't known whether the process there ended.
+    pub(super) fn lost_under(&self, request: quarantine::Fingerprint) {
+        let before = self.standing(request);
+        self.quarantine.borrow_mut().lost(self.now(), request);
+        let after = self.tell_standing(request, before);
+        case::tell(self, request, after != before);
+    }
+
     /// A request ran to its end.
     pub fn survived(&self, request: quarantine::Fingerprint) {
         let before = self.standing(request);
@@ -180,7 +197,14 @@
         let request = self.req.fingerprint();
         match self.entry.standing(request) {
             quarantine::Standing::Clear => Ok(None),
-            quarantine::Standing::Suspect => Ok(Some(request)),
+            quarantine::Standing::Suspect => {
+                let now = self.entry.now();
+                if self.entry.quarantine.borrow().awaits_cause(now, request) {
+                    let after = time::Duration::from_millis(TRIED_RETRY_AFTER_MS);
+                    return Err(refusal::Refusal::later(code::Code::RequestTried, after));
+                }
+                Ok(Some(request))
+            }
             quarantine::Standing::Held => {
                 let now = self.entry.now();
                 self.entry.quarantine.borrow_mut().tried(now, request);
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -152,6 +152,7 @@
         self.named.borrow_mut().retain(|_, until| now < *until);
         peer::expire(self);
         lease::expire(self);
+        self.share_cold();
         self.judge();
     }
 
@@ -178,7 +179,7 @@
     }
 
     fn put(&self, plan: &plan::Plan, server: plan::Server) {
-        self.forget_earlier(&server);
+        let earlier = self.forget_earlier(&server);
         let known = self.keys.borrow().get(&server.id).copied();
         if let Some(key) = known {
             if let Some(backend) = self.backends.borrow_mut().get_mut(key) {
@@ -221,6 +222,8 @@
             hash: xxh3::xxh3_64(server.id.as_bytes()),
             ended: time::Duration::ZERO,
             paused: time::Duration::ZERO,
+            unverified: earlier.is_some() && service.tells_cold(),
+            is_asked: false,
             process: server.process(),
             server,
             idle: Vec::new(),
@@ -228,6 +231,9 @@
         let load = self.peers.borrow().load(backend.hash);
         self.fleet.borrow_mut().set_others(key, load);
         self.hashes.borrow_mut().insert(backend.hash, key);
+        if let Some(earlier) = earlier {
+            self.losses.add_successor(earlier, key);
+        }
         self.backends.borrow_mut().insert(key, backend);
     }
 
@@ -242,22 +248,22 @@
     }
 
     // A backend server that started again holds nothing of before: its connections, places, learned
-    // speed, health and kept parts go with the key of its earlier start.
-    fn forget_earlier(&self, server: &plan::Server) {
+    // speed, health and kept parts go with the key of its earlier start. Returns that key, if it is one.
+    fn forget_earlier(&self, server: &plan::Server) -> Option<key::Sidecar> {
         let key = self.keys.borrow().get(&server.id).copied();
-        let restarted = key.is_some_and(|key| {
+        let earlier = key.filter(|key| {
             let backends = self.backends.borrow();
             backends
-                .get(key)
+                .get(*key)
                 .is_some_and(|b| b.server.is_another(server))
-        });
-        if restarted {
-            self.log
-                .line("backend_restarted")
-                .with("backend", &server.id)
-                .with("report", server.report);
-            self.remove(&server.id);
-        }
+        })?;
+        self.explain_losses(earlier);
+        self.log
+            .line("backend_restarted")
+            .with("backend", &server.id)
+            .with("report", server.report);
+        self.remove(&server.id);
+        Some(earlier)
     }
 
     fn remove(&self, id: &str) {
@@ -311,6 +317,13 @@
         self.hashes.borrow().get(&hash).copied()
     }
 
+    /// A backend server's id; empty if it isn't there any more.
+    pub(super) fn server_id(&self, server: key::Sidecar) -> String {
+        let backends = self.backends.borrow();
+        let id = backends.get(server).map(|b| b.server.id.clone());
+        id.unwrap_or_default()
+    }
+
     /// Hash of a backend server's id.
     pub fn server_hash(&self, server: key::Sidecar) -> Option<u64> {
         self.backends.borrow().get(server).map(|b| b.hash)
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -134,7 +134,12 @@
         let slot = loop {
             match self.place_at(&job, server).await {
                 Ok(Some(slot)) => break slot,
-                Ok(None) => server = self.choose(&job)?,
+                Ok(None) => {
+                    if entry.leaves_to_decider(server) {
+                        job.avoid.push(server);
+                    }
+                    server = self.choose(&job)?;
+                }
                 Err(refusal) if refusal.code == code::Code::RequestTried => return Err(refusal),
                 Err(refusal) => {
                     job.avoid.push(server);
@@ -186,6 +191,9 @@
                 ask::Outcome::Undecided => {}
             }
         }
+        if entry.leaves_to_decider(server) {
+            return Ok(None);
+        }
         let placed = self.place_here(job, server).await?;
         Ok(placed.map(|placed| Slot::here(rc::Rc::clone(entry), alone, placed)))
     }
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3;
 
-use super::peer::{ask, case, lease, table};
+use super::peer::{ask, case, lease, message, outbox, table};
 use super::{
     callers, dialect, ended, evacuation, leaving, line, meter, peer, plan, pool, source, turns,
 };
@@ -79,6 +79,8 @@
     // Backend servers that said in an answer that they leave.
     pub(super) backends_leaving: leaving::Table,
     pub(super) zones: evacuation::Zones,
+    // What backend servers said of themselves, to send with heartbeats.
+    pub(super) inspections: outbox::Outbox<message::Inspection>,
     pub(super) list_known: cell::Cell<bool>,
     pub(super) list_digest: cell::Cell<u64>,
     // The newest era of the store that was seen.
@@ -181,6 +183,7 @@
             named: cell::RefCell::default(),
             backends_leaving: leaving::Table::default(),
             zones: evacuation::Zones::default(),
+            inspections: outbox::Outbox::default(),
             list_known: cell::Cell::default(),
             list_digest: cell::Cell::default(),
             store_era: cell::Cell::default(),
--- a/tests/asks.rs
+++ b/tests/asks.rs
@@ -115,6 +115,7 @@
         connections: 100,
         engine: true,
         cold_per_s: 0.0,
+        ..plan::Service::default()
     };
     plan.services.insert("models".into(), service);
     entry.set_plan(plan);
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -24,6 +24,9 @@
         instance: name("instance"),
         not_run: name("not-run"),
         leaving: name("leaving"),
+        cold: name("cold"),
+        report_path: "",
+        report_start: |_| None,
         last_event: name("last-event"),
         usage: name("usage"),
         length_hint: name("hint"),
@@ -82,6 +85,7 @@
         connections: 9,
         engine: false,
         cold_per_s: 0.0,
+        ..plan::Service::default()
     };
     plan.services.insert("s".into(), service);
     entry.set_plan(plan);
