--- a/src/catalogue/check.rs
+++ b/src/catalogue/check.rs
@@ -42,6 +42,7 @@
         Err(err) => return Err(vec![syntax_fault(text, &err)]),
     };
     let mut check = Check::new(text);
+    check.zones(&catalogue);
     check.classes(&catalogue);
     check.customers(&catalogue);
     check.services(&catalogue);
@@ -130,6 +131,17 @@
         }
     }
 
+    fn zones(&mut self, catalogue: &Catalogue) {
+        let mut names = collections::HashSet::new();
+        for (at, zone) in catalogue.evacuated_zones.iter().enumerate() {
+            let path = [Step::Key("evacuated_zones"), Step::At(at)];
+            self.name(&path, zone);
+            if !names.insert(zone) {
+                self.fault(&path, format!("zone {zone:?} stands twice"));
+            }
+        }
+    }
+
     fn classes(&mut self, catalogue: &Catalogue) {
         for (name, class) in &catalogue.classes {
             let path = [Step::Key("class"), Step::Key(name), Step::Key("weight")];
--- a/src/catalogue/schema.rs
+++ b/src/catalogue/schema.rs
@@ -10,6 +10,9 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Catalogue {
+    /// Availability zones whose backend servers get nothing new.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub evacuated_zones: Vec<String>,
     /// Customers, `[[customer]]`.
     #[serde(default, rename = "customer")]
     pub customers: Vec<Customer>,
--- a/src/cmd/publish.rs
+++ b/src/cmd/publish.rs
@@ -107,6 +107,9 @@
     time::Duration::from_secs(5),
 ];
 
+/// How long an answer of the log is sought for a change that the command line made up.
+const ANSWER_LIMIT: time::Duration = time::Duration::from_secs(30);
+
 /// Time between two looks at the processes.
 const WAIT_PERIOD: time::Duration = time::Duration::from_millis(250);
 
@@ -138,6 +141,19 @@
     }
 }
 
+/// Publishes a text on the revision in force; fails unless it is in force then.
+pub fn publish_text(client: &log::Log, toml: String, author: &str) -> error::Result<u64> {
+    let request = Request {
+        change_id: change_id(),
+        base: None,
+        over_gap: false,
+        author: author.to_owned(),
+        toml,
+    };
+    let outcome = publish(client, &request, ANSWER_LIMIT)?;
+    verdict(&request, &outcome)
+}
+
 /// Publishes a change and finds out what became of it.
 ///
 /// Fails only if nothing was appended. A lost answer is resolved by reading: the change is appended
--- a/src/control/dispatch/admission.rs
+++ b/src/control/dispatch/admission.rs
@@ -84,6 +84,7 @@
     /// are gone get no more service.
     pub(super) fn catalogue(&mut self, now: time::Duration, accepted: &catalogue::Accepted) {
         self.revision = accepted.revision;
+        self.evacuate(now, &accepted.catalogue.evacuated_zones);
         let known: Vec<_> = self
             .customers
             .iter()
--- a/src/control/dispatch/frames.rs
+++ b/src/control/dispatch/frames.rs
@@ -334,7 +334,7 @@
         }
         let busy = beat.running.saturating_add(beat.waiting);
         let idle = beat.window.saturating_sub(busy);
-        if idle > 0 && !beat.leaving {
+        if idle > 0 && !beat.leaving && !self.sidecars[sidecar].is_evacuated {
             self.wanted(now, sidecar, idle);
         }
     }
--- a/src/control/dispatch/links.rs
+++ b/src/control/dispatch/links.rs
@@ -29,6 +29,7 @@
             known.signs = drain::Signs::default();
         }
         known.incarnation = process.incarnation;
+        known.is_evacuated = self.evacuated_zones.contains(&process.zone);
         known.zone = process.zone;
         known.region = process.region;
         known.service = welcome.service;
@@ -93,6 +94,7 @@
         for (found, leaving) in members {
             let key = self.known(&found.id);
             let known = &mut self.sidecars[key];
+            known.is_evacuated = self.evacuated_zones.contains(&found.zone);
             known.zone = found.zone;
             known.service = found.service;
             known.listed = true;
@@ -104,6 +106,33 @@
         }
     }
 
+    /// Takes in which availability zones are evacuated: nothing new starts there, what runs is finished.
+    pub(super) fn evacuate(&mut self, now: time::Duration, zones: &[String]) {
+        self.evacuated_zones = zones.iter().cloned().collect();
+        let mut changed = Vec::new();
+        for (key, known) in &mut self.sidecars {
+            let is_evacuated = self.evacuated_zones.contains(&known.zone);
+            if known.is_evacuated != is_evacuated {
+                known.is_evacuated = is_evacuated;
+                changed.push(key);
+            }
+        }
+        for key in changed {
+            let known = &self.sidecars[key];
+            self.ring
+                .note(event::Kind::ZoneEvacuated)
+                .field("sidecar", &known.id)
+                .field("zone", &known.zone)
+                .field("evacuated", known.is_evacuated)
+                .send();
+            self.routing.report(now, key, known);
+            if known.is_evacuated {
+                self.drop_tickets(now, key);
+            }
+        }
+        self.place_waiting(now);
+    }
+
     /// Gives up attempts that could not be resumed in time.
     pub(super) fn abandon(&mut self, now: time::Duration) {
         let mut lost = std::mem::take(&mut self.detached);
--- a/src/control/dispatch/routing.rs
+++ b/src/control/dispatch/routing.rs
@@ -215,7 +215,7 @@
             waiting: known.waiting,
             reported_at: known.reported,
             state,
-            leaving: !known.signs.open(now),
+            leaving: !known.takes_work(now),
         }
     }
 
--- a/src/control/dispatch/sidecar.rs
+++ b/src/control/dispatch/sidecar.rs
@@ -42,6 +42,8 @@
     pub listed: bool,
     /// What all sources say of whether it takes new work.
     pub signs: drain::Signs,
+    /// Whether its availability zone is evacuated.
+    pub is_evacuated: bool,
     /// Requests this entry has handed over and not seen the end of.
     pub outstanding: u32,
     /// Tickets this entry has placed there and not seen claimed or voided.
@@ -75,6 +77,7 @@
             reported: time::Duration::ZERO,
             listed: false,
             signs: drain::Signs::default(),
+            is_evacuated: false,
             outstanding: 0,
             tickets: 0,
         }
@@ -95,9 +98,14 @@
                 || self.models.iter().any(|name| name == model))
     }
 
+    /// True if it takes new work, as far as is known.
+    pub fn takes_work(&self, now: time::Duration) -> bool {
+        self.signs.open(now) && !self.is_evacuated
+    }
+
     /// True if a new ticket may go there.
     pub fn open(&self, now: time::Duration, service: &str, model: &str) -> bool {
-        self.link.is_some() && self.signs.open(now) && self.serves(service, model)
+        self.link.is_some() && self.takes_work(now) && self.serves(service, model)
     }
 
     /// True if this frame's link is the one that is up.
--- a/src/control/dispatch/status.rs
+++ b/src/control/dispatch/status.rs
@@ -55,10 +55,11 @@
 }
 
 fn sidecar(now: time::Duration, known: &sidecar::Sidecar) -> report::Sidecar {
-    let state = match (&known.link, !known.signs.open(now)) {
-        (None, _) => "lost",
-        (Some(_), true) => "leaving",
-        (Some(_), false) => "live",
+    let state = match &known.link {
+        None => "lost",
+        Some(_) if !known.signs.open(now) => "leaving",
+        Some(_) if known.is_evacuated => "evacuated",
+        Some(_) => "live",
     };
     report::Sidecar {
         instance: known.id.clone(),
--- a/src/event/kind.rs
+++ b/src/event/kind.rs
@@ -67,6 +67,7 @@
     MemberLost "member_lost" Warn "A process of the fleet is taken for dead.";
     InstancesUnavailable "instances_unavailable" Warn "The platform's instance list does not answer; the last one stays in use.";
     InstancesRecovered "instances_recovered" Info "The platform's instance list answers again.";
+    ZoneEvacuated "zone_evacuated" Info "The catalogue evacuates a sidecar's availability zone, or returns it.";
     BackendEjected "backend_ejected" Warn "A backend server gets no work for a while because it is slow or fails.";
     BackendReadmitted "backend_readmitted" Info "An ejected backend server gets work again.";
     WindowChanged "window_changed" Debug "A sidecar changed how many requests it runs at once.";
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -241,6 +241,11 @@
 
     /// Starts a model engine and its sidecar.
     pub fn model(&mut self, id: &str, token_ms: u64) -> Process {
+        self.model_in(id, "sala-a", token_ms)
+    }
+
+    /// The same in this availability zone.
+    pub fn model_in(&mut self, id: &str, zone: &str, token_ms: u64) -> Process {
         let settings = standin::engine::Settings {
             address: "127.0.0.1:0".parse().expect("an address"),
             slots: 4,
@@ -252,7 +257,7 @@
             .handle()
             .block_on(standin::engine::spawn(settings));
         let engine = engine.expect("engine");
-        let sidecar = self.sidecar(id, "llm", engine.address);
+        let sidecar = self.sidecar_in(id, zone, "llm", engine.address);
         self.engines.push(engine);
         sidecar
     }
@@ -277,7 +282,14 @@
 
     /// Starts a sidecar before a backend server.
     pub fn sidecar(&self, id: &str, service: &str, backend: net::SocketAddr) -> Process {
-        let mut args = self.args(id);
+        self.sidecar_in(id, "sala-a", service, backend)
+    }
+
+    fn sidecar_in(&self, id: &str, zone: &str, service: &str, backend: net::SocketAddr) -> Process {
+        let args = self.args(id).into_iter();
+        let mut args: Vec<String> = args
+            .map(|arg| if arg == "sala-a" { zone.into() } else { arg })
+            .collect();
         args.extend(["--backend-address".into(), backend.to_string()]);
         args.extend(["--service".into(), service.into()]);
         let terms = [
