--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -120,7 +120,7 @@
     pub fn tick(&self, beat: bool) {
         self.change(|table, now| {
             if beat {
-                table.beat();
+                table.heartbeat();
             }
             table.expire(now);
         });
--- a/src/decide/member/mod.rs
+++ b/src/decide/member/mod.rs
@@ -216,7 +216,7 @@
     }
 
     /// This process still lives; once each [`BEAT_PERIOD`].
-    pub fn beat(&mut self) {
+    pub fn heartbeat(&mut self) {
         self.own.heartbeat += 1;
     }
 
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -240,7 +240,7 @@
         if self.servers[first].engine || job.alone.is_some() {
             return Some(first);
         }
-        // The better of two by chance: loads are as old as the last beat, and all entries that took the
+        // The better of two by chance: loads are as old as the last heartbeat, and all entries that took the
         // least loaded one would meet there (Mitzenmacher, 2000).
         let (one, other) = (self.rng.below(order.len()), self.rng.below(order.len()));
         Some(order[one.min(other)])
--- a/src/decide/place/server.rs
+++ b/src/decide/place/server.rs
@@ -16,7 +16,7 @@
 pub const UNREAD: f64 = 100.0;
 
 /// Share of the room that an entry uses while another holds a request that goes first: enough for
-/// the engine until the other entry's turn comes, one beat later.
+/// the engine until the other entry's turn comes, one heartbeat later.
 const SECOND: f64 = 0.6;
 
 /// Requests beyond its slots that a plain backend server is given: it starts the next while our
--- a/src/direct/leaving.rs
+++ b/src/direct/leaving.rs
@@ -19,11 +19,11 @@
 /// Processes that an entry hears of that has just started.
 const SENT_AGAIN: usize = 64;
 
-/// Time for which beats name a backend server that has gone: until every entry has taken over the list
+/// Time for which heartbeats name a backend server that has gone: until every entry has taken over the list
 /// without it, also one that is seconds behind.
 const DEPARTED: time::Duration = time::Duration::from_secs(5);
 
-/// Time for which a backend server counts as leaving after a beat named it: several beats, after which
+/// Time for which a backend server counts as leaving after a heartbeat named it: several heartbeats, after which
 /// the list says so itself, or it was said in error.
 const NAMED: time::Duration = time::Duration::from_millis(1_500);
 
--- a/src/direct/neighbour.rs
+++ b/src/direct/neighbour.rs
@@ -117,7 +117,7 @@
                 .with("code", code::Code::EntryInvalid)
                 .with("error", err),
         ),
-        // It knows of none, or can't be asked; the next beat names one that can.
+        // It knows of none, or can't be asked; the next heartbeat names one that can.
         None => {}
     }
 }
--- a/src/direct/peer/ask.rs
+++ b/src/direct/peer/ask.rs
@@ -1,6 +1,6 @@
 //! Asking another entry for a place at an engine that it decides about; being asked is [`super::lease`].
 //!
-//! Load pattern: many entries hand work to one engine. If each decides for itself from beats that are
+//! Load pattern: many entries hand work to one engine. If each decides for itself from heartbeats that are
 //! a tenth of a second old, a burst is handed over once by each: with eight entries nine in ten first
 //! events came three times later than the median. One deciding entry for each engine knows exactly
 //! what the engine holds, whose turn it is and which parts it keeps. It costs the way there and back,
--- a/src/direct/peer/case.rs
+++ b/src/direct/peer/case.rs
@@ -1,6 +1,6 @@
 //! What entries tell each other of requests under which backend servers ended.
 //!
-//! What makes a request a suspect, holds it back or clears it is told to all at once, the rest with the next beat; all of it several
+//! What makes a request a suspect, holds it back or clears it is told to all at once, the rest with the next heartbeat; all of it several
 //! times, since a datagram may be lost. An entry that holds back others than its neighbour asks it for all it
 //! knows ([`crate::direct::neighbour`]): one that has just started, or was cut off.
 
@@ -12,11 +12,11 @@
 use crate::decide::quarantine;
 use crate::direct::state;
 
-/// How often a case is told with beats after it changed.
+/// How often a case is told with heartbeats after it changed.
 const SAID: u32 = 3;
 
-/// Cases told with one beat.
-const BEAT_MOST: usize = 24;
+/// Cases told with one heartbeat.
+const PER_HEARTBEAT: usize = 24;
 
 /// Cases that wait to be told.
 const NEWS: usize = 512;
@@ -128,7 +128,7 @@
     }
 }
 
-/// Cases to tell with the next beats, and how often each.
+/// Cases to tell with the next heartbeats, and how often each.
 #[derive(Debug, Default)]
 pub struct News(cell::RefCell<Vec<(quarantine::Fingerprint, u32)>>);
 
@@ -144,7 +144,7 @@
     // The next to tell.
     fn take(&self) -> Vec<quarantine::Fingerprint> {
         let mut news = self.0.borrow_mut();
-        let most = news.len().min(BEAT_MOST);
+        let most = news.len().min(PER_HEARTBEAT);
         let told: Vec<_> = news.drain(..most).collect();
         let again = told.iter().filter(|(_, left)| *left > 1);
         let again: Vec<_> = again.map(|(request, left)| (*request, left - 1)).collect();
@@ -162,12 +162,12 @@
     requests.into_iter().filter_map(case).collect()
 }
 
-/// What is to be told with the next beat.
+/// What is to be told with the next heartbeat.
 pub(super) fn news(entry: &state::Entry) -> Vec<Case> {
     cases(entry, entry.news.take())
 }
 
-/// Tells the others what has become of a request: with the next beats, and at once if that is urgent.
+/// Tells the others what has become of a request: with the next heartbeats, and at once if that is urgent.
 pub fn tell(entry: &state::Entry, request: quarantine::Fingerprint, urgent: bool) {
     entry.news.add(request);
     let Some(link) = entry.link.as_ref().filter(|_| urgent) else {
--- a/src/direct/peer/loads.rs
+++ b/src/direct/peer/loads.rs
@@ -1,7 +1,7 @@
 //! What the other entries put on backend servers, summed as each tells.
 //!
 //! Load pattern: entries times the backend servers that each decides about, told a hundred times a second. Summing up all
-//! anew with each beat was the largest part of what a weak entry did beside its callers; what changes with a beat is
+//! anew with each heartbeat was the largest part of what a weak entry did beside its callers; what changes with a heartbeat is
 //! what its sender says.
 
 use std::{collections, net};
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -17,9 +17,9 @@
     /// Its address, as 32 bits.
     #[prost(fixed32, tag = "2")]
     pub address: u32,
-    /// What it tells everybody, every beat.
+    /// What it tells everybody, every heartbeat.
     #[prost(message, optional, tag = "3")]
-    pub beat: Option<Beat>,
+    pub heartbeat: Option<Heartbeat>,
     /// A request that asks for a place at an engine.
     #[prost(message, optional, tag = "4")]
     pub ask: Option<Ask>,
@@ -111,8 +111,8 @@
 
 /// What an entry tells everybody.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Beat {
-    /// Counts its beats.
+pub struct Heartbeat {
+    /// Counts its heartbeats.
     #[prost(uint64, tag = "1")]
     pub sequence: u64,
     /// Whether it is shutting down and takes nothing new.
@@ -121,7 +121,7 @@
     /// Load that it decided about, where there is any.
     #[prost(message, repeated, tag = "3")]
     pub loads: Vec<Load>,
-    /// Hashes of the names of customers whose recent service by it, or whose demand, has changed since its last beat.
+    /// Hashes of the names of customers whose recent service by it, or whose demand, has changed since its last heartbeat.
     #[prost(fixed64, repeated, tag = "17")]
     pub customers: Vec<u64>,
     /// Their recent service, in [`GRAIN`] cost units, faded.
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -1,9 +1,9 @@
 //! What entries tell each other: load, customers' service, who else there is, and who gets a place.
 //!
 //! For each engine one entry decides who gets a place at it; the others ask ([`ask`]). Beside that
-//! every entry sends all others one datagram a beat ([`message::Beat`]). A lost one costs little: the next says all
+//! every entry sends all others one datagram a heartbeat ([`message::Heartbeat`]). A lost one costs little: the next says all
 //! again but for customers of whom nothing is new, and what is known of these fades within seconds. An entry
-//! that can't be asked is gone around: the asking entry decides itself, from the load in the beats.
+//! that can't be asked is gone around: the asking entry decides itself, from the load in the heartbeats.
 
 pub mod ask;
 pub mod case;
@@ -24,15 +24,15 @@
 use crate::decide::evacuation;
 use crate::key;
 
-/// Time between two beats among few entries. Backend servers read 4,000 prompt tokens in it, a
+/// Time between two heartbeats among few entries. Backend servers read 4,000 prompt tokens in it, a
 /// third of what may be handed over ahead.
-const BEAT: time::Duration = time::Duration::from_millis(80);
+const HEARTBEAT: time::Duration = time::Duration::from_millis(80);
 
-/// Beats that one entry hears a second at most, so that the fleet's size doesn't cost processor
-/// time: with more entries the beat is slower.
+/// Heartbeats that one entry hears a second at most, so that the fleet's size doesn't cost processor
+/// time: with more entries the heartbeat is slower.
 const HEARD_PER_S: u32 = 120;
 
-/// Largest datagram; a beat about 100 backend servers and 100 customers has 4 KB.
+/// Largest datagram; a heartbeat about 100 backend servers and 100 customers has 4 KB.
 const DATAGRAM: usize = 16 * 1024;
 
 /// How late a time-out is at least where a process is behind: several of the timers' milliseconds, and less
@@ -43,7 +43,7 @@
 /// behind by more than two.
 const CAUGHT_UP: usize = 400;
 
-/// Addresses that a beat names to an entry that hears others than its sender does.
+/// Addresses that a heartbeat names to an entry that hears others than its sender does.
 const SAMPLE: usize = 16;
 
 /// Entries, in the mean, that name all they hear to one that has just started.
@@ -105,11 +105,11 @@
     loop {
         match tokio::time::timeout_at(next, link.socket.recv_from(&mut buffer)).await {
             Ok(Ok((len, _))) => read(&entry, &buffer[..len]),
-            // What the network says of an earlier datagram; the next beat tries again.
+            // What the network says of an earlier datagram; the next heartbeat tries again.
             Ok(Err(err)) => log::debug!(event = "datagram_failed", error:% = err; ""),
             Err(_elapsed) => {
                 sequence += 1;
-                let others = beat(&entry, link, sequence);
+                let others = heartbeat(&entry, link, sequence);
                 next = tokio::time::Instant::now() + interval(others);
             }
         }
@@ -146,19 +146,19 @@
     }
 }
 
-/// Time between beats to so many others.
+/// Time between heartbeats to so many others.
 pub fn interval(others: usize) -> time::Duration {
     let slow = time::Duration::from_secs(1) * others as u32 / HEARD_PER_S;
-    BEAT.max(slow)
+    HEARTBEAT.max(slow)
 }
 
-// Sends everybody a beat; returns how many there are. What all hear is encoded once; what a recipient needs beside is
+// Sends everybody a heartbeat; returns how many there are. What all hear is encoded once; what a recipient needs beside is
 // put behind, since fields of one message may come in parts.
-fn beat(entry: &state::Entry, link: &Link, sequence: u64) -> usize {
-    let beat = report(entry, sequence);
-    let entries = beat.entries;
+fn heartbeat(entry: &state::Entry, link: &Link, sequence: u64) -> usize {
+    let heartbeat = report(entry, sequence);
+    let entries = heartbeat.entries;
     let all = message::Datagram {
-        beat: Some(beat),
+        heartbeat: Some(heartbeat),
         cases: case::news(entry),
         leaving: entry.backends_leaving.unsent.take(),
         inspections: entry.inspections.take(),
@@ -169,7 +169,7 @@
     for address in &addresses {
         let mut bytes = all.clone();
         let own = message::Datagram {
-            beat: introduction(entry, *address, entries),
+            heartbeat: introduction(entry, *address, entries),
             notes: entry.asks.notes_again(*address),
             evacuations: entry.evacuations_for(*address),
             ..message::Datagram::default()
@@ -181,8 +181,12 @@
 }
 
 // Addresses of entries, for one that hears others than this one does: a sample by turns, which adds up to all within a
-// few of the many beats that it hears; all of them to one that has just started, of a few of us.
-fn introduction(entry: &state::Entry, to: net::Ipv4Addr, entries: u64) -> Option<message::Beat> {
+// few of the many heartbeats that it hears; all of them to one that has just started, of a few of us.
+fn introduction(
+    entry: &state::Entry,
+    to: net::Ipv4Addr,
+    entries: u64,
+) -> Option<message::Heartbeat> {
     let peers = entry.peers.borrow();
     let (digest, count) = peers.heard_by(to).unwrap_or_default();
     if digest == entries {
@@ -196,9 +200,9 @@
         heard.rotate_left(from);
         heard.truncate(SAMPLE);
     }
-    Some(message::Beat {
+    Some(message::Heartbeat {
         heard,
-        ..message::Beat::default()
+        ..message::Heartbeat::default()
     })
 }
 
@@ -214,7 +218,7 @@
     age.as_millis().min(u32::MAX.into()) as u32
 }
 
-fn report(entry: &state::Entry, sequence: u64) -> message::Beat {
+fn report(entry: &state::Entry, sequence: u64) -> message::Heartbeat {
     let now = entry.now();
     let mut customers = entry.fleet.borrow_mut().recent().take_changed();
     customers.extend(entry.fleet.borrow_mut().asked().take_changed());
@@ -234,7 +238,7 @@
     let served = customers.iter().map(|c| grains(fleet.served(now, *c)));
     let asked = customers.iter().map(|c| grains(fleet.asked_here(now, *c)));
     let (served, asked) = (served.collect(), asked.collect());
-    message::Beat {
+    message::Heartbeat {
         sequence,
         leaving: entry.is_leaving(),
         loads: entry.server_hashes().into_iter().filter_map(load).collect(),
@@ -262,8 +266,8 @@
 
 fn hear(entry: &rc::Rc<state::Entry>, datagram: &message::Datagram) {
     let address = net::Ipv4Addr::from_bits(datagram.address);
-    if let (Some(beat), Some(link)) = (&datagram.beat, &entry.link) {
-        hear_beat(entry, link, datagram.sender, address, beat);
+    if let (Some(heartbeat), Some(link)) = (&datagram.heartbeat, &entry.link) {
+        on_heartbeat(entry, link, datagram.sender, address, heartbeat);
     }
     case::hear(entry, &datagram.cases);
     entry.heard_leaving(&datagram.leaving);
@@ -287,16 +291,19 @@
     }
 }
 
-fn hear_beat(
+fn on_heartbeat(
     entry: &state::Entry,
     link: &Link,
     sender: u64,
     address: net::Ipv4Addr,
-    beat: &message::Beat,
+    heartbeat: &message::Heartbeat,
 ) {
     let now = entry.now();
     let before = entry.peers.borrow().entries();
-    let heard = entry.peers.borrow_mut().hear(now, sender, address, beat);
+    let heard = entry
+        .peers
+        .borrow_mut()
+        .hear(now, sender, address, heartbeat);
     let Some(replaced) = heard else { return };
     if replaced.is_some() || entry.peers.borrow().entries() > before {
         entry.tell_leaving_again();
@@ -305,7 +312,11 @@
         forget(entry, address, replaced);
     }
     let units = |grains: &u32| f64::from(*grains) * message::GRAIN;
-    let told = beat.customers.iter().zip(&beat.served).zip(&beat.asked);
+    let told = heartbeat
+        .customers
+        .iter()
+        .zip(&heartbeat.served)
+        .zip(&heartbeat.asked);
     let known = |((hash, served), asked): ((&u64, &u32), &u32)| {
         let customer = entry.customer_by_hash(*hash)?;
         Some((customer, units(served), units(asked)))
@@ -321,8 +332,8 @@
         .map(|(customer, _, asked)| (*customer, *asked));
     fleet.asked().hear(now, sender, asked);
     drop(fleet);
-    entry.heard_departing(&beat.departing);
-    entry.hear_held(address, beat.held);
+    entry.heard_departing(&heartbeat.departing);
+    entry.hear_held(address, heartbeat.held);
     spread_loads(entry, link);
     tell_change(entry, before);
     if entry.relies_on_others() {
@@ -375,7 +386,7 @@
         entry.pump(server);
     }
     let now = entry.now();
-    if now < link.pumped.get() + BEAT {
+    if now < link.pumped.get() + HEARTBEAT {
         return;
     }
     link.pumped.set(now);
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -9,10 +9,10 @@
 use crate::decide::{place, random, rotation};
 
 /// Silence after which an entry is gone: it is not counted in load, service and shares any more. In a
-/// large fleet, where beats are seconds apart, [`MISSED`] of them.
+/// large fleet, where heartbeats are seconds apart, [`MISSED`] of them.
 pub const SILENT: time::Duration = time::Duration::from_millis(1_500);
 
-/// Beats in a row that must be missing at least: with one datagram in forty lost, four are once in
+/// Heartbeats in a row that must be missing at least: with one datagram in forty lost, four are once in
 /// two and a half million.
 const MISSED: u32 = 4;
 
@@ -33,7 +33,7 @@
 /// leaving backend server and a new configuration are known within two seconds in any case.
 pub const FRESH: time::Duration = time::Duration::from_millis(1_400);
 
-/// What a reader may have heard last when it tells, where the wait for its beat isn't short against
+/// What a reader may have heard last when it tells, where the wait for its heartbeat isn't short against
 /// [`FRESH`].
 const READ: time::Duration = time::Duration::from_millis(950);
 
@@ -99,7 +99,7 @@
     strong: Vec<net::Ipv4Addr>,
 }
 
-/// An availability zone as beats name it.
+/// An availability zone as heartbeats name it.
 pub fn zone(name: &str) -> u64 {
     xxh3::xxh3_64(name.as_bytes())
 }
@@ -118,56 +118,57 @@
         }
     }
 
-    /// Takes in a beat. Returns `None` if it is older than one heard before, else the number of the
+    /// Takes in a heartbeat. Returns `None` if it is older than one heard before, else the number of the
     /// start that the sender's address had until now, if that was another.
     pub fn hear(
         &mut self,
         now: time::Duration,
         sender: u64,
         address: net::Ipv4Addr,
-        beat: &message::Beat,
+        heartbeat: &message::Heartbeat,
     ) -> Option<Option<u64>> {
         let before = self.alive.get(&address).map(|p| (p.sender, p.sequence));
-        if before.is_some_and(|(s, sequence)| s == sender && sequence >= beat.sequence) {
+        if before.is_some_and(|(s, sequence)| s == sender && sequence >= heartbeat.sequence) {
             return None;
         }
         self.known.insert(address, now);
         self.missing.remove(&address);
         let ago = |ms: u32| now.saturating_sub(time::Duration::from_millis(ms.into()));
-        for address in &beat.heard {
+        for address in &heartbeat.heard {
             let address = net::Ipv4Addr::from_bits(*address);
             self.known.entry(address).or_insert(now);
         }
         let known = self.alive.get(&address);
         let (distrusted, silent) =
             known.map_or_else(Default::default, |p| (p.distrusted, p.silent));
-        let same = |p: &Peer| p.leaving == beat.leaving && p.millicores == beat.millicores;
+        let same =
+            |p: &Peer| p.leaving == heartbeat.leaving && p.millicores == heartbeat.millicores;
         let as_strong = known.is_some_and(same);
         let peer = Peer {
             sender,
-            sequence: beat.sequence,
+            sequence: heartbeat.sequence,
             heard: now,
-            loads: beat.loads.clone(),
-            leaving: beat.leaving,
-            millicores: beat.millicores,
-            zone: beat.zone,
-            busy: beat.busy_ago_ms.map(ago),
-            left: beat.left_ago_ms.map(ago),
-            rate: beat.rate,
-            entries: beat.entries,
-            count: beat.count,
-            configuration: beat.configuration,
-            list: beat.list,
-            store: ago(beat.store_age_ms),
-            listed: ago(beat.list_age_ms),
-            era: beat.era,
-            evacuations: beat.evacuations,
+            loads: heartbeat.loads.clone(),
+            leaving: heartbeat.leaving,
+            millicores: heartbeat.millicores,
+            zone: heartbeat.zone,
+            busy: heartbeat.busy_ago_ms.map(ago),
+            left: heartbeat.left_ago_ms.map(ago),
+            rate: heartbeat.rate,
+            entries: heartbeat.entries,
+            count: heartbeat.count,
+            configuration: heartbeat.configuration,
+            list: heartbeat.list,
+            store: ago(heartbeat.store_age_ms),
+            listed: ago(heartbeat.list_age_ms),
+            era: heartbeat.era,
+            evacuations: heartbeat.evacuations,
             distrusted,
             silent,
         };
         let said = self.alive.insert(address, peer).map(|p| p.loads);
         self.loads
-            .replace(address, &said.unwrap_or_default(), &beat.loads);
+            .replace(address, &said.unwrap_or_default(), &heartbeat.loads);
         if !as_strong {
             self.find_strong();
         }
@@ -240,7 +241,7 @@
     }
 
     // Finds the entries that do work for all: one with a fifth of the strongest one's processor that a burst of its own
-    // callers keeps busy replies late to the whole fleet. Kept, since each decision and each beat asks for them.
+    // callers keeps busy replies late to the whole fleet. Kept, since each decision and each heartbeat asks for them.
     fn find_strong(&mut self) {
         let takes = self.alive.iter().filter(|(_, p)| !p.leaving);
         let mut all: Vec<_> = takes.map(|(a, p)| (*a, p.millicores)).collect();
@@ -287,8 +288,8 @@
     // Other readers that heard from the store just now. Only readers are asked: what others know is
     // second hand, or from a read long ago.
     fn fresh(&self, now: time::Duration) -> impl Iterator<Item = (net::Ipv4Addr, &Peer)> {
-        let beat = super::interval(self.alive.len());
-        let age = FRESH.max(READ + beat.mul_f64(1.5));
+        let heartbeat = super::interval(self.alive.len());
+        let age = FRESH.max(READ + heartbeat.mul_f64(1.5));
         let peers = self
             .readers()
             .filter_map(|a| Some((a, self.alive.get(&a)?)));
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -12,7 +12,7 @@
 /// Backend servers remembered after they are gone: days of replacing a fleet of 910.
 const GONE: usize = 4_096;
 
-/// Most that beats name of them, 8 bytes each.
+/// Most that heartbeats name of them, 8 bytes each.
 pub(super) const DEPARTED_MOST: usize = 64;
 
 impl state::Entry {
--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -90,7 +90,7 @@
         newer
     }
 
-    /// Another entry told its list, which had this digest in its beats: it is not asked for again at once, since it may
+    /// Another entry told its list, which had this digest in its heartbeats: it is not asked for again at once, since it may
     /// differ for good in what this entry knows better.
     pub fn remember_told(&self, by: net::Ipv4Addr) {
         let list = self.peers.borrow().list_of(by);
--- a/tests/asks.rs
+++ b/tests/asks.rs
@@ -60,7 +60,7 @@
             }
         };
         for _ in 0..BEATS {
-            socket.send_to(&datagram(None), from).expect("a beat");
+            socket.send_to(&datagram(None), from).expect("a heartbeat");
         }
         for decision in decisions {
             let reply = message::Reply {
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -146,8 +146,8 @@
     fn any_datagram_is_a_beat_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
         use prost::Message as _;
         let mut peers = table::Table::default();
-        if let Ok(beat) = message::Beat::decode(bytes.as_slice()) {
-            peers.hear(support::ms(0), 1, support::address(10), &beat);
+        if let Ok(heartbeat) = message::Heartbeat::decode(bytes.as_slice()) {
+            peers.hear(support::ms(0), 1, support::address(10), &heartbeat);
         }
         prop_assert!(peers.entries() <= 2);
     }
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -395,7 +395,7 @@
             if at != cut && at != dead {
                 table.observe_list(now, &rest);
                 table.expire(now);
-                table.beat();
+                table.heartbeat();
             }
         }
         round(&mut tables, now, |a, b| {
--- a/tests/neighbours.rs
+++ b/tests/neighbours.rs
@@ -7,10 +7,10 @@
 use chivebend::direct::peer::{message, table};
 use chivebend::direct::{plan, source};
 
-fn beat(sequence: u64) -> message::Beat {
-    message::Beat {
+fn heartbeat(sequence: u64) -> message::Heartbeat {
+    message::Heartbeat {
         sequence,
-        ..message::Beat::default()
+        ..message::Heartbeat::default()
     }
 }
 
@@ -22,11 +22,11 @@
             support::ms(at),
             sender,
             support::address(last),
-            &beat(sequence),
+            &heartbeat(sequence),
         )
     };
     assert_eq!(hear(0, 1, 10, 5), Some(None));
-    assert_eq!(hear(1, 1, 10, 4), None, "an older beat");
+    assert_eq!(hear(1, 1, 10, 4), None, "an older heartbeat");
     assert_eq!(hear(2, 2, 10, 1), Some(Some(1)), "a new start");
     assert_eq!(hear(3, 3, 11, 1), Some(None));
     assert_eq!(peers.entries(), 3);
@@ -39,21 +39,21 @@
 
 #[test]
 fn in_a_fleet_of_the_largest_size_one_missing_beat_is_no_end() {
-    // 360 entries beat every 3 s.
+    // 360 entries send heartbeats 3 s apart.
     let at = |n: u16| std::net::Ipv4Addr::new(10, 0, (n / 200) as u8, (n % 200) as u8);
     let mut peers = table::Table::new(at(0), 0, "z", Vec::new());
     for n in 1..360_u16 {
-        let beat = message::Beat {
+        let heartbeat = message::Heartbeat {
             store_age_ms: 900,
-            ..beat(1)
+            ..heartbeat(1)
         };
-        peers.hear(support::ms(1_000), n.into(), at(n), &beat);
+        peers.hear(support::ms(1_000), n.into(), at(n), &heartbeat);
     }
     assert!(peers.expire(support::ms(7_500)).is_empty());
     assert_eq!(peers.entries(), 360);
     assert!(
         peers.has_fresh(support::ms(4_200)),
-        "the next beat is on its way"
+        "the next heartbeat is on its way"
     );
     assert_eq!(peers.expire(support::ms(14_000)).len(), 359);
 }
@@ -69,7 +69,7 @@
                 support::ms(0),
                 other.into(),
                 support::address(other),
-                &beat(1),
+                &heartbeat(1),
             );
         }
     }
@@ -130,19 +130,19 @@
     for case in cases {
         let mut peers = table::Table::new(support::address(case.own), 0, "z", Vec::new());
         for other in (1..6_u8).filter(|other| *other != case.own) {
-            let beat = message::Beat {
+            let heartbeat = message::Heartbeat {
                 // Others read long ago and look fresh; they are not asked.
                 store_age_ms: if other > 2 { 0 } else { u32::from(other) * 300 },
                 list_age_ms: if other > 2 { 0 } else { 300 - u32::from(other) },
                 configuration: u64::from(other),
                 list: u64::from(other),
-                ..beat(1)
+                ..heartbeat(1)
             };
             peers.hear(
                 support::ms(5_000),
                 other.into(),
                 support::address(other),
-                &beat,
+                &heartbeat,
             );
         }
         assert_eq!(peers.is_reader(), case.reader, "{}", case.name);
@@ -175,15 +175,15 @@
     // It reads every 0.9 s, and with 30 entries tells every quarter of a second.
     let mut peers = table::Table::new(support::address(3), 0, "z", Vec::new());
     for last in [1, 2] {
-        let beat = message::Beat {
+        let heartbeat = message::Heartbeat {
             store_age_ms: 920,
-            ..beat(1)
+            ..heartbeat(1)
         };
         peers.hear(
             support::ms(5_000),
             last.into(),
             support::address(last),
-            &beat,
+            &heartbeat,
         );
     }
     assert!(peers.has_fresh(support::ms(5_300)));
@@ -197,11 +197,16 @@
     for own in 1..=6_u8 {
         let mut peers = table::Table::new(support::address(own), millicores(own), "z", Vec::new());
         for other in (1..=6_u8).filter(|other| *other != own) {
-            let beat = message::Beat {
+            let heartbeat = message::Heartbeat {
                 millicores: millicores(other),
-                ..beat(1)
+                ..heartbeat(1)
             };
-            peers.hear(support::ms(0), other.into(), support::address(other), &beat);
+            peers.hear(
+                support::ms(0),
+                other.into(),
+                support::address(other),
+                &heartbeat,
+            );
         }
         let strong = own == 2 || own == 3;
         assert_eq!(peers.is_reader(), strong, "entry {own}");
@@ -216,9 +221,9 @@
         if !strong {
             peers.expire(support::ms(1));
             for other in [2, 3_u8] {
-                let leaving = message::Beat {
+                let leaving = message::Heartbeat {
                     leaving: true,
-                    ..beat(2)
+                    ..heartbeat(2)
                 };
                 peers.hear(
                     support::ms(1),
@@ -243,12 +248,12 @@
     let leaves = |peers: &table::Table| peers.away(now, busy).is_some();
     assert!(!leaves(&peers), "alone");
     let mut hear = |last: u8, sequence, zone, busy: bool| {
-        let beat = message::Beat {
+        let heartbeat = message::Heartbeat {
             zone: table::zone(zone),
             busy_ago_ms: busy.then_some(0),
-            ..beat(sequence)
+            ..heartbeat(sequence)
         };
-        peers.hear(now, last.into(), support::address(last), &beat);
+        peers.hear(now, last.into(), support::address(last), &heartbeat);
         leaves(&peers)
     };
     assert!(!hear(3, 1, "other", false), "another zone");
@@ -265,11 +270,16 @@
 fn an_entry_that_fell_silent_still_counts_as_one_of_its_zone() {
     let mut peers = table::Table::new(support::address(1), 0, "z", Vec::new());
     for last in 2..=5 {
-        let beat = message::Beat {
+        let heartbeat = message::Heartbeat {
             zone: table::zone("z"),
-            ..beat(1)
+            ..heartbeat(1)
         };
-        peers.hear(support::ms(0), last.into(), support::address(last), &beat);
+        peers.hear(
+            support::ms(0),
+            last.into(),
+            support::address(last),
+            &heartbeat,
+        );
     }
     let busy = rotation::Member {
         busy_ago: Some(support::ms(0)),
@@ -279,11 +289,11 @@
     assert!(leaves(&peers, support::ms(0)), "one of five");
     let now = table::SILENT;
     for last in 4..=5 {
-        let beat = message::Beat {
+        let heartbeat = message::Heartbeat {
             zone: table::zone("z"),
-            ..beat(2)
+            ..heartbeat(2)
         };
-        peers.hear(now, last.into(), support::address(last), &beat);
+        peers.hear(now, last.into(), support::address(last), &heartbeat);
     }
     assert_eq!(peers.expire(now).len(), 2);
     assert!(!leaves(&peers, now), "three of five");
@@ -303,12 +313,12 @@
     assert!(entry.busy_ago().is_some());
     assert!(!entry.out_of_rotation(), "there is nobody else");
     for last in [2, 3] {
-        let beat = message::Beat {
+        let heartbeat = message::Heartbeat {
             zone: table::zone("z"),
-            ..beat(1)
+            ..heartbeat(1)
         };
         let mut peers = entry.peers.borrow_mut();
-        peers.hear(entry.now(), last.into(), support::address(last), &beat);
+        peers.hear(entry.now(), last.into(), support::address(last), &heartbeat);
     }
     assert!(entry.out_of_rotation());
     entry.probed(support::ms(0));
@@ -321,12 +331,12 @@
     let entry = support::entry(1);
     entry.take(plan::News::All(vec![support::server("a", 5, false)]));
     let hear = |sequence, list| {
-        let beat = message::Beat {
+        let heartbeat = message::Heartbeat {
             list,
-            ..beat(sequence)
+            ..heartbeat(sequence)
         };
         let mut peers = entry.peers.borrow_mut();
-        peers.hear(entry.now(), 2, support::address(2), &beat);
+        peers.hear(entry.now(), 2, support::address(2), &heartbeat);
     };
     hear(1, entry.list_digest());
     assert!(entry.newer().is_empty(), "nothing to take over");
@@ -377,11 +387,16 @@
             unread: 10,
             least: *least,
         };
-        let beat = message::Beat {
+        let heartbeat = message::Heartbeat {
             loads: loads.iter().map(load).collect(),
-            ..beat(sequence)
+            ..heartbeat(sequence)
         };
-        peers.hear(support::ms(0), last.into(), support::address(last), &beat);
+        peers.hear(
+            support::ms(0),
+            last.into(),
+            support::address(last),
+            &heartbeat,
+        );
         let mut changed = peers.take_changed();
         changed.sort_unstable();
         changed.dedup();
@@ -410,13 +425,13 @@
 fn a_list_is_taken_over_from_who_told_it_last_while_that_one_is_fresh() {
     let mut peers = table::Table::new(support::address(9), 0, "z", Vec::new());
     let mut hear = |last: u8, at, list_age_ms| {
-        let beat = message::Beat {
+        let heartbeat = message::Heartbeat {
             list_age_ms,
             list: last.into(),
-            ..beat(at)
+            ..heartbeat(at)
         };
         let now = support::ms(at);
-        peers.hear(now, last.into(), support::address(last), &beat);
+        peers.hear(now, last.into(), support::address(last), &heartbeat);
     };
     hear(1, 1_000, 400);
     hear(2, 1_000, 100);
--- a/tests/recent.rs
+++ b/tests/recent.rs
@@ -95,7 +95,7 @@
     assert!((table.most(ms(0)) - 90.0).abs() < 1e-9);
 }
 
-// Beats of 300 entries that told of all customers each time were four kilobytes, and each entry sent half a megabyte a
+// Heartbeats of 300 entries that told of all customers each time were four kilobytes, and each entry sent half a megabyte a
 // second of them.
 #[test]
 fn an_entry_tells_of_the_customers_whose_service_has_changed() {
--- a/tests/rotation_load.rs
+++ b/tests/rotation_load.rs
@@ -54,7 +54,7 @@
 const ASKED_MS: f64 = 1_000.0;
 const MISSES: u32 = 2;
 
-/// Time between the beats of a fleet of 68, and their way.
+/// Time between the heartbeats of a fleet of 68, and their way.
 const BEAT_MS: f64 = 567.0;
 const WAY_MS: f64 = 2.0;
 
@@ -95,8 +95,8 @@
     Work(usize),
     Probe(usize),
     Ask(usize),
-    Beat(usize),
-    Hear(usize, usize, Box<message::Beat>),
+    Heartbeat(usize),
+    Hear(usize, usize, Box<message::Heartbeat>),
 }
 
 struct Entry {
@@ -159,9 +159,9 @@
         self.absence.note(at(now), self.away(now));
     }
 
-    fn beat(&mut self, now: f64) -> message::Beat {
+    fn heartbeat(&mut self, now: f64) -> message::Heartbeat {
         self.sequence += 1;
-        message::Beat {
+        message::Heartbeat {
             sequence: self.sequence,
             millicores: self.millicores,
             zone: table::zone(&self.zone),
@@ -171,7 +171,7 @@
                 .map(|ago| ago.as_millis() as u32),
             left_ago_ms: self.left_ago(now).map(|ago| ago.as_millis() as u32),
             rate: self.rate.per_s(at(now)) as u32,
-            ..message::Beat::default()
+            ..message::Heartbeat::default()
         }
     }
 }
@@ -232,7 +232,7 @@
         };
         for n in 0..ALL {
             let phase = world.rng.unit();
-            world.plan(phase * BEAT_MS, Event::Beat(n));
+            world.plan(phase * BEAT_MS, Event::Heartbeat(n));
             world.plan(phase * ASKED_MS, Event::Ask(n));
             world.plan(phase * 50.0, Event::Probe(n));
         }
@@ -301,11 +301,11 @@
                 self.plan(self.now + 50.0, Event::Probe(n));
             }
             Event::Ask(n) => self.ask(n),
-            Event::Beat(n) => self.beat(n),
-            Event::Hear(to, from, beat) => {
+            Event::Heartbeat(n) => self.heartbeat(n),
+            Event::Hear(to, from, heartbeat) => {
                 let now = at(self.now);
                 let peers = &mut self.entries[to].peers;
-                peers.hear(now, from as u64, address(from), &beat);
+                peers.hear(now, from as u64, address(from), &heartbeat);
             }
         }
     }
@@ -423,13 +423,13 @@
         self.plan(self.now + ASKED_MS, Event::Ask(n));
     }
 
-    fn beat(&mut self, n: usize) {
-        let beat = self.entries[n].beat(self.now);
+    fn heartbeat(&mut self, n: usize) {
+        let heartbeat = self.entries[n].heartbeat(self.now);
         for to in (0..ALL).filter(|to| *to != n) {
-            let beat = Box::new(beat.clone());
-            self.plan(self.now + WAY_MS, Event::Hear(to, n, beat));
+            let heartbeat = Box::new(heartbeat.clone());
+            self.plan(self.now + WAY_MS, Event::Hear(to, n, heartbeat));
         }
-        self.plan(self.now + BEAT_MS, Event::Beat(n));
+        self.plan(self.now + BEAT_MS, Event::Heartbeat(n));
     }
 }
 
