--- a/src/decide/admit.rs
+++ b/src/decide/admit.rs
@@ -18,7 +18,7 @@
 use crate::{code, key};
 
 /// Time over which starts are counted for the drain rate: long enough for several starts of a
-/// customer with its share, short against the patience of callers.
+/// customer with its share, short against the time that callers wait.
 pub const WINDOW: time::Duration = time::Duration::from_secs(1);
 
 /// Share of the newest window in the drain rate, and of the newest request in the hold time.
--- a/src/decide/pause.rs
+++ b/src/decide/pause.rs
@@ -27,7 +27,7 @@
 }
 
 /// When a caller is to come back that was refused because all pause, the first of them for so long.
-pub fn come_back(first: time::Duration, draw: f64) -> time::Duration {
+pub fn retry_after(first: time::Duration, draw: f64) -> time::Duration {
     spread(first, draw)
 }
 
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -42,7 +42,7 @@
 const LAPSED: time::Duration = time::Duration::from_secs(1);
 
 /// Least time to come back after a refusal: a prompt or two are read meanwhile, and weak entries bear the tries.
-const COME_BACK: time::Duration = time::Duration::from_millis(400);
+const RETRY_AFTER: time::Duration = time::Duration::from_millis(400);
 
 /// A request that a backend server was given: hand it back with [`Fleet::ended`].
 #[derive(Debug)]
@@ -98,7 +98,7 @@
     /// Milliseconds until its turn, behind those and the waiting requests that go before it.
     pub wait_ms: f64,
     /// Milliseconds that it may wait.
-    pub patience_ms: f64,
+    pub max_wait_ms: f64,
     /// Requests in progress there.
     pub running: u32,
     /// Requests that wait there.
@@ -271,19 +271,19 @@
         // Load pattern of a plain service: requests at its rate or a little above. Whatever the queue, so many
         // are served; with a long one each of them late. So one whose turn would come too late is refused at
         // once, and the others wait little.
-        let (wait_ms, patience_ms) = if server.engine {
+        let (wait_ms, max_wait_ms) = if server.engine {
             let owed = self.is_owed(now, job.customer);
-            let patience = server.engine_patience_ms(now, job, tokens, owed);
-            (server.wait_ms(now, job, &self.recent), patience)
+            let max_wait = server.engine_max_wait_ms(now, job, tokens, owed);
+            (server.wait_ms(now, job, &self.recent), max_wait)
         } else {
-            let patience = server.slot_patience_ms(now, job);
-            (server.slot_ms(now, job, &self.recent), patience)
+            let max_wait = server.slot_max_wait_ms(now, job);
+            (server.slot_ms(now, job, &self.recent), max_wait)
         };
         Weighed {
             tokens,
             ahead_ms: server.pace.read_ms(server.unread()),
             wait_ms,
-            patience_ms,
+            max_wait_ms,
             running: server.running(),
             waiting: server.waiting.len() as u32,
             served: self.served_share(now, job.customer),
@@ -301,23 +301,23 @@
     ) -> Verdict {
         let server = self.servers.get(at).filter(|s| s.usable);
         let Some(server) = server else {
-            return Verdict::Refuse(code::Code::NoBackendServer, COME_BACK);
+            return Verdict::Refuse(code::Code::NoBackendServer, RETRY_AFTER);
         };
         if let Some(code) = job.alone.and_then(|request| server.refuses(request)) {
-            return Verdict::Refuse(code, COME_BACK);
+            return Verdict::Refuse(code, RETRY_AFTER);
         }
-        let (wait, patience) = (weighed.wait_ms, weighed.patience_ms);
+        let (wait, max_wait) = (weighed.wait_ms, weighed.max_wait_ms);
         let in_time = if server.engine {
             let recent = self.recent.all(now, job.customer);
             let idle = server.waiting.is_empty() && server.has_room(now, weighed.tokens, recent);
-            wait <= patience || idle
+            wait <= max_wait || idle
         } else {
-            wait <= patience.max(0.0)
+            wait <= max_wait.max(0.0)
         };
         if in_time {
             return self.put(now, request, job, at, weighed.tokens);
         }
-        self.refuse(wait - patience)
+        self.refuse(wait - max_wait)
     }
 
     // Refuses a request that would wait so many milliseconds too long. Callers are spread over as much
@@ -325,7 +325,7 @@
     fn refuse(&mut self, too_long_ms: f64) -> Verdict {
         let after = too_long_ms * (1.0 + self.rng.unit());
         let after = time::Duration::from_secs_f64(after.max(0.0) / 1e3);
-        Verdict::Refuse(code::Code::DeadlineUnreachable, after.max(COME_BACK))
+        Verdict::Refuse(code::Code::DeadlineUnreachable, after.max(RETRY_AFTER))
     }
 
     // Usable backend servers in order of preference.
@@ -367,7 +367,7 @@
         }
         let until = server.start_by(now, job, tokens, owed);
         if server.waiting.len() >= WAITING {
-            return Verdict::Refuse(code::Code::QueueFull, COME_BACK);
+            return Verdict::Refuse(code::Code::QueueFull, RETRY_AFTER);
         }
         server.waiting.push(Waiting {
             request,
--- a/src/decide/place/server.rs
+++ b/src/decide/place/server.rs
@@ -198,12 +198,12 @@
     }
 
     // Milliseconds that a job may wait here for a slot of a plain backend server.
-    pub(super) fn slot_patience_ms(&self, now: time::Duration, job: &Job) -> f64 {
+    pub(super) fn slot_max_wait_ms(&self, now: time::Duration, job: &Job) -> f64 {
         job.left_ms(now) - OWN_SERVICE * self.service_ms
     }
 
     // Milliseconds that a job with so many tokens to read may wait here for an engine.
-    pub(super) fn engine_patience_ms(
+    pub(super) fn engine_max_wait_ms(
         &self,
         now: time::Duration,
         job: &Job,
@@ -211,7 +211,7 @@
         owed: bool,
     ) -> f64 {
         let needs_ms = self.pace.read_ms(tokens) + self.pace.floor_ms();
-        job.patience_ms(now, needs_ms, owed)
+        job.max_wait_ms(now, needs_ms, owed)
     }
 
     // Until when a job may wait for its start.
@@ -222,12 +222,12 @@
         tokens: f64,
         owed: bool,
     ) -> time::Duration {
-        let patience = if self.engine {
-            self.engine_patience_ms(now, job, tokens, owed) - HANDED_AHEAD
+        let max_wait = if self.engine {
+            self.engine_max_wait_ms(now, job, tokens, owed) - HANDED_AHEAD
         } else {
             job.left_ms(now) - self.service_ms
         };
-        now + time::Duration::from_secs_f64(patience.max(0.0) / 1e3)
+        now + time::Duration::from_secs_f64(max_wait.max(0.0) / 1e3)
     }
 
     // Forgets kept parts that nobody used for long.
--- a/src/decide/rotation.rs
+++ b/src/decide/rotation.rs
@@ -21,7 +21,7 @@
 
 /// Least time to come back from an entry that turned a caller away, and the most on top by chance, so that they don't come
 /// back as one burst: half of the shortest objective of a stream is left then.
-const COME_BACK: time::Duration = time::Duration::from_millis(150);
+const RETRY_AFTER: time::Duration = time::Duration::from_millis(150);
 
 /// Longest time out of the balancer's choice after an entry was last busy, whatever the others bear: the burst's
 /// callers may have other entries by then.
@@ -185,9 +185,9 @@
 /// When a caller that is turned away is to come back, to an entry that left the balancer's choice so long ago, if it did;
 /// `draw` is out of `0.0..1.0`. Until the balancer has noticed, the caller would find the same entry and double what it
 /// has to do.
-pub fn come_back(left_ago: Option<time::Duration>, draw: f64) -> time::Duration {
+pub fn retry_after(left_ago: Option<time::Duration>, draw: f64) -> time::Duration {
     let unnoticed = left_ago.map(|ago| NOTICED.saturating_sub(ago));
-    unnoticed.unwrap_or_default() + COME_BACK.mul_f64(1.0 + draw)
+    unnoticed.unwrap_or_default() + RETRY_AFTER.mul_f64(1.0 + draw)
 }
 
 /// Whether so many of a zone's entries may be out of the balancer's choice: with fewer than half in it, the balancer
--- a/src/direct/peer/ask.rs
+++ b/src/direct/peer/ask.rs
@@ -234,7 +234,7 @@
 }
 
 fn too_late(after: time::Duration) -> refusal::Refusal {
-    refusal::Refusal::later(code::Code::DeadlineUnreachable, after.max(state::COME_BACK))
+    refusal::Refusal::later(code::Code::DeadlineUnreachable, after.max(state::RETRY_AFTER))
 }
 
 fn question(
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -270,7 +270,7 @@
     pub wait_ms: f32,
     /// Milliseconds that it may wait.
     #[prost(float, tag = "3")]
-    pub patience_ms: f32,
+    pub max_wait_ms: f32,
     /// Requests in progress at the backend server.
     #[prost(uint32, tag = "4")]
     pub running: u32,
@@ -290,7 +290,7 @@
         Self {
             ahead_ms: weighed.ahead_ms as f32,
             wait_ms: weighed.wait_ms as f32,
-            patience_ms: weighed.patience_ms as f32,
+            max_wait_ms: weighed.max_wait_ms as f32,
             running: weighed.running,
             waiting: weighed.waiting,
             served: weighed.served as f32,
@@ -304,7 +304,7 @@
         Self {
             ahead_ms: weighed.ahead_ms.into(),
             wait_ms: weighed.wait_ms.into(),
-            patience_ms: weighed.patience_ms.into(),
+            max_wait_ms: weighed.max_wait_ms.into(),
             running: weighed.running,
             waiting: weighed.waiting,
             served: weighed.served.into(),
--- a/src/direct/pool.rs
+++ b/src/direct/pool.rs
@@ -147,7 +147,7 @@
     }
 
     /// When to come back to a service that has no backend server to take a request now.
-    pub fn come_back(&self, service: u32) -> Option<time::Duration> {
+    pub fn retry_after(&self, service: u32) -> Option<time::Duration> {
         let now = self.now();
         let backends = self.backends.borrow();
         let of_service = |b: &&Backend| self.service(&b.server.service) == service;
@@ -156,7 +156,7 @@
             .filter(|b| now < b.paused && !self.leaves(b));
         let first = pausing.filter(of_service).map(|b| b.paused).min()?;
         let draw = self.rng.borrow_mut().unit();
-        Some(pause::come_back(first.saturating_sub(now), draw))
+        Some(pause::retry_after(first.saturating_sub(now), draw))
     }
 
     /// A backend server reported again, and nothing else new.
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -95,7 +95,7 @@
                     .with("tokens", weighed.tokens as u64)
                     .with("ahead_ms", weighed.ahead_ms as i64)
                     .with("wait_ms", weighed.wait_ms as i64)
-                    .with("patience_ms", weighed.patience_ms as i64)
+                    .with("max_wait_ms", weighed.max_wait_ms as i64)
                     .with("running", weighed.running)
                     .with("waiting", weighed.waiting)
                     .with("served", format_args!("{:.3}", weighed.served)),
--- a/src/direct/request.rs
+++ b/src/direct/request.rs
@@ -45,7 +45,7 @@
     /// Path and query, byte by byte as received.
     pub target: http::uri::PathAndQuery,
     /// What the caller waits, if it said so.
-    pub patience: Option<time::Duration>,
+    pub timeout: Option<time::Duration>,
     /// The API key; empty without one.
     pub key: String,
     /// Parts of the prompt.
@@ -112,7 +112,7 @@
         (Some(host), None) => text(host)?.to_owned(),
         (None, None) => return Err(code::Code::BadRequest),
     };
-    let patience = match single(headers, &names.deadline)? {
+    let timeout = match single(headers, &names.deadline)? {
         Some(value) => Some(millis(value)?),
         None => None,
     };
@@ -127,7 +127,7 @@
         method: parts.method.clone(),
         host,
         target: target.clone(),
-        patience,
+        timeout,
         key,
         parts: read_parts(prefix),
         cost: read_cost(usage, hint),
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -237,8 +237,8 @@
     let service = route.service(draw).cloned();
     let none = refusal::Refusal::later(code::Code::NoBackendServer, UNKNOWN);
     let service = service.ok_or(none)?;
-    let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
-    let deadline = received + patience;
+    let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = received + timeout;
     if entry
         .ends()
         .is_some_and(|(closing, end)| received >= closing && deadline > end)
@@ -273,7 +273,7 @@
     if !turns_away(&entry, &req) {
         return forward::run(entry, req).await;
     }
-    let after = rotation::come_back(entry.left_ago(), entry.rng.borrow_mut().unit());
+    let after = rotation::retry_after(entry.left_ago(), entry.rng.borrow_mut().unit());
     let refusal = refusal::Refusal::later(code::Code::EntryBusy, after);
     let id = req.head.id.clone();
     drop(
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -163,7 +163,7 @@
         if let Some(after) = entry.evacuated_retry_after(service) {
             return refusal::Refusal::later(code::Code::ZoneEvacuated, after);
         }
-        let after = entry.come_back(service).unwrap_or(forward::FULL);
+        let after = entry.retry_after(service).unwrap_or(forward::FULL);
         refusal::Refusal::later(code::Code::NoBackendServer, after)
     }
 
@@ -245,7 +245,7 @@
             Ok(Err(_)) => Err(refusal::Refusal::new(code::Code::Internal)),
             Err(_elapsed) => Err(refusal::Refusal::later(
                 code::Code::DeadlineUnreachable,
-                state::COME_BACK,
+                state::RETRY_AFTER,
             )),
         }
     }
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -15,7 +15,7 @@
 
 /// Least time to come back for a request that waited in vain: about what an engine needs to read
 /// what stood before it.
-pub const COME_BACK: time::Duration = time::Duration::from_millis(500);
+pub const RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
 
 /// Share of a lag that is kept with each timer: four a second, so that it fades in a few seconds.
 const LAG_KEPT: f64 = 0.8;
--- a/tests/admit.rs
+++ b/tests/admit.rs
@@ -37,21 +37,21 @@
 #[test]
 fn what_would_come_too_late_is_refused_early() {
     struct Case {
-        patience_ms: u64,
+        max_wait_ms: u64,
         waits: bool,
     }
     // Ten wait at ten a second, and hold 0.2 s: 1.2 s, for which twice that must be left.
     let cases = [
         Case {
-            patience_ms: 1_000,
+            max_wait_ms: 1_000,
             waits: false,
         },
         Case {
-            patience_ms: 2_000,
+            max_wait_ms: 2_000,
             waits: false,
         },
         Case {
-            patience_ms: 4_000,
+            max_wait_ms: 4_000,
             waits: true,
         },
     ];
@@ -59,13 +59,13 @@
         let [ana] = customers();
         let mut table = admit::Table::new(1 << 20);
         busy(&mut table, ana);
-        let deadline = Some(ms(3_000 + case.patience_ms));
+        let deadline = Some(ms(3_000 + case.max_wait_ms));
         let admission = table.admit(ms(3_000), ana, BODY, deadline);
         assert_eq!(
             admission == admit::Admission::Wait,
             case.waits,
             "{}",
-            case.patience_ms
+            case.max_wait_ms
         );
         if let admit::Admission::Refuse(refusal) = admission {
             assert_eq!(refusal.code, code::Code::DeadlineUnreachable);
--- a/tests/rotation.rs
+++ b/tests/rotation.rs
@@ -220,7 +220,7 @@
         (Some(1_500), 0.0, 650),
         (Some(9_000), 1.0, 300),
     ] {
-        let came = rotation::come_back(left_ago.map(ms), draw);
+        let came = rotation::retry_after(left_ago.map(ms), draw);
         assert_eq!(came, ms(after), "{left_ago:?} {draw}");
     }
 }
--- a/tests/rotation_load.rs
+++ b/tests/rotation_load.rs
@@ -395,11 +395,11 @@
             (_, true) => REFUSED_MS,
             _ => SERVED_MS,
         };
-        let come_back = rotation::come_back(entry.left_ago(now), 0.5).as_secs_f64() * 1e3;
+        let retry_after = rotation::retry_after(entry.left_ago(now), 0.5).as_secs_f64() * 1e3;
         let end = now + cost * 1e3 / f64::from(entry.millicores);
         self.plan(end, Event::Work(n));
         if refused && !req.again {
-            self.plan(end + come_back, Event::Try(Request { again: true, ..req }));
+            self.plan(end + retry_after, Event::Try(Request { again: true, ..req }));
         }
         if left || refused {
             return;
