--- a/src/decide/place/job.rs
+++ b/src/decide/place/job.rs
@@ -82,7 +82,11 @@
     pub(super) fn max_wait_ms(&self, now: time::Duration, needs_ms: f64, owed: bool) -> f64 {
         let objective = self.objective.as_secs_f64() * 1e3;
         let left = self.left_ms(now);
-        let least = if owed { OWED_WAIT_SHARE } else { LEAST_WAIT_SHARE };
+        let least = if owed {
+            OWED_WAIT_SHARE
+        } else {
+            LEAST_WAIT_SHARE
+        };
         (left - needs_ms).max(left - objective * (1.0 - least))
     }
 }
--- a/src/direct/peer/ask.rs
+++ b/src/direct/peer/ask.rs
@@ -234,7 +234,10 @@
 }
 
 fn too_late(after: time::Duration) -> refusal::Refusal {
-    refusal::Refusal::later(code::Code::DeadlineUnreachable, after.max(state::RETRY_AFTER))
+    refusal::Refusal::later(
+        code::Code::DeadlineUnreachable,
+        after.max(state::RETRY_AFTER),
+    )
 }
 
 fn question(
--- a/src/direct/peer/case.rs
+++ b/src/direct/peer/case.rs
@@ -4,7 +4,7 @@
 //! times, since a datagram may be lost. An entry that holds back others than its neighbour asks it for all it
 //! knows ([`crate::direct::neighbour`]): one that has just started, or was cut off.
 
-use std::{cell, time};
+use std::time;
 
 use prost::Message as _;
 
@@ -12,15 +12,9 @@
 use crate::decide::quarantine;
 use crate::direct::state;
 
-/// How often a case is told with heartbeats after it changed.
-const SAID: u32 = 3;
-
 /// Cases told with one heartbeat.
 const PER_HEARTBEAT: usize = 24;
 
-/// Cases that wait to be told.
-const NEWS: usize = 512;
-
 /// What is known of a request, with ages instead of times.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Case {
@@ -128,31 +122,6 @@
     }
 }
 
-/// Cases to tell with the next heartbeats, and how often each.
-#[derive(Debug, Default)]
-pub struct News(cell::RefCell<Vec<(quarantine::Fingerprint, u32)>>);
-
-impl News {
-    fn add(&self, request: quarantine::Fingerprint) {
-        let mut news = self.0.borrow_mut();
-        news.retain(|(known, _)| *known != request);
-        if news.len() < NEWS {
-            news.push((request, SAID));
-        }
-    }
-
-    // The next to tell.
-    fn take(&self) -> Vec<quarantine::Fingerprint> {
-        let mut news = self.0.borrow_mut();
-        let most = news.len().min(PER_HEARTBEAT);
-        let told: Vec<_> = news.drain(..most).collect();
-        let again = told.iter().filter(|(_, left)| *left > 1);
-        let again: Vec<_> = again.map(|(request, left)| (*request, left - 1)).collect();
-        news.extend(again);
-        told.into_iter().map(|(request, _)| request).collect()
-    }
-}
-
 fn cases(
     entry: &state::Entry,
     requests: impl IntoIterator<Item = quarantine::Fingerprint>,
@@ -163,13 +132,13 @@
 }
 
 /// What is to be told with the next heartbeat.
-pub(super) fn news(entry: &state::Entry) -> Vec<Case> {
-    cases(entry, entry.news.take())
+pub(super) fn unsent(entry: &state::Entry) -> Vec<Case> {
+    cases(entry, entry.unsent_cases.take(PER_HEARTBEAT))
 }
 
 /// Tells the others what has become of a request: with the next heartbeats, and at once if that is urgent.
 pub fn tell(entry: &state::Entry, request: quarantine::Fingerprint, urgent: bool) {
-    entry.news.add(request);
+    entry.unsent_cases.add(request);
     let Some(link) = entry.link.as_ref().filter(|_| urgent) else {
         return;
     };
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -43,6 +43,9 @@
 /// behind by more than two.
 const CAUGHT_UP: usize = 400;
 
+/// Backend servers of each kind of change that one heartbeat names.
+const PER_HEARTBEAT: usize = 64;
+
 /// Addresses that a heartbeat names to an entry that hears others than its sender does.
 const SAMPLE: usize = 16;
 
@@ -159,9 +162,9 @@
     let entries = heartbeat.entries;
     let all = message::Datagram {
         heartbeat: Some(heartbeat),
-        cases: case::news(entry),
-        leaving: entry.backends_leaving.unsent.take(),
-        inspections: entry.inspections.take(),
+        cases: case::unsent(entry),
+        leaving: entry.backends_leaving.unsent.take(PER_HEARTBEAT),
+        inspections: entry.inspections.take(PER_HEARTBEAT),
         ..envelope(entry, link)
     };
     let all = all.encode_to_vec();
--- a/src/direct/peer/outbox.rs
+++ b/src/direct/peer/outbox.rs
@@ -5,10 +5,7 @@
 /// How often each item is sent: with one datagram in forty lost, all are once in 64,000.
 const REPEATS: u32 = 3;
 
-/// Items sent with one heartbeat.
-const PER_HEARTBEAT: usize = 64;
-
-/// Items that wait to be sent; the oldest go first.
+/// Items that wait to be sent; beyond it the oldest are dropped.
 const MAX_ITEMS: usize = 512;
 
 /// Items to send with the next heartbeats.
@@ -21,10 +18,11 @@
     }
 }
 
-impl<T: Copy> Outbox<T> {
-    /// Adds an item.
+impl<T: Copy + PartialEq> Outbox<T> {
+    /// Adds an item, or sends it as often again if it is there.
     pub fn add(&self, item: T) {
         let mut items = self.0.borrow_mut();
+        items.retain(|(known, _)| *known != item);
         if items.len() >= MAX_ITEMS {
             items.remove(0);
         }
@@ -37,16 +35,13 @@
         *self.0.borrow_mut() = items.map(|item| (item, REPEATS)).collect();
     }
 
-    /// What the next heartbeat carries.
-    pub fn take(&self) -> Vec<T> {
+    /// What the next heartbeat carries, so many items at most. Those to be sent again go behind the others.
+    pub fn take(&self, most: usize) -> Vec<T> {
         let mut items = self.0.borrow_mut();
-        let next = items.iter_mut().take(PER_HEARTBEAT);
-        let sent = next.map(|(item, left)| {
-            *left -= 1;
-            *item
-        });
-        let sent = sent.collect();
-        items.retain(|(_, left)| *left > 0);
-        sent
+        let most = most.min(items.len());
+        let sent: Vec<_> = items.drain(..most).collect();
+        let again = sent.iter().filter(|(_, left)| *left > 1);
+        items.extend(again.map(|(item, left)| (*item, left - 1)));
+        sent.into_iter().map(|(item, _)| item).collect()
     }
 }
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3;
 
-use super::peer::{ask, case, lease, message, outbox, table};
+use super::peer::{ask, lease, message, outbox, table};
 use super::{
     callers, dialect, ended, evacuation, leaving, line, meter, peer, plan, pool, source, turns,
 };
@@ -123,8 +123,8 @@
     pub losses: ended::Losses,
     /// Requests under which backend servers ended.
     pub quarantine: cell::RefCell<quarantine::Table>,
-    /// Which of them the others are to hear of.
-    pub news: case::News,
+    /// Which of them the next heartbeats carry.
+    pub unsent_cases: outbox::Outbox<quarantine::Fingerprint>,
     pub(super) to_keep: cell::RefCell<collections::HashSet<quarantine::Fingerprint>>,
     /// Something is to be kept beyond the life of all entries.
     pub keep: Notify,
@@ -208,7 +208,7 @@
             leases: lease::Table::default(),
             losses: ended::Losses::default(),
             quarantine: cell::RefCell::default(),
-            news: case::News::default(),
+            unsent_cases: outbox::Outbox::default(),
             to_keep: cell::RefCell::default(),
             keep: Notify::new(),
             differing: cell::Cell::default(),
--- a/tests/rotation_load.rs
+++ b/tests/rotation_load.rs
@@ -399,7 +399,10 @@
         let end = now + cost * 1e3 / f64::from(entry.millicores);
         self.plan(end, Event::Work(n));
         if refused && !req.again {
-            self.plan(end + retry_after, Event::Try(Request { again: true, ..req }));
+            self.plan(
+                end + retry_after,
+                Event::Try(Request { again: true, ..req }),
+            );
         }
         if left || refused {
             return;
