--- a/src/decide/place/job.rs
+++ b/src/decide/place/job.rs
@@ -11,7 +11,7 @@
 /// count for less, not nothing, and the more of them an overloaded engine reads, the fewer are in time.
 const LEAST_WAIT_SHARE: f64 = 0.25;
 
-/// The same for a request of a customer that is owed service, [`super::share::OWED`]. Its turn comes first, so it waits
+/// The same for a request of a customer that is below its share ([`super::share::BELOW_SHARE`]). Its turn comes first, so it waits
 /// for the prompts that were handed over before it came, and no longer.
 const OWED_WAIT_SHARE: f64 = 1.0;
 
@@ -79,10 +79,10 @@
     // Milliseconds that it may wait before its prompt of so many milliseconds is read. One that is
     // late however soon it starts waits as long as a small one would: late answers count for less, not
     // nothing, and else the largest requests were never served.
-    pub(super) fn max_wait_ms(&self, now: time::Duration, needs_ms: f64, owed: bool) -> f64 {
+    pub(super) fn max_wait_ms(&self, now: time::Duration, needs_ms: f64, below_share: bool) -> f64 {
         let objective = self.objective.as_secs_f64() * 1e3;
         let left = self.left_ms(now);
-        let least = if owed {
+        let least = if below_share {
             OWED_WAIT_SHARE
         } else {
             LEAST_WAIT_SHARE
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -272,8 +272,8 @@
         // are served; with a long one each of them late. So one whose turn would come too late is refused at
         // once, and the others wait little.
         let (wait_ms, max_wait_ms) = if server.engine {
-            let owed = self.is_owed(now, job.customer);
-            let max_wait = server.engine_max_wait_ms(now, job, tokens, owed);
+            let below_share = self.is_below_share(now, job.customer);
+            let max_wait = server.engine_max_wait_ms(now, job, tokens, below_share);
             (server.wait_ms(now, job, &self.recent), max_wait)
         } else {
             let max_wait = server.slot_max_wait_ms(now, job);
@@ -359,13 +359,13 @@
         at: key::Sidecar,
         tokens: f64,
     ) -> Verdict {
-        let owed = self.is_owed(now, job.customer);
+        let below_share = self.is_below_share(now, job.customer);
         let server = &mut self.servers[at];
         let recent = self.recent.all(now, job.customer);
         if server.waiting.is_empty() && server.has_room(now, tokens, recent) {
             return Verdict::Go(self.hand_over(now, at, job, tokens));
         }
-        let until = server.start_by(now, job, tokens, owed);
+        let until = server.start_by(now, job, tokens, below_share);
         if server.waiting.len() >= WAITING {
             return Verdict::Refuse(code::Code::QueueFull, RETRY_AFTER);
         }
--- a/src/decide/place/server.rs
+++ b/src/decide/place/server.rs
@@ -208,10 +208,10 @@
         now: time::Duration,
         job: &Job,
         tokens: f64,
-        owed: bool,
+        below_share: bool,
     ) -> f64 {
         let needs_ms = self.pace.read_ms(tokens) + self.pace.floor_ms();
-        job.max_wait_ms(now, needs_ms, owed)
+        job.max_wait_ms(now, needs_ms, below_share)
     }
 
     // Until when a job may wait for its start.
@@ -220,10 +220,10 @@
         now: time::Duration,
         job: &Job,
         tokens: f64,
-        owed: bool,
+        below_share: bool,
     ) -> time::Duration {
         let max_wait = if self.engine {
-            self.engine_max_wait_ms(now, job, tokens, owed) - HANDED_AHEAD
+            self.engine_max_wait_ms(now, job, tokens, below_share) - HANDED_AHEAD
         } else {
             job.left_ms(now) - self.service_ms
         };
--- a/src/decide/place/share.rs
+++ b/src/decide/place/share.rs
@@ -12,7 +12,7 @@
 
 /// A customer that was served less than this part of the best served one's tokens is owed service: its requests
 /// are not refused for being late as soon as others' are. Half is what users compare by.
-pub(super) const OWED: f64 = 0.5;
+pub(super) const BELOW_SHARE: f64 = 0.5;
 
 /// A customer is starved that was served less than this part of what it asked for, or of what the best served one
 /// got, whichever is less: what users hold to be unfair.
@@ -50,8 +50,8 @@
     }
 
     // Whether a customer's share of the fleet is behind that of the best served one.
-    pub(super) fn is_owed(&self, now: time::Duration, customer: key::Customer) -> bool {
-        self.served_share(now, customer) < OWED
+    pub(super) fn is_below_share(&self, now: time::Duration, customer: key::Customer) -> bool {
+        self.served_share(now, customer) < BELOW_SHARE
     }
 
     // Whether a customer gets less than its share of the fleet: of what it asks for, or of what the best served
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -83,7 +83,7 @@
             let before = std::mem::replace(&mut self.ran, true);
             match conn.send(req).await {
                 Ok(response) => {
-                    self.hear_server(server, &response);
+                    self.note_headers(server, &response);
                     let outcome = self.judge(response, conn, slot);
                     if matches!(outcome, Outcome::NotRun | Outcome::Replaced) {
                         self.ran = before;
@@ -123,7 +123,7 @@
 
     // Takes in what an answer says of its backend server, also one that can't be passed on. Another instance at its
     // address speaks for itself.
-    fn hear_server(&self, server: key::Sidecar, response: &http::Response<Incoming>) {
+    fn note_headers(&self, server: key::Sidecar, response: &http::Response<Incoming>) {
         let (names, headers) = (&self.entry.dialect, response.headers());
         let leaves = headers.get(&names.leaving).is_some_and(|says| says != "0");
         let pause = asks_for_pause(response.status(), headers);
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -62,7 +62,7 @@
 /// Serves a request to its final answer.
 pub async fn run(entry: rc::Rc<state::Entry>, req: request::Request) -> http::Response<body::Body> {
     let service = entry.service(&req.service);
-    entry.earn_repeat(service);
+    entry.deposit_retry(service);
     let until = tokio::time::Instant::from_std(entry.started + req.deadline);
     let mut run = Run {
         entry,
@@ -218,7 +218,7 @@
         let attempts = self.req.route.attempts as usize;
         !self.lost_alone.get()
             && self.tried.len() < attempts
-            && self.entry.take_repeat(self.service)
+            && self.entry.withdraw_retry(self.service)
     }
 
     /// The connection of an attempt was lost.
--- a/src/direct/leaving.rs
+++ b/src/direct/leaving.rs
@@ -21,7 +21,7 @@
 
 /// Time for which heartbeats name a backend server that has gone: until every entry has taken over the list
 /// without it, also one that is seconds behind.
-const DEPARTED: time::Duration = time::Duration::from_secs(5);
+const DEREGISTERED: time::Duration = time::Duration::from_secs(5);
 
 /// Time for which a backend server counts as leaving after a heartbeat named it: several heartbeats, after which
 /// the list says so itself, or it was said in error.
@@ -71,7 +71,7 @@
         let Some(process) = process.filter(|p| self.backends_leaving.add(*p)) else {
             return;
         };
-        self.tell_leaving(process, "answer");
+        self.log_leaving(process, "answer");
         self.backends_leaving.unsent.add(process);
         if let Some(link) = &self.link {
             let datagram = message::Datagram {
@@ -87,11 +87,11 @@
     }
 
     /// Another entry told which backend servers said in an answer that they leave.
-    pub fn heard_leaving(&self, processes: &[u64]) {
+    pub fn on_leaving(&self, processes: &[u64]) {
         let mut news = false;
         for process in processes {
             if self.backends_leaving.add(*process) {
-                self.tell_leaving(*process, "neighbour");
+                self.log_leaving(*process, "neighbour");
                 news = true;
             }
         }
@@ -101,7 +101,7 @@
     }
 
     /// Another entry has started: it hears what the others know.
-    pub fn tell_leaving_again(&self) {
+    pub fn send_leaving_again(&self) {
         self.backends_leaving.send_again();
     }
 
@@ -118,7 +118,7 @@
         backends.get(server).is_some_and(takes)
     }
 
-    fn tell_leaving(&self, process: u64, told_by: &str) {
+    fn log_leaving(&self, process: u64, told_by: &str) {
         let backends = self.backends.borrow();
         if let Some(backend) = backends.values().find(|b| b.process == process) {
             self.log
@@ -132,26 +132,26 @@
     /// Backend servers that leave or have just gone, by the hashes of their ids, if this entry follows
     /// the store; others would tell again what is no longer true.
     pub fn departing(&self) -> Vec<u64> {
-        if !self.peers.borrow().is_reader() {
+        if !self.peers.borrow().is_watcher() {
             return Vec::new();
         }
         let now = self.now();
-        let mut departed = self.departed.borrow_mut();
-        departed.retain(|(_, at)| now < *at + DEPARTED);
+        let mut deregistered = self.deregistered.borrow_mut();
+        deregistered.retain(|(_, at)| now < *at + DEREGISTERED);
         let listed = self.listed.borrow();
         let leaving = listed.values().filter(|s| s.leaving);
         let leaving = leaving.map(|s| xxh3::xxh3_64(s.id.as_bytes()));
         // One that lapsed may be back.
-        let gone = departed.iter().map(|(hash, _)| *hash);
+        let gone = deregistered.iter().map(|(hash, _)| *hash);
         let gone = gone.filter(|hash| self.server_by_hash(*hash).is_none());
-        gone.chain(leaving.take(roster::DEPARTED_MOST)).collect()
+        gone.chain(leaving.take(roster::MAX_DEREGISTERED)).collect()
     }
 
     /// Another entry named backend servers that leave. Taking over its list takes several turns of a
     /// process, each seconds late in one that is overloaded: such a one sent requests on 3 s after they
     /// were known to leave. It is hearsay: it fades, and is neither put into the list nor told again. Told
     /// again, two entries kept a good backend server out of use for good, each on the other's word.
-    pub fn heard_departing(&self, hashes: &[u64]) {
+    pub fn on_departing(&self, hashes: &[u64]) {
         let now = self.now();
         let mut news = false;
         for hash in hashes.iter().filter(|h| self.server_by_hash(**h).is_some()) {
--- a/src/direct/peer/case.rs
+++ b/src/direct/peer/case.rs
@@ -163,7 +163,7 @@
 pub fn hear(entry: &state::Entry, cases: &[Case]) {
     let now = entry.now();
     for case in cases {
-        entry.hear_case(case.request(), &case.known(now));
+        entry.on_case(case.request(), &case.known(now));
     }
 }
 
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -273,7 +273,7 @@
         on_heartbeat(entry, link, datagram.sender, address, heartbeat);
     }
     case::hear(entry, &datagram.cases);
-    entry.heard_leaving(&datagram.leaving);
+    entry.on_leaving(&datagram.leaving);
     for inspection in &datagram.inspections {
         entry.on_inspection(inspection);
     }
@@ -309,7 +309,7 @@
         .hear(now, sender, address, heartbeat);
     let Some(replaced) = heard else { return };
     if replaced.is_some() || entry.peers.borrow().entries() > before {
-        entry.tell_leaving_again();
+        entry.send_leaving_again();
     }
     if let Some(replaced) = replaced {
         forget(entry, address, replaced);
@@ -335,10 +335,10 @@
         .map(|(customer, _, asked)| (*customer, *asked));
     fleet.asked().hear(now, sender, asked);
     drop(fleet);
-    entry.heard_departing(&heartbeat.departing);
-    entry.hear_held(address, heartbeat.held);
+    entry.on_departing(&heartbeat.departing);
+    entry.on_held_digest(address, heartbeat.held);
     spread_loads(entry, link);
-    tell_change(entry, before);
+    log_entries(entry, before);
     if entry.relies_on_others() {
         entry.tip.notify_one();
     }
@@ -353,7 +353,7 @@
     }
     if let (false, Some(link)) = (gone.is_empty(), &entry.link) {
         spread_loads(entry, link);
-        tell_change(entry, before);
+        log_entries(entry, before);
     }
 }
 
@@ -365,7 +365,7 @@
     entry.asks.lost(address);
 }
 
-fn tell_change(entry: &state::Entry, before: usize) {
+fn log_entries(entry: &state::Entry, before: usize) {
     let after = entry.peers.borrow().entries();
     if before != after {
         entry
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -25,7 +25,7 @@
 
 /// Entries that follow the platform's store for all. One would do; with two, one may be cut off,
 /// restart or be slow before others call the store themselves.
-const READERS: usize = 2;
+const WATCHERS: usize = 2;
 
 /// Age up to which another entry's knowledge of the store counts as fresh. A reader hears from the
 /// store every 0.9 s, and among 30 entries tells a quarter of a second later; with a bound below the sum all
@@ -276,22 +276,22 @@
     }
 
     // Those that follow the platform's store for all: the few strong ones with the least addresses.
-    fn readers(&self) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
-        self.strong.iter().copied().take(READERS)
+    fn watchers(&self) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
+        self.strong.iter().copied().take(WATCHERS)
     }
 
     /// Whether this entry follows the platform's store for all.
-    pub fn is_reader(&self) -> bool {
-        self.readers().any(|a| Some(a) == self.own)
+    pub fn is_watcher(&self) -> bool {
+        self.watchers().any(|a| Some(a) == self.own)
     }
 
-    // Other readers that heard from the store just now. Only readers are asked: what others know is
+    // Other watchers that heard from the store just now. Only watchers are asked: what others know is
     // second hand, or from a read long ago.
     fn fresh(&self, now: time::Duration) -> impl Iterator<Item = (net::Ipv4Addr, &Peer)> {
         let heartbeat = super::interval(self.alive.len());
         let age = FRESH.max(READ + heartbeat.mul_f64(1.5));
         let peers = self
-            .readers()
+            .watchers()
             .filter_map(|a| Some((a, self.alive.get(&a)?)));
         peers.filter(move |(_, p)| now < p.store + age)
     }
--- a/src/direct/plan.rs
+++ b/src/direct/plan.rs
@@ -317,7 +317,7 @@
     }
 
     /// Whether it is the same but for the number of the report, and for how long it stays cold.
-    pub fn says_the_same(&self, other: &Self) -> bool {
+    pub fn is_same_payload(&self, other: &Self) -> bool {
         if self.report.start != other.report.start {
             return false;
         }
--- a/src/direct/quarantine.rs
+++ b/src/direct/quarantine.rs
@@ -39,7 +39,7 @@
             loss.alone,
         );
         drop(table);
-        let after = self.tell_standing(loss.fingerprint, before);
+        let after = self.log_standing(loss.fingerprint, before);
         if before != after && after == quarantine::Standing::Held {
             self.keep_case(loss.fingerprint);
         }
@@ -50,7 +50,7 @@
     pub(super) fn lost_under(&self, request: quarantine::Fingerprint) {
         let before = self.standing(request);
         self.quarantine.borrow_mut().lost(self.now(), request);
-        let after = self.tell_standing(request, before);
+        let after = self.log_standing(request, before);
         case::tell(self, request, after != before);
     }
 
@@ -58,21 +58,21 @@
     pub fn survived(&self, request: quarantine::Fingerprint) {
         let before = self.standing(request);
         if self.quarantine.borrow_mut().survived(self.now(), request) {
-            self.tell_standing(request, before);
+            self.log_standing(request, before);
             case::tell(self, request, before != quarantine::Standing::Clear);
         }
     }
 
     /// Another entry told what it knows of a request.
-    pub fn hear_case(&self, request: quarantine::Fingerprint, told: &quarantine::Case) {
+    pub fn on_case(&self, request: quarantine::Fingerprint, told: &quarantine::Case) {
         let before = self.standing(request);
         if self.quarantine.borrow_mut().hear(request, told) {
-            self.tell_standing(request, before);
+            self.log_standing(request, before);
         }
     }
 
     /// Another entry told which requests it holds back, by a digest.
-    pub fn hear_held(&self, address: net::Ipv4Addr, digest: u64) {
+    pub fn on_held_digest(&self, address: net::Ipv4Addr, digest: u64) {
         if digest != self.quarantine.borrow().digest() {
             self.differing.set(Some(address));
             self.tip.notify_one();
@@ -127,7 +127,7 @@
     }
 
     // Logs how a request may run from now on, if that has changed; returns it.
-    fn tell_standing(
+    fn log_standing(
         &self,
         request: quarantine::Fingerprint,
         before: quarantine::Standing,
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -13,7 +13,7 @@
 const GONE: usize = 4_096;
 
 /// Most that heartbeats name of them, 8 bytes each.
-pub(super) const DEPARTED_MOST: usize = 64;
+pub(super) const MAX_DEREGISTERED: usize = 64;
 
 impl state::Entry {
     /// Digest of the list of backend servers: entries with the same list have the same.
@@ -61,7 +61,7 @@
                 }
                 let known = listed.insert(server.id.clone(), server.clone());
                 drop(listed);
-                if known.is_some_and(|known| known.says_the_same(&server)) {
+                if known.is_some_and(|known| known.is_same_payload(&server)) {
                     self.reported(&server);
                     return;
                 }
@@ -129,12 +129,12 @@
         if gone.len() >= GONE {
             gone.clear();
         }
-        let mut departed = self.departed.borrow_mut();
-        departed.push_back((xxh3::xxh3_64(server.id.as_bytes()), self.now()));
-        if departed.len() > DEPARTED_MOST {
-            departed.pop_front();
+        let mut deregistered = self.deregistered.borrow_mut();
+        deregistered.push_back((xxh3::xxh3_64(server.id.as_bytes()), self.now()));
+        if deregistered.len() > MAX_DEREGISTERED {
+            deregistered.pop_front();
         }
-        drop(departed);
+        drop(deregistered);
         gone.insert(server.id, server.report);
     }
 
--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -11,7 +11,7 @@
 
 /// Time in which an entry follows the store itself after it couldn't ask another one. Links that are
 /// full for a moment are full for seconds.
-const DOUBT: time::Duration = time::Duration::from_secs(4);
+const DISTRUST: time::Duration = time::Duration::from_secs(4);
 
 /// A list of backend servers that another entry told.
 #[derive(Clone, Copy, Debug)]
@@ -32,7 +32,7 @@
 
 impl state::Entry {
     /// The store told what there is of this topic.
-    pub fn heard_store(&self, topic: Topic) {
+    pub fn on_store_answer(&self, topic: Topic) {
         let mut seen = self.store_seen.get();
         seen[topic as usize] = Some(self.now());
         self.store_seen.set(seen);
@@ -67,8 +67,8 @@
         let now = self.now();
         let peers = self.peers.borrow();
         let known = self.plan.borrow().is_some() && self.list_known.get();
-        let trusted = now >= self.doubted.get();
-        known && trusted && !peers.is_reader() && peers.has_fresh(now)
+        let trusted = now >= self.distrusted_until.get();
+        known && trusted && !peers.is_watcher() && peers.has_fresh(now)
     }
 
     /// What other entries know that is newer than what is known here, and whom to ask for it.
@@ -92,14 +92,14 @@
 
     /// Another entry told its list, which had this digest in its heartbeats: it is not asked for again at once, since it may
     /// differ for good in what this entry knows better.
-    pub fn remember_told(&self, by: net::Ipv4Addr) {
+    pub fn note_list_of(&self, by: net::Ipv4Addr) {
         let list = self.peers.borrow().list_of(by);
         let at = self.now();
         self.told.set(list.map(|digest| Told { by, digest, at }));
     }
 
     /// Another entry could not be asked for what it knows: for a while this one follows the store.
-    pub fn doubt_others(&self) {
-        self.doubted.set(self.now() + DOUBT);
+    pub fn distrust_peers(&self) {
+        self.distrusted_until.set(self.now() + DISTRUST);
     }
 }
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -73,7 +73,7 @@
     // Backend servers that are gone, with their last report.
     pub(super) gone: cell::RefCell<collections::HashMap<String, plan::Report>>,
     // Hashes of the ids of those that have just gone, with when.
-    pub(super) departed: cell::RefCell<collections::VecDeque<(u64, time::Duration)>>,
+    pub(super) deregistered: cell::RefCell<collections::VecDeque<(u64, time::Duration)>>,
     // Backend servers that other entries named as leaving, by the hashes of their ids, until when.
     pub(super) named: cell::RefCell<collections::HashMap<u64, time::Duration>>,
     // Backend servers that said in an answer that they leave.
@@ -89,7 +89,7 @@
     // The list that another entry told last.
     pub(super) told: cell::Cell<Option<source::Told>>,
     // Until when others are not relied on.
-    pub(super) doubted: cell::Cell<time::Duration>,
+    pub(super) distrusted_until: cell::Cell<time::Duration>,
     // How late the process was with a timer of late.
     pub(super) lag: cell::Cell<time::Duration>,
     /// How far behind the process is.
@@ -179,7 +179,7 @@
             plan: cell::RefCell::default(),
             listed: cell::RefCell::default(),
             gone: cell::RefCell::default(),
-            departed: cell::RefCell::default(),
+            deregistered: cell::RefCell::default(),
             named: cell::RefCell::default(),
             backends_leaving: leaving::Table::default(),
             zones: evacuation::Zones::default(),
@@ -189,7 +189,7 @@
             store_era: cell::Cell::default(),
             store_seen: cell::Cell::default(),
             told: cell::Cell::default(),
-            doubted: cell::Cell::default(),
+            distrusted_until: cell::Cell::default(),
             lag: cell::Cell::default(),
             overload: cell::Cell::default(),
             arrivals: cell::RefCell::default(),
@@ -433,13 +433,13 @@
     }
 
     /// A request of a service came: repeats are allowed in proportion.
-    pub fn earn_repeat(&self, service: u32) {
+    pub fn deposit_retry(&self, service: u32) {
         let (now, mut budgets) = (self.now(), self.budgets.borrow_mut());
         budgets.entry(service).or_default().request(now);
     }
 
     /// Whether a request of this service may be sent once more; counts it if so.
-    pub fn take_repeat(&self, service: u32) -> bool {
+    pub fn withdraw_retry(&self, service: u32) -> bool {
         let (now, mut budgets) = (self.now(), self.budgets.borrow_mut());
         let settings = self.settings.borrow();
         let entries = self.peers.borrow().entries().max(settings.least_entries) as f64;
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -34,7 +34,7 @@
         let backends = entry.backends.borrow();
         Some(backends.get(key)?.server.id.clone())
     };
-    other.heard_departing(&reader.departing());
+    other.on_departing(&reader.departing());
     assert_eq!(chosen(&other).as_deref(), Some("b"));
     // What was only heard is not told again: two entries would hold each other to it for good.
     assert!(other.departing().is_empty());
@@ -42,7 +42,7 @@
     // One that has gone without a word is named, too.
     reader.take(plan::News::Gone("b".into()));
     assert_eq!(reader.departing().len(), 2);
-    other.heard_departing(&reader.departing());
+    other.on_departing(&reader.departing());
     assert_eq!(chosen(&other), None);
     // It had only lapsed.
     reader.take(plan::News::Listed(support::server("b", 6, false)));
--- a/tests/neighbours.rs
+++ b/tests/neighbours.rs
@@ -145,7 +145,7 @@
                 &heartbeat,
             );
         }
-        assert_eq!(peers.is_reader(), case.reader, "{}", case.name);
+        assert_eq!(peers.is_watcher(), case.reader, "{}", case.name);
         // The second of the two has the newer configuration and read the list later.
         let newest = if case.own == 2 { 1 } else { 2 };
         let expected = Some((support::address(newest), u64::from(newest)));
@@ -209,7 +209,7 @@
             );
         }
         let strong = own == 2 || own == 3;
-        assert_eq!(peers.is_reader(), strong, "entry {own}");
+        assert_eq!(peers.is_watcher(), strong, "entry {own}");
         for server in 0..64 {
             let owner = peers.owner(support::ms(0), server);
             let decides = owner.map_or(strong, |a| {
@@ -232,7 +232,7 @@
                     &leaving,
                 );
             }
-            assert_eq!(peers.is_reader(), own < 5, "entry {own}");
+            assert_eq!(peers.is_watcher(), own < 5, "entry {own}");
         }
     }
 }
@@ -343,7 +343,7 @@
     hear(2, 77);
     let list = (support::address(2), source::Topic::Backends);
     assert_eq!(entry.newer().as_slice(), [list]);
-    entry.remember_told(support::address(2));
+    entry.note_list_of(support::address(2));
     assert!(entry.newer().is_empty(), "it was told just now");
     hear(3, 78);
     assert_eq!(entry.newer().as_slice(), [list], "another list");
@@ -419,7 +419,7 @@
     assert_eq!(peers.load(7).running + peers.load(8).running, 0);
 }
 
-// Two readers of the store reach the same list by different steps: whoever took it over from one is not told by the other
+// Two watchers of the store reach the same list by different steps: whoever took it over from one is not told by the other
 // what has changed, but all of it.
 #[test]
 fn a_list_is_taken_over_from_who_told_it_last_while_that_one_is_fresh() {
