--- a/src/catalogue/check.rs
+++ b/src/catalogue/check.rs
@@ -2,10 +2,8 @@
 
 use std::{collections, fmt, ops};
 
-use sha2::Digest;
-
-use crate::catalogue::lookup;
 use crate::catalogue::schema::{Catalogue, Kind, RouteRule};
+use crate::catalogue::{index, lookup};
 
 /// Longest name of a customer, class, service or model, in bytes: they travel in frames, log lines
 /// and metric labels.
@@ -51,26 +49,10 @@
         check.faults.sort_by_key(|f| (f.line, f.column));
         return Err(check.faults);
     }
-    catalogue.index = lookup::Index::build(&catalogue);
+    catalogue.index = lookup::build(&catalogue);
     Ok(catalogue)
 }
 
-/// SHA-256 of an API key, as catalogues hold it.
-pub fn digest(api_key: &str) -> [u8; 32] {
-    sha2::Sha256::digest(api_key.as_bytes()).into()
-}
-
-pub(super) fn decode_hash(hex: &str) -> Option<[u8; 32]> {
-    if hex.len() != 64 || !hex.bytes().all(|b| b.is_ascii_hexdigit()) {
-        return None;
-    }
-    let mut hash = [0; 32];
-    for (byte, at) in hash.iter_mut().zip((0..64).step_by(2)) {
-        *byte = u8::from_str_radix(hex.get(at..at + 2)?, 16).ok()?;
-    }
-    Some(hash)
-}
-
 fn syntax_fault(text: &str, err: &toml::de::Error) -> Fault {
     let offset = err.span().map_or(0, |s| s.start);
     fault_at(text, offset, err.message().to_owned())
@@ -179,7 +161,7 @@
             for (n, hash) in customer.key_hashes.iter().enumerate() {
                 let [a, b, c] = field("key_hashes");
                 let path = [a, b, c, Step::At(n)];
-                match decode_hash(hash) {
+                match index::decode_hash(hash) {
                     None => self.fault(&path, "a key hash is 64 hexadecimal digits of SHA-256"),
                     Some(bytes) => {
                         if let Some(other) = hashes.insert(bytes, &customer.name) {
--- a/src/catalogue/lookup.rs
+++ b/src/catalogue/lookup.rs
@@ -1,10 +1,6 @@
 //! Lookups that an entry makes for every request.
 
-use std::collections;
-
-use subtle::ConstantTimeEq;
-
-use crate::catalogue::check;
+use crate::catalogue::index;
 use crate::catalogue::schema::{Catalogue, Class, Customer, Kind, RouteRule, Service};
 use crate::code;
 
@@ -22,53 +18,28 @@
     pub weight: f64,
 }
 
-/// Tables built once for each accepted catalogue.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Index {
-    /// Key digests and their customers by the digest's first bytes.
-    keys: collections::HashMap<u64, Vec<([u8; 32], usize)>>,
-    models: collections::HashMap<String, usize>,
-    customers: collections::HashMap<String, usize>,
-}
-
-impl Index {
-    pub(super) fn build(catalogue: &Catalogue) -> Self {
-        let mut index = Self::default();
-        for (at, customer) in catalogue.customers.iter().enumerate() {
-            index.customers.insert(customer.name.clone(), at);
-            for hash in customer
-                .key_hashes
-                .iter()
-                .filter_map(|h| check::decode_hash(h))
-            {
-                index
-                    .keys
-                    .entry(bucket(&hash))
-                    .or_default()
-                    .push((hash, at));
-            }
+/// Builds the tables of a catalogue.
+pub(super) fn build(catalogue: &Catalogue) -> index::Index {
+    let mut index = index::Index::default();
+    for (at, customer) in catalogue.customers.iter().enumerate() {
+        index.customers.insert(customer.name.clone(), at);
+        let hashes = customer.key_hashes.iter();
+        for hash in hashes.filter_map(|h| index::decode_hash(h)) {
+            index.add_key(hash, at);
         }
-        for (at, service) in catalogue.services.iter().enumerate() {
-            for model in &service.models {
-                index.models.insert(model.clone(), at);
-            }
+    }
+    for (at, service) in catalogue.services.iter().enumerate() {
+        for model in &service.models {
+            index.models.insert(model.clone(), at);
         }
-        index
     }
+    index
 }
 
 impl Catalogue {
     /// The customer that an API key belongs to.
-    ///
-    /// The key is hashed first, so the table lookup depends on a digest that a caller cannot
-    /// steer, and whole digests are compared in constant time.
     pub fn customer_by_key(&self, api_key: &str) -> Option<&Customer> {
-        let hash = check::digest(api_key);
-        let candidates = self.index.keys.get(&bucket(&hash))?;
-        let found = candidates
-            .iter()
-            .find(|(h, _)| bool::from(h.ct_eq(&hash)))?;
-        self.customers.get(found.1)
+        self.customers.get(self.index.customer_by_key(api_key)?)
     }
 
     /// The customer with this name.
@@ -175,9 +146,3 @@
 pub(super) fn trim(prefix: &str) -> &str {
     prefix.trim_end_matches('/')
 }
-
-fn bucket(hash: &[u8; 32]) -> u64 {
-    let mut first = [0; 8];
-    first.copy_from_slice(&hash[..8]);
-    u64::from_le_bytes(first)
-}
--- a/src/catalogue/mod.rs
+++ b/src/catalogue/mod.rs
@@ -4,12 +4,14 @@
 //! the rest of the fleet relies on (names are unique, classes exist, a model has one service).
 
 mod check;
+mod index;
 mod lookup;
 mod schema;
 
 use std::sync;
 
-pub use check::{Fault, digest, parse};
+pub use check::{Fault, parse};
+pub use index::digest;
 pub use lookup::Route;
 pub use schema::{Catalogue, Class, Customer, Kind, Limits, Method, RouteRule, Service};
 
--- a/src/catalogue/schema.rs
+++ b/src/catalogue/schema.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::catalogue::lookup;
+use crate::catalogue::index;
 
 /// A whole catalogue file.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -24,7 +24,7 @@
     pub services: Vec<Service>,
     /// Lookup tables, built by [`crate::catalogue::parse`].
     #[serde(skip)]
-    pub(super) index: lookup::Index,
+    pub(super) index: index::Index,
 }
 
 /// A customer that shares the common capacity.
