--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -9,6 +9,9 @@
 //! a place from [`slot`], which may wait in [`turns`] or be asked of another entry in [`peer`], and a
 //! connection from [`pool`]; [`attempt`] judges the answer and [`answer`] passes a stream on. What
 //! the entry knows is in [`state`], and of backend servers in [`roster`].
+//!
+//! After a lost connection [`ended`] finds out whether the process at its other end has ended, by what [`inspect`] asks it; [`suspend`]
+//! keeps requests from one that may be cold, and [`evacuation`] from whole availability zones.
 
 pub mod answer;
 pub mod attempt;
@@ -38,4 +41,5 @@
 pub mod slot;
 pub mod source;
 pub mod state;
+pub mod suspend;
 pub mod turns;
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -55,9 +55,9 @@
     /// When it started, in Unix milliseconds; 0 if that isn't known.
     #[prost(uint64, tag = "3")]
     pub start: u64,
-    /// Milliseconds for which it stays cold.
-    #[prost(uint32, tag = "4")]
-    pub cold_ms: u32,
+    /// Milliseconds for which it stays cold, if it says so.
+    #[prost(uint32, optional, tag = "4")]
+    pub cold_ms: Option<u32>,
 }
 
 /// Whether an availability zone is evacuated, by the newest record that the sender has.
