--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -29,4 +29,5 @@
 pub mod rotation;
 pub mod route;
 pub mod share;
+pub mod standby;
 pub mod window;
--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -154,9 +154,18 @@
 impl Backoff {
     /// The delay before attempt `failed + 1`, after `failed` failures in a row.
     pub fn delay(&self, failed: u32, rng: &mut random::Random) -> time::Duration {
+        self.bound(failed).mul_f64(rng.unit())
+    }
+
+    /// The same, but at least half of the bound: few callers that are to find out soon when the other end is back, and not to
+    /// spend their tries at once.
+    pub fn steady_delay(&self, failed: u32, rng: &mut random::Random) -> time::Duration {
+        self.bound(failed).mul_f64(0.5 + rng.unit() / 2.0)
+    }
+
+    fn bound(&self, failed: u32) -> time::Duration {
         let doubled = 2_u32.saturating_pow(failed.saturating_sub(1));
-        let bound = self.base.saturating_mul(doubled).min(self.cap);
-        bound.mul_f64(rng.unit())
+        self.base.saturating_mul(doubled).min(self.cap)
     }
 }
 
--- /dev/null
+++ b/src/decide/standby.rs
@@ -0,0 +1,96 @@
+//! Which entries read the platform's store while those that read it for all have no answer.
+//!
+//! Load pattern: a store that is slow, away or loses answers. Two entries read it for all others. Once neither has an answer, any
+//! other entry may be one that the store still answers, and only a call tells. If all call when the last answer has become too old,
+//! a short absence costs hundreds of calls within a second, and they come just when the store returns.
+//!
+//! So an entry tries one topic at a time while its calls fail, and entries take turns, in an order on which those that hear each other agree. A turn ends with a failed call; an entry whose call
+//! succeeds goes on for all until one before it in the order has an answer again. One that is cut off from those that read, and
+//! hears of them by others, doesn't wait for a turn.
+
+use std::time;
+
+/// Entries that read the store for all. One would do; with two, one may be cut off, restart or be slow before others
+/// take turns.
+pub const WATCHERS: usize = 2;
+
+/// Turns that the other entries take in a second, all together. Each costs a call for each topic.
+const TURNS_PER_S: f64 = 2.0;
+
+/// Topics that an entry reads.
+const TOPICS: usize = 2;
+
+/// Time after which a topic is tried in any case: what fails may concern the other one alone.
+const OTHER_TOPIC: time::Duration = time::Duration::from_secs(2);
+
+/// What an entry knows of those that read the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct View {
+    /// Its own place in the order.
+    pub rank: usize,
+    /// Entries in the order, itself included.
+    pub entries: usize,
+    /// Place of the first other entry that has had an answer of late, if any has.
+    pub answered: Option<usize>,
+    /// Whether another entry hears of a recent answer that this one doesn't: it is cut off from those that read.
+    pub is_cut_off: bool,
+}
+
+/// Whether an entry reads the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Standby {
+    reads: bool,
+    // When its next turn comes, while nobody has an answer.
+    turn: Option<time::Duration>,
+    // The topic whose last call failed, and is tried again.
+    failing: Option<usize>,
+    tried: [time::Duration; TOPICS],
+}
+
+impl Standby {
+    /// Whether the entry is to read the store now.
+    pub fn reads(&mut self, now: time::Duration, view: View) -> bool {
+        if view.rank < WATCHERS {
+            self.turn = None;
+            self.reads = true;
+            return true;
+        }
+        let yields = |answered| answered < view.rank || !self.reads;
+        if view.answered.is_some_and(yields) {
+            *self = Self::default();
+            return false;
+        }
+        if view.is_cut_off {
+            return true;
+        }
+        let before = view.rank - WATCHERS;
+        let turn = *self.turn.get_or_insert_with(|| now + turns(before));
+        self.reads |= now >= turn;
+        self.reads
+    }
+
+    /// Whether this topic may be asked for now.
+    pub fn may_call(&self, now: time::Duration, topic: usize) -> bool {
+        let other = self.failing.is_some_and(|failing| failing != topic);
+        !other || now >= self.tried[topic] + OTHER_TOPIC
+    }
+
+    /// The store answered a call for this topic.
+    pub fn answered(&mut self, topic: usize) {
+        self.failing = self.failing.filter(|failing| *failing != topic);
+    }
+
+    /// A call for this topic failed: all other entries have their turns before this one's next.
+    pub fn failed(&mut self, now: time::Duration, entries: usize, topic: usize) {
+        self.tried[topic] = now;
+        self.failing.get_or_insert(topic);
+        if std::mem::take(&mut self.reads) {
+            self.turn = Some(now + turns(entries.saturating_sub(WATCHERS)));
+        }
+    }
+}
+
+// Time that so many turns take.
+fn turns(count: usize) -> time::Duration {
+    time::Duration::from_secs_f64(count as f64 / TURNS_PER_S)
+}
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -179,6 +179,12 @@
     /// Digest of the evacuations that it knows of.
     #[prost(fixed64, tag = "24")]
     pub evacuations: u64,
+    /// Milliseconds since the platform's store last answered it for both topics, whatever the answers were worth.
+    #[prost(uint32, optional, tag = "25")]
+    pub answer_age_ms: Option<u32>,
+    /// Milliseconds since the platform's store last answered it or an entry that it hears.
+    #[prost(uint32, optional, tag = "26")]
+    pub known_age_ms: Option<u32>,
 }
 
 /// Load on one backend server.
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -264,6 +264,8 @@
         held: entry.quarantine.borrow().digest(),
         era: entry.store_era(),
         evacuations: entry.zones.digest(),
+        answer_age_ms: Some(millis(entry.answer_age())),
+        known_age_ms: Some(millis(entry.known_age())),
     }
 }
 
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3;
 
 use super::{loads, message};
-use crate::decide::{place, random, rotation};
+use crate::decide::{place, random, rotation, standby};
 
 /// Silence after which an entry is gone: it is not counted in load, service and shares any more. In a
 /// large fleet, where heartbeats are seconds apart, [`MISSED`] of them.
@@ -23,10 +23,6 @@
 /// link shows within it, and callers don't pay for each try.
 const DISTRUST: time::Duration = time::Duration::from_millis(500);
 
-/// Entries that follow the platform's store for all. One would do; with two, one may be cut off,
-/// restart or be slow before others call the store themselves.
-const WATCHERS: usize = 2;
-
 /// Age up to which another entry's knowledge of the store counts as fresh. A reader hears from the
 /// store every 0.9 s, and among 30 entries tells a quarter of a second later; with a bound below the sum all
 /// entries would call the store by turns. Beyond it an entry calls itself, so that a
@@ -59,6 +55,10 @@
     list: u64,
     // When it last heard from the store itself, of both topics and of the backend servers.
     store: time::Duration,
+    // When the store last answered it for both topics, whatever the answers were worth.
+    answered: time::Duration,
+    // When it last answered that entry, or one that that entry hears.
+    known: time::Duration,
     listed: time::Duration,
     // The newest era of the store that it has seen.
     era: u64,
@@ -160,6 +160,8 @@
             configuration: heartbeat.configuration,
             list: heartbeat.list,
             store: ago(heartbeat.store_age_ms),
+            answered: ago(heartbeat.answer_age_ms.unwrap_or(heartbeat.store_age_ms)),
+            known: ago(heartbeat.known_age_ms.unwrap_or(u32::MAX)),
             listed: ago(heartbeat.list_age_ms),
             era: heartbeat.era,
             evacuations: heartbeat.evacuations,
@@ -277,7 +279,7 @@
 
     // Those that follow the platform's store for all: the few strong ones with the least addresses.
     fn watchers(&self) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
-        self.strong.iter().copied().take(WATCHERS)
+        self.strong.iter().copied().take(standby::WATCHERS)
     }
 
     /// Whether this entry follows the platform's store for all.
@@ -285,15 +287,62 @@
         self.watchers().any(|a| Some(a) == self.own)
     }
 
-    // Other watchers that heard from the store just now. Only watchers are asked: what others know is
-    // second hand, or from a read long ago.
-    fn fresh(&self, now: time::Duration) -> impl Iterator<Item = (net::Ipv4Addr, &Peer)> {
+    /// What this entry knows of those that read the store.
+    pub fn standby(&self, now: time::Duration) -> standby::View {
+        let age = self.fresh_age();
+        let answered = |address: &net::Ipv4Addr| {
+            let peer = self.alive.get(address);
+            peer.is_some_and(|p| now < p.answered + age)
+        };
+        let is_strong = |address: &net::Ipv4Addr| self.strong.binary_search(address).is_ok();
+        let weak = self.alive.keys().filter(|a| !is_strong(a));
+        let order = self.strong.iter().chain(weak);
+        let before = |address: &net::Ipv4Addr| Some(*address) < self.own;
+        let rank = match self.own {
+            Some(own) if is_strong(&own) => self.strong.partition_point(before),
+            _ => {
+                let weak = self.alive.keys().filter(|a| !is_strong(a) && before(a));
+                self.strong.len() + weak.count()
+            }
+        };
+        let answered = order.enumerate().find(|(_, a)| answered(a));
+        let knows = |p: &Peer| now < p.known + age;
+        standby::View {
+            rank,
+            entries: 1 + self.alive.len(),
+            answered: answered.map(|(at, _)| at),
+            is_cut_off: answered.is_none() && self.alive.values().any(knows),
+        }
+    }
+
+    /// When the store last answered another entry that is heard.
+    pub fn last_answer(&self) -> Option<time::Duration> {
+        self.alive.values().map(|p| p.answered).max()
+    }
+
+    // Age up to which what others know of the store counts as fresh.
+    fn fresh_age(&self) -> time::Duration {
         let heartbeat = super::interval(self.alive.len());
-        let age = FRESH.max(READ + heartbeat.mul_f64(1.5));
-        let peers = self
-            .watchers()
-            .filter_map(|a| Some((a, self.alive.get(&a)?)));
-        peers.filter(move |(_, p)| now < p.store + age)
+        FRESH.max(READ + heartbeat.mul_f64(1.5))
+    }
+
+    // Other entries with recent news of the store, by when they had it: watchers, or if none has any, those that read in their place.
+    fn recent(
+        &self,
+        now: time::Duration,
+        at: impl Fn(&Peer) -> time::Duration,
+    ) -> impl Iterator<Item = (net::Ipv4Addr, &Peer)> {
+        let age = self.fresh_age();
+        let is_recent = move |p: &Peer| now < at(p) + age;
+        let is_watcher = |a: &net::Ipv4Addr| self.watchers().any(|w| w == *a);
+        let mut watchers = self.watchers().filter_map(|a| self.alive.get(&a));
+        let any = watchers.any(&is_recent);
+        let peers = self.alive.iter().map(|(a, p)| (*a, p));
+        peers.filter(move |(a, p)| is_recent(p) && (!any || is_watcher(a)))
+    }
+
+    fn fresh(&self, now: time::Duration) -> impl Iterator<Item = (net::Ipv4Addr, &Peer)> {
+        self.recent(now, |p| p.store)
     }
 
     /// Whether another entry heard from the store just now.
@@ -301,9 +350,10 @@
         self.fresh(now).next().is_some()
     }
 
-    /// The fresh reader with the newest configuration, and its version.
+    /// The entry with the newest configuration of those that the store has answered of late, and its version.
     pub fn newest_configuration(&self, now: time::Duration) -> Option<(net::Ipv4Addr, u64)> {
-        let newest = self.fresh(now).max_by_key(|(_, p)| p.configuration);
+        let answered = self.recent(now, |p| p.answered);
+        let newest = answered.max_by_key(|(_, p)| p.configuration);
         newest.map(|(a, p)| (a, p.configuration))
     }
 
--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -62,13 +62,61 @@
         configuration.max(self.topic_age(Topic::Backends))
     }
 
-    /// Whether other entries follow the store for this one, and what this one knows is complete.
+    /// Time since the store answered this entry for both topics, whatever the answers were worth; very long if it never did.
+    pub fn answer_age(&self) -> time::Duration {
+        let age = |at: Option<time::Duration>| {
+            at.map_or(time::Duration::MAX, |at| self.now().saturating_sub(at))
+        };
+        let [one, other] = self.store_answered.get().map(age);
+        one.max(other)
+    }
+
+    /// Time since the store answered this entry or another one that it hears.
+    pub fn known_age(&self) -> time::Duration {
+        let now = self.now();
+        let told = self.peers.borrow().last_answer();
+        let told = told.map_or(time::Duration::MAX, |at| now.saturating_sub(at));
+        self.answer_age().min(told)
+    }
+
+    /// Whether other entries read the store for this one, or have their turns before it, and what this one knows is complete.
     pub fn relies_on_others(&self) -> bool {
         let now = self.now();
-        let peers = self.peers.borrow();
         let known = self.plan.borrow().is_some() && self.list_known.get();
         let trusted = now >= self.distrusted_until.get();
-        known && trusted && !peers.is_watcher() && peers.has_fresh(now)
+        known && trusted && !self.reads_store(now)
+    }
+
+    fn reads_store(&self, now: time::Duration) -> bool {
+        let view = self.peers.borrow().standby(now);
+        let mut standby = self.standby.get();
+        let reads = standby.reads(now, view);
+        self.standby.set(standby);
+        reads
+    }
+
+    /// Whether the store may be asked for this topic, as far as its failures go.
+    pub fn may_call_store(&self, topic: Topic) -> bool {
+        self.standby.get().may_call(self.now(), topic as usize)
+    }
+
+    /// The store answered a call for this topic, whatever the answer is worth.
+    pub fn on_store_reached(&self, topic: Topic) {
+        let mut answered = self.store_answered.get();
+        answered[topic as usize] = Some(self.now());
+        self.store_answered.set(answered);
+        let mut standby = self.standby.get();
+        standby.answered(topic as usize);
+        self.standby.set(standby);
+    }
+
+    /// A call to the store for this topic failed.
+    pub fn on_store_failure(&self, topic: Topic) {
+        let now = self.now();
+        let entries = self.peers.borrow().standby(now).entries;
+        let mut standby = self.standby.get();
+        standby.failed(now, entries, topic as usize);
+        self.standby.set(standby);
     }
 
     /// What other entries know that is newer than what is known here, and whom to ask for it.
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -10,7 +10,7 @@
 use super::{
     callers, dialect, ended, evacuation, leaving, line, meter, peer, plan, pool, source, turns,
 };
-use crate::decide::{health, overload, place, quarantine, random, retry, rotation};
+use crate::decide::{health, overload, place, quarantine, random, retry, rotation, standby};
 use crate::key;
 
 /// Least time to come back for a request that waited in vain: about what an engine needs to read
@@ -86,8 +86,12 @@
     // The newest era of the store that was seen.
     pub(super) store_era: cell::Cell<u64>,
     pub(super) store_seen: cell::Cell<[Option<time::Duration>; 2]>,
+    // When the store last answered for each topic, also while its list is not relied on yet.
+    pub(super) store_answered: cell::Cell<[Option<time::Duration>; 2]>,
     // The list that another entry told last.
     pub(super) told: cell::Cell<Option<source::Told>>,
+    // Whether this entry reads the store while those that read it for all have no answer.
+    pub(super) standby: cell::Cell<standby::Standby>,
     // Until when others are not relied on.
     pub(super) distrusted_until: cell::Cell<time::Duration>,
     // How late the process was with a timer of late.
@@ -188,7 +192,9 @@
             list_digest: cell::Cell::default(),
             store_era: cell::Cell::default(),
             store_seen: cell::Cell::default(),
+            store_answered: cell::Cell::default(),
             told: cell::Cell::default(),
+            standby: cell::Cell::default(),
             distrusted_until: cell::Cell::default(),
             lag: cell::Cell::default(),
             overload: cell::Cell::default(),
