--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -20,6 +20,7 @@
 //! Time is the duration since the process started.
 
 mod cold;
+mod fetch;
 mod job;
 mod server;
 mod share;
@@ -53,6 +54,8 @@
     pub tokens: f64,
     /// Milliseconds of prompts that stood before it.
     pub ahead_ms: f64,
+    /// The engine that it is to fetch parts of the prompt from.
+    pub source: Option<key::Sidecar>,
     // Prompt tokens that stood before it.
     ahead: f64,
     since: time::Duration,
@@ -109,6 +112,17 @@
     pub tokens: f64,
 }
 
+/// What a backend server may be used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It gets requests.
+    Ready,
+    /// It gets nothing new, and still gives other engines what it keeps.
+    Draining,
+    /// Nothing.
+    Away,
+}
+
 /// What is listed of a backend server.
 #[derive(Clone, Copy, Debug)]
 pub struct Listed<'a> {
@@ -148,8 +162,8 @@
     }
 
     /// Adds a backend server.
-    pub fn add(&mut self, listed: Listed<'_>) -> key::Sidecar {
-        self.servers.insert(Server::new(listed))
+    pub fn add(&mut self, now: time::Duration, listed: Listed<'_>) -> key::Sidecar {
+        self.servers.insert(Server::new(now, listed))
     }
 
     /// Forgets a backend server and returns the requests that waited for it.
@@ -160,13 +174,21 @@
         })
     }
 
-    /// Whether a backend server may get new work; returns the requests to place again if not.
-    pub fn set_usable(&mut self, server: key::Sidecar, usable: bool) -> Vec<u64> {
+    /// Changes what a backend server may be used for; returns the requests to place again if it gets nothing new any more.
+    pub fn set_state(
+        &mut self,
+        now: time::Duration,
+        server: key::Sidecar,
+        state: State,
+    ) -> Vec<u64> {
         let Some(known) = self.servers.get_mut(server) else {
             return Vec::new();
         };
-        known.usable = usable;
-        if usable {
+        let before = std::mem::replace(&mut known.state, state);
+        if state == State::Ready {
+            if before != State::Ready {
+                known.joined = now;
+            }
             return Vec::new();
         }
         known.waiting.drain(..).map(|w| w.request).collect()
@@ -263,11 +285,7 @@
         let Some(server) = self.servers.get(at) else {
             return Weighed::default();
         };
-        let tokens = if server.engine {
-            server.fresh(now, job)
-        } else {
-            0.0
-        };
+        let (tokens, _) = self.to_read(now, job, at);
         // Load pattern of a plain service: requests at its rate or a little above. Whatever the queue, so many
         // are served; with a long one each of them late. So one whose turn would come too late is refused at
         // once, and the others wait little.
@@ -299,7 +317,7 @@
         at: key::Sidecar,
         weighed: Weighed,
     ) -> Verdict {
-        let server = self.servers.get(at).filter(|s| s.usable);
+        let server = self.servers.get(at).filter(|s| s.is_ready());
         let Some(server) = server else {
             return Verdict::Refuse(code::Code::NoBackendServer, RETRY_AFTER);
         };
@@ -333,7 +351,7 @@
         let part = job.home_part();
         let mut ranked: SmallVec<[(u64, key::Sidecar); 32]> = SmallVec::new();
         for (at, server) in &self.servers {
-            if server.service != job.service || !server.usable || job.avoid.contains(&at) {
+            if server.service != job.service || !server.is_ready() || job.avoid.contains(&at) {
                 continue;
             }
             let rank = if let Some(part) = job.alone.map(|f| f.content).or(part) {
@@ -363,7 +381,7 @@
         let server = &mut self.servers[at];
         let recent = self.recent.all(now, job.customer);
         if server.waiting.is_empty() && server.has_room(now, tokens, recent) {
-            return Verdict::Go(self.hand_over(now, at, job, tokens));
+            return Verdict::Go(self.hand_over(now, at, job));
         }
         let until = server.start_by(now, job, tokens, below_share);
         if server.waiting.len() >= WAITING {
@@ -378,13 +396,8 @@
         Verdict::Wait(Ticket { server: at }, until)
     }
 
-    fn hand_over(
-        &mut self,
-        now: time::Duration,
-        at: key::Sidecar,
-        job: &Job,
-        tokens: f64,
-    ) -> Placed {
+    fn hand_over(&mut self, now: time::Duration, at: key::Sidecar, job: &Job) -> Placed {
+        let (tokens, source) = self.to_read(now, job, at);
         let server = &mut self.servers[at];
         let ahead = server.unread();
         let ahead_ms = server.pace.read_ms(ahead);
@@ -403,6 +416,7 @@
             server: at,
             tokens,
             ahead_ms,
+            source,
             ahead,
             since: now,
             customer: job.customer,
@@ -417,12 +431,11 @@
     pub fn next(&mut self, now: time::Duration, at: key::Sidecar) -> Option<(u64, Placed)> {
         let server = self.servers.get_mut(at)?;
         let (index, recent) = server.first(now, &self.recent)?;
-        if !server.usable || !server.has_room(now, 0.0, recent) {
+        if !server.is_ready() || !server.has_room(now, 0.0, recent) {
             return None;
         }
         let waiting = server.waiting.remove(index);
-        let tokens = server.fresh(now, &waiting.job);
-        let placed = self.hand_over(now, at, &waiting.job, tokens);
+        let placed = self.hand_over(now, at, &waiting.job);
         Some((waiting.request, placed))
     }
 
--- a/src/decide/place/server.rs
+++ b/src/decide/place/server.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3;
 
 use super::cold::Cold;
-use super::{Job, Listed, Load};
+use super::{Job, Listed, Load, State};
 use crate::code;
 use crate::decide::{pace, quarantine, recent};
 
@@ -46,7 +46,9 @@
     pub(super) slots: u32,
     pub(super) engine: bool,
     pub(super) near: bool,
-    pub(super) usable: bool,
+    pub(super) state: State,
+    // Since when it is in use, or was before it drained.
+    pub(super) joined: time::Duration,
     pub(super) own: Load,
     pub(super) others: Load,
     pub(super) pace: pace::Line,
@@ -72,14 +74,15 @@
 }
 
 impl Server {
-    pub(super) fn new(listed: Listed<'_>) -> Self {
+    pub(super) fn new(now: time::Duration, listed: Listed<'_>) -> Self {
         Self {
             service: listed.service,
             hash: xxh3::xxh3_64(listed.id.as_bytes()),
             slots: listed.slots.max(1),
             engine: listed.engine,
             near: listed.near,
-            usable: true,
+            state: State::Ready,
+            joined: now,
             own: Load::default(),
             others: Load::default(),
             pace: pace::Line::default(),
@@ -91,6 +94,10 @@
         }
     }
 
+    pub(super) fn is_ready(&self) -> bool {
+        self.state == State::Ready
+    }
+
     pub(super) fn running(&self) -> u32 {
         self.own.running + self.others.running
     }
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -74,7 +74,7 @@
             if !entry.takes_requests(server) {
                 return Outcome::Unwanted;
             }
-            let Some(req) = self.outgoing(server, after) else {
+            let Some(req) = self.outgoing(&slot, after) else {
                 return Outcome::NotSent;
             };
             if !self.tried.contains(&server) {
@@ -149,7 +149,7 @@
 
     fn outgoing(
         &self,
-        server: key::Sidecar,
+        slot: &slot::Slot,
         after: Option<&str>,
     ) -> Option<http::Request<Full<Bytes>>> {
         let names = &self.entry.dialect;
@@ -160,7 +160,7 @@
         let headers = req.headers_mut();
         *headers = head.headers.clone();
         let backends = self.entry.backends.borrow();
-        let id = &backends.get(server)?.server.id;
+        let id = &backends.get(slot.server)?.server.id;
         headers.insert(&names.expected_instance, HeaderValue::from_str(id).ok()?);
         if let Some(customer) = &self.req.customer {
             headers.insert(&names.customer, HeaderValue::from_str(customer).ok()?);
@@ -171,6 +171,12 @@
             .saturating_sub(self.entry.now())
             .as_millis() as u64;
         headers.insert(&names.deadline, HeaderValue::from(left.max(1)));
+        let source = slot.source.and_then(|source| backends.get(source));
+        if let Some(source) = source {
+            self.entry.meter.count("fetches", "sent");
+            let address = source.server.address.to_string();
+            headers.insert(&names.fetch, HeaderValue::from_str(&address).ok()?);
+        }
         if let Some(after) = after {
             headers.insert(&names.last_event, HeaderValue::from_str(after).ok()?);
         }
--- a/src/direct/dialect.rs
+++ b/src/direct/dialect.rs
@@ -27,6 +27,8 @@
     pub report_path: &'static str,
     /// When a model engine started by its own description, in Unix milliseconds; `None` if it doesn't say.
     pub report_start: fn(&[u8]) -> Option<u64>,
+    /// Address of the engine that another one is to fetch parts of a prompt from; only the entry sets it.
+    pub fetch: HeaderName,
     /// Id of the last event that the caller has seen.
     pub last_event: HeaderName,
     /// Prompt tokens and most output tokens, `IN,OUT`.
--- a/src/direct/peer/ask.rs
+++ b/src/direct/peer/ask.rs
@@ -39,6 +39,8 @@
     pub tokens: f64,
     /// Milliseconds of prompts that stand before it.
     pub ahead_ms: f64,
+    /// The engine that it is to fetch parts of the prompt from.
+    pub source: Option<key::Sidecar>,
 }
 
 /// What asking came to.
@@ -217,6 +219,7 @@
                     server,
                     tokens: reply.tokens.into(),
                     ahead_ms: reply.ahead_ms.into(),
+                    source: reply.source.and_then(|hash| entry.server_by_hash(hash)),
                 });
             }
             message::Decision::Wait => {
--- a/src/direct/peer/lease.rs
+++ b/src/direct/peer/lease.rs
@@ -81,9 +81,9 @@
     };
     match verdict {
         place::Verdict::Go(placed) => {
-            let (tokens, ahead_ms) = (placed.tokens, placed.ahead_ms);
+            let granted = granted(entry, &placed);
             entry.leases.insert(holder, lease(Some(placed), None));
-            go(entry, holder, tokens, ahead_ms);
+            reply(entry, holder, message::Decision::Go, granted);
         }
         place::Verdict::Wait(ticket, until) => {
             entry.leases.insert(holder, lease(None, Some(ticket)));
@@ -107,11 +107,18 @@
     }
 }
 
-fn go(entry: &state::Entry, holder: Holder, tokens: f64, ahead_ms: f64) {
-    reply(entry, holder, message::Decision::Go, |r| {
-        r.tokens = tokens as f32;
-        r.ahead_ms = ahead_ms as f32;
-    });
+// Fills in what a reply says of a granted place.
+fn granted(
+    entry: &state::Entry,
+    placed: &place::Placed,
+) -> impl FnOnce(&mut message::Reply) + use<> {
+    let (tokens, ahead_ms) = (placed.tokens as f32, placed.ahead_ms as f32);
+    let source = placed.source.and_then(|server| entry.server_hash(server));
+    move |reply| {
+        reply.tokens = tokens;
+        reply.ahead_ms = ahead_ms;
+        reply.source = source;
+    }
 }
 
 fn reply(
@@ -136,7 +143,7 @@
 
 /// A waiting request of another entry has its turn.
 pub fn turn(entry: &state::Entry, holder: Holder, placed: place::Placed) {
-    let (tokens, ahead_ms) = (placed.tokens, placed.ahead_ms);
+    let granted = granted(entry, &placed);
     let unheard = entry.leases.fill(holder, placed);
     if let Some(placed) = unheard {
         entry.meter.count("asks", "unheard");
@@ -144,7 +151,7 @@
         entry.fleet.borrow_mut().ended(now, placed, false);
         return;
     }
-    go(entry, holder, tokens, ahead_ms);
+    reply(entry, holder, message::Decision::Go, granted);
 }
 
 /// A waiting request of another entry can't get its place here.
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -263,6 +263,9 @@
     /// What a refusal or a wait was decided by.
     #[prost(message, optional, tag = "7")]
     pub weighed: Option<Weighed>,
+    /// Hash of the id of the engine that it is to fetch parts of the prompt from.
+    #[prost(fixed64, optional, tag = "8")]
+    pub source: Option<u64>,
 }
 
 /// What a decision was made of, for the log of the entry that asked.
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -39,7 +39,8 @@
         self.entry.meter.time("answer", took);
         self.entry.meter.time("waited", self.waited);
         self.entry.meter.time("pause", slot.pause);
-        self.entry
+        let line = self
+            .entry
             .log
             .line("answered")
             .with("id", self.id())
@@ -56,6 +57,9 @@
             .ms("first_ms", slot.first.unwrap_or_default())
             .ms("pause_ms", slot.pause)
             .ms("took_ms", took);
+        if let Some(source) = slot.source {
+            line.with("fetched_from", self.backend(source));
+        }
     }
 
     /// Logs and counts a request that ends with an answer of the entry's own.
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -199,13 +199,16 @@
             return;
         };
         let number = self.service(&server.service);
-        let key = self.fleet.borrow_mut().add(place::Listed {
-            id: &server.id,
-            service: number,
-            slots: server.slots,
-            engine: service.engine,
-            near: server.zone == self.settings.borrow().zone,
-        });
+        let key = self.fleet.borrow_mut().add(
+            self.now(),
+            place::Listed {
+                id: &server.id,
+                service: number,
+                slots: server.slots,
+                engine: service.engine,
+                near: server.zone == self.settings.borrow().zone,
+            },
+        );
         self.health.borrow_mut().add(self.now(), key);
         self.log
             .line("backend_new")
@@ -296,18 +299,24 @@
     // Tells the placing which backend servers may get work.
     pub(super) fn judge(&self) {
         let now = self.now();
-        let states: Vec<(key::Sidecar, bool)> = {
+        let states: Vec<(key::Sidecar, place::State)> = {
             let health = self.health.borrow();
             let backends = self.backends.borrow();
-            let usable = |(key, b): (key::Sidecar, &pool::Backend)| {
+            let state = |(key, b): (key::Sidecar, &pool::Backend)| {
                 let leaves = self.leaves(b) || self.is_named(now, b.hash);
-                let takes = !leaves && !self.zones.contain(&b.server) && b.takes(now);
-                (key, takes && health.state(now, key).usable())
+                let drains = leaves || self.zones.contain(&b.server);
+                let is_fit = b.takes(now) && health.state(now, key).usable();
+                let state = match (is_fit, drains) {
+                    (false, _) => place::State::Away,
+                    (true, true) => place::State::Draining,
+                    (true, false) => place::State::Ready,
+                };
+                (key, state)
             };
-            backends.iter().map(usable).collect()
+            backends.iter().map(state).collect()
         };
-        for (key, usable) in states {
-            let moved = self.fleet.borrow_mut().set_usable(key, usable);
+        for (key, state) in states {
+            let moved = self.fleet.borrow_mut().set_state(now, key, state);
             self.place_anew(moved);
         }
     }
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -24,6 +24,8 @@
     pub ahead_ms: f64,
     /// Prompt tokens that the backend server is believed to read.
     pub tokens: f64,
+    /// The engine that it is to fetch parts of the prompt from.
+    pub source: Option<key::Sidecar>,
     /// Time until the first event, once it has come.
     pub first: Option<time::Duration>,
     /// Longest time between two arrivals of events.
@@ -51,6 +53,7 @@
             since: entry.now(),
             ahead_ms: placed.ahead_ms,
             tokens: placed.tokens,
+            source: placed.source,
             first: None,
             pause: time::Duration::ZERO,
             heard: None,
@@ -67,6 +70,7 @@
             since: entry.now(),
             ahead_ms: grant.ahead_ms,
             tokens: grant.tokens,
+            source: grant.source,
             first: None,
             pause: time::Duration::ZERO,
             heard: None,
--- a/tests/cold_load.rs
+++ b/tests/cold_load.rs
@@ -31,13 +31,16 @@
 
 fn entry(seed: u64) -> Entry {
     let mut fleet = place::Fleet::new(seed);
-    let engine = fleet.add(place::Listed {
-        id: "engine",
-        service: 0,
-        slots: 64,
-        engine: true,
-        near: true,
-    });
+    let engine = fleet.add(
+        time::Duration::ZERO,
+        place::Listed {
+            id: "engine",
+            service: 0,
+            slots: 64,
+            engine: true,
+            near: true,
+        },
+    );
     fleet.set_cold(ms(0), engine, ms(COLD_MS), COLD_PER_S);
     let mut customers = SlotMap::<key::Customer, ()>::with_key();
     Entry {
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -24,13 +24,16 @@
     let mut fleet = place::Fleet::new(7);
     let id = |n| format!("server-{n}");
     let add = |n| {
-        fleet.add(place::Listed {
-            id: &id(n),
-            service: SERVICE,
-            slots: if engine { 64 } else { 2 },
-            engine,
-            near: n == 0,
-        })
+        fleet.add(
+            time::Duration::ZERO,
+            place::Listed {
+                id: &id(n),
+                service: SERVICE,
+                slots: if engine { 64 } else { 2 },
+                engine,
+                near: n == 0,
+            },
+        )
     };
     let servers = (0..engines).map(add).collect();
     let mut keys = SlotMap::<key::Customer, ()>::with_key();
@@ -263,7 +266,7 @@
         },
         Case {
             name: "leaving",
-            lose: |fleet, at| fleet.set_usable(at, false),
+            lose: |fleet, at| fleet.set_state(time::Duration::ZERO, at, place::State::Away),
         },
     ];
     for case in cases {
--- a/tests/place_load.rs
+++ b/tests/place_load.rs
@@ -60,13 +60,16 @@
     fn new(seed: u64) -> Self {
         let mut fleet = place::Fleet::new(seed);
         for n in 0..SERVERS {
-            fleet.add(place::Listed {
-                id: &format!("server-{n}"),
-                service: 0,
-                slots: SLOTS,
-                engine: false,
-                near: n == 0,
-            });
+            fleet.add(
+                time::Duration::ZERO,
+                place::Listed {
+                    id: &format!("server-{n}"),
+                    service: 0,
+                    slots: SLOTS,
+                    engine: false,
+                    near: n == 0,
+                },
+            );
         }
         let mut keys = SlotMap::<key::Customer, ()>::with_key();
         Self {
--- a/tests/share_load.rs
+++ b/tests/share_load.rs
@@ -110,13 +110,16 @@
     fn new(seed: u64, loads: Vec<Load>) -> Self {
         let mut fleet = place::Fleet::new(seed);
         let mut add = |n| {
-            fleet.add(place::Listed {
-                id: &format!("engine-{n}"),
-                service: 0,
-                slots: 64,
-                engine: true,
-                near: false,
-            })
+            fleet.add(
+                time::Duration::ZERO,
+                place::Listed {
+                    id: &format!("engine-{n}"),
+                    service: 0,
+                    slots: 64,
+                    engine: true,
+                    near: false,
+                },
+            )
         };
         let servers = (0..ENGINES).map(&mut add).collect();
         let mut keys = SlotMap::<key::Customer, ()>::with_key();
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -27,6 +27,7 @@
         cold: name("cold"),
         report_path: "",
         report_start: |_| None,
+        fetch: name("fetch-from"),
         last_event: name("last-event"),
         usage: name("usage"),
         length_hint: name("hint"),
