--- a/examples/measure/peer.rs
+++ b/examples/measure/peer.rs
@@ -41,7 +41,7 @@
         own.health.add(self.now, sidecar);
         own.health.compare();
         let signs = &mut own.signs[sidecar];
-        signs.hear(self.now, drain::Source::Own, leaving);
+        signs.on_sign(self.now, drain::Source::Own, leaving);
         own.route.add(route::Candidate {
             key: sidecar,
             hash: random::Random::new(server as u64).bits(),
--- a/examples/measure/world.rs
+++ b/examples/measure/world.rs
@@ -287,7 +287,8 @@
                     own.links.retain(|other| *other != server);
                     own.clock.remove(self.sidecars[server]);
                 } else {
-                    own.clock.hear(self.sidecars[server], virtual_time, waiting);
+                    own.clock
+                        .on_report(self.sidecars[server], virtual_time, waiting);
                 }
             }
             Event::Again { request } => self.again(request),
--- a/src/control/dispatch/frames.rs
+++ b/src/control/dispatch/frames.rs
@@ -167,7 +167,7 @@
         if code == code::Code::Leaving {
             // Before its heartbeat says so: no new ticket goes there.
             let signs = &mut self.sidecars[sidecar].signs;
-            signs.hear(now, drain::Source::Own, true);
+            signs.on_sign(now, drain::Source::Own, true);
         }
         if voided.attempt == 0 {
             self.ticket_refused(now, sidecar, key);
@@ -323,11 +323,12 @@
             time::Duration::from_micros(beat.between_tokens_us),
         );
         let was_open = known.signs.open(now);
-        known.signs.hear(now, drain::Source::Own, beat.leaving);
+        known.signs.on_sign(now, drain::Source::Own, beat.leaving);
         let began_leaving = was_open && beat.leaving;
         self.routing.report(now, sidecar, &self.sidecars[sidecar]);
         self.ring.observe(event::Stamp(beat.stamp));
-        self.clock.hear(sidecar, beat.virtual_time, beat.waiting);
+        self.clock
+            .on_report(sidecar, beat.virtual_time, beat.waiting);
         self.shares.advance(self.clock.time());
         if began_leaving {
             self.drop_tickets(now, sidecar);
--- a/src/control/dispatch/ledger.rs
+++ b/src/control/dispatch/ledger.rs
@@ -173,7 +173,7 @@
     }
 
     /// A home's answer.
-    pub(super) fn told(&mut self, now: time::Duration, report: &wire::Report) {
+    pub(super) fn on_totals(&mut self, now: time::Duration, report: &wire::Report) {
         for account in &report.accounts {
             let known = self.known_account(account);
             self.counted(now, Some(known));
--- a/src/control/dispatch/links.rs
+++ b/src/control/dispatch/links.rs
@@ -99,7 +99,7 @@
             known.service = found.service;
             known.listed = true;
             let was_open = known.signs.open(now);
-            known.signs.hear(now, drain::Source::Peer, leaving);
+            known.signs.on_sign(now, drain::Source::Peer, leaving);
             if was_open && leaving {
                 self.drop_tickets(now, key);
             }
--- a/src/control/dispatch/mod.rs
+++ b/src/control/dispatch/mod.rs
@@ -228,7 +228,7 @@
                 self.ledger.set_peers(now, peers);
             }
             Message::Report(report, answer) => self.reported(now, &report, answer),
-            Message::Told(report) => self.told(now, &report),
+            Message::Told(report) => self.on_totals(now, &report),
             Message::Catalogue(accepted) => self.catalogue(now, &accepted),
             Message::Status(tx) => drop(tx.send(self.status(now))),
             Message::Customers(tx) => drop(tx.send(self.report(now))),
--- a/src/control/dispatch/routing.rs
+++ b/src/control/dispatch/routing.rs
@@ -58,7 +58,7 @@
             return;
         };
         if let Some(peer) = health.get_mut(key) {
-            peer.heard(now);
+            peer.on_heartbeat(now);
         }
         let state = health.state(now, key);
         self.states.insert(key, state);
--- a/src/control/exchange.rs
+++ b/src/control/exchange.rs
@@ -2,7 +2,7 @@
 //!
 //! Each process exchanges with one other, chosen at random, every period, and at once with a few
 //! when it has learned something urgent: a new catalogue revision or that a process is leaving.
-//! Both sides tell what they have and take what is newer, so news passes either way.
+//! Both sides tell what they have and take what is newer, so changes pass either way.
 
 use std::sync::atomic;
 use std::{net, sync, time};
@@ -20,7 +20,7 @@
 /// and receives two digests every period each way.
 pub const PERIOD: time::Duration = time::Duration::from_secs(2);
 
-/// Processes told at once of urgent news. Each that learns of it tells six more, which leaves about
+/// Processes notified at once of an urgent change. Each that learns of it tells six more, which leaves about
 /// e^-6, 3 of 1,270, for the next period; three would leave one in twenty.
 const FANOUT: usize = 6;
 
@@ -72,7 +72,7 @@
     period: time::Duration,
     catalogue: catalogue::Handle,
     members: member::Handle,
-    news: tokio::sync::Notify,
+    changed: tokio::sync::Notify,
     sent: atomic::AtomicU64,
     received: atomic::AtomicU64,
     // Most processes known so far.
@@ -107,7 +107,7 @@
         period: setup.period,
         catalogue: catalogue.clone(),
         members: members.clone(),
-        news: tokio::sync::Notify::new(),
+        changed: tokio::sync::Notify::new(),
         sent: atomic::AtomicU64::new(0),
         received: atomic::AtomicU64::new(0),
         known: atomic::AtomicUsize::new(0),
@@ -116,7 +116,7 @@
     let weak = sync::Arc::downgrade(&shared);
     catalogue.subscribe(move |_| {
         if let Some(shared) = weak.upgrade() {
-            shared.news.notify_one();
+            shared.changed.notify_one();
         }
     });
     let weak = sync::Arc::downgrade(&shared);
@@ -126,7 +126,7 @@
         let known = shared.members.len();
         let more = shared.known.fetch_max(known, atomic::Ordering::Relaxed) < known;
         if shared.members.take_urgent() || (more && shared.catalogue.revision() == 0) {
-            shared.news.notify_one();
+            shared.changed.notify_one();
         }
     });
     let task = runtime.spawn(run(sync::Arc::clone(&shared)));
@@ -154,7 +154,7 @@
     /// This process begins to leave, and tells others at once.
     pub fn leave(&self) {
         self.members.leave();
-        self.shared.news.notify_one();
+        self.shared.changed.notify_one();
     }
 }
 
@@ -173,7 +173,7 @@
         let part = 0.75 + 0.5 * f64::from(rand_byte(&shared)) / 255.0;
         let urgent = tokio::select! {
             () = tokio::time::sleep(shared.period.mul_f64(part)) => false,
-            () = shared.news.notified() => true,
+            () = shared.changed.notified() => true,
         };
         let due = began.elapsed().as_secs() / table::BEAT_PERIOD.as_secs();
         shared.members.tick(due > beats);
@@ -181,7 +181,7 @@
         let count = if urgent { FANOUT } else { 1 };
         let mut calls = tokio::task::JoinSet::new();
         for target in shared.members.targets(count) {
-            calls.spawn(tell(sync::Arc::clone(&shared), target));
+            calls.spawn(notify(sync::Arc::clone(&shared), target));
         }
         while calls.join_next().await.is_some() {}
     }
@@ -193,7 +193,7 @@
 }
 
 /// Exchanges with one process, and again if it turned out to be behind.
-async fn tell(shared: sync::Arc<Shared>, target: table::Member) {
+async fn notify(shared: sync::Arc<Shared>, target: table::Member) {
     let told = tokio::time::timeout(TIMEOUT, shared.call(&target)).await;
     match told {
         Ok(Ok(())) => {}
--- a/src/decide/accept/mod.rs
+++ b/src/decide/accept/mod.rs
@@ -31,7 +31,7 @@
 const RECENT: usize = 256;
 
 /// Accepted changes that a reader keeps for others that are a few behind. At 1,500 a day they
-/// cover an hour; whoever is further behind gets a whole state.
+/// cover an hour; a process that is further behind gets the complete state.
 const STEPS: usize = 64;
 
 /// Applies the rule to records and keeps what is accepted.
--- a/src/decide/drain.rs
+++ b/src/decide/drain.rs
@@ -59,7 +59,7 @@
 
 impl Signs {
     /// A source says whether it leaves.
-    pub fn hear(&mut self, now: time::Duration, source: Source, leaving: bool) {
+    pub fn on_sign(&mut self, now: time::Duration, source: Source, leaving: bool) {
         let was = self.any();
         match source {
             Source::Own => self.own |= leaving,
--- a/src/decide/evacuation.rs
+++ b/src/decide/evacuation.rs
@@ -1,7 +1,7 @@
 //! Which availability zones are evacuated.
 //!
 //! Load pattern: an operator empties a zone before its power or network is worked on. All entries stop sending
-//! there within seconds, whoever they learn it from: the store, an entry that has read the store, or one that has not yet
+//! there within seconds, from any source: the store, an entry that has read the store, or one that has not yet
 //! heard that the zone is back in use. The newest record on a zone counts, in the order of the operator's log; without
 //! that order two entries would keep a zone out of use on each other's outdated record.
 //!
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -99,7 +99,7 @@
     }
 
     /// Something came from it: a heartbeat or any other frame.
-    pub fn heard(&mut self, now: time::Duration) {
+    pub fn on_heartbeat(&mut self, now: time::Duration) {
         self.heard = self.heard.max(now);
     }
 
@@ -138,7 +138,7 @@
 
     /// A call ended well and took this long for a unit of work, such as a token.
     pub fn succeeded(&mut self, now: time::Duration, pace: time::Duration) {
-        self.heard(now);
+        self.on_heartbeat(now);
         self.failures = 0;
         let pace = pace.as_secs_f64() * 1e3;
         let weight = if self.samples == 0 { 1.0 } else { SMOOTHING };
@@ -198,7 +198,7 @@
     /// Adds one, or takes it back after a new connection.
     pub fn add(&mut self, now: time::Duration, sidecar: key::Sidecar) {
         match self.peers.get_mut(sidecar) {
-            Some(peer) => peer.heard(now),
+            Some(peer) => peer.on_heartbeat(now),
             None => {
                 self.peers.insert(sidecar, Peer::new(now));
             }
--- a/src/decide/home/table.rs
+++ b/src/decide/home/table.rs
@@ -139,7 +139,7 @@
             return;
         }
         for known in &reply.members {
-            self.hear(now, known);
+            self.merge(now, known);
         }
         self.replace(now, &ask.id, reply.incarnation);
         let Some(at) = self.find(&ask.id, reply.incarnation) else {
--- a/src/decide/home/view.rs
+++ b/src/decide/home/view.rs
@@ -60,7 +60,7 @@
 
     /// Adds a member that a reply names. What the reply says of its keys holds only together with
     /// the replier's, so it is kept there.
-    pub(super) fn hear(&mut self, now: time::Duration, known: &Known) {
+    pub(super) fn merge(&mut self, now: time::Duration, known: &Known) {
         let same = *known.id == *self.id;
         if same && known.incarnation == self.incarnation {
             return;
--- a/src/decide/member/digest.rs
+++ b/src/decide/member/digest.rs
@@ -5,7 +5,7 @@
 use crate::decide::member::{Member, Table};
 
 /// Rows of a digest besides the sender's own. Eight rows of about 100 bytes keep an exchange near
-/// 1 KB each way; news of a row needs about twenty digests of each process, so a second's changes
+/// 1 KB each way; a change of a row needs about twenty digests of each process, so a second's changes
 /// of a whole rack are through in seconds.
 pub const ROWS: usize = 8;
 
@@ -14,23 +14,27 @@
 
 /// Digests of a process that carry a new heartbeat. Three reach 95 in 100 processes (a rumour told
 /// k times by each misses about e^-k, Demers et al., PODC 1987); whom it misses, the next reaches.
-pub const BEAT_NEWS: u32 = 3;
+pub const HEARTBEAT_REPEATS: u32 = 3;
 
 impl Table {
     /// Digests that carry a change of the fleet: 2 log2 n + 4, so that missing any one process is
     /// unlikely (Das et al., SWIM, DSN 2002); what is missed, the rotating row and the list bring.
-    pub(super) fn news(&self) -> u32 {
+    pub(super) fn repeats(&self) -> u32 {
         2 * (self.rows.len() + 2).ilog2() + 4
     }
 
     /// The rows to send, this process's own first.
     pub fn digest(&mut self, rows: usize) -> Vec<Member> {
-        let mut fresh: Vec<_> = self.rows.values_mut().filter(|row| row.news > 0).collect();
-        fresh.sort_unstable_by_key(|row| cmp::Reverse((row.member.leaving, row.news)));
+        let mut fresh: Vec<_> = self
+            .rows
+            .values_mut()
+            .filter(|row| row.repeats > 0)
+            .collect();
+        fresh.sort_unstable_by_key(|row| cmp::Reverse((row.member.leaving, row.repeats)));
         let mut picked = vec![self.own.clone()];
-        // One row in turn, news or not, so that differences that news missed are found.
+        // One row in turn, changed or not, so that missed changes are found.
         for row in fresh.into_iter().take(rows.saturating_sub(1)) {
-            row.news -= 1;
+            row.repeats -= 1;
             picked.push(row.member.clone());
         }
         let len = self.rows.len();
--- a/src/decide/member/list.rs
+++ b/src/decide/member/list.rs
@@ -65,10 +65,10 @@
             self.join(now, listed.member.clone(), Listing::Present);
             // Others have the list too; a fleet that starts would fill digests for minutes.
             if let Some(row) = self.rows.get_mut(&listed.member.id) {
-                row.news = digest::BEAT_NEWS;
+                row.repeats = digest::HEARTBEAT_REPEATS;
             }
         }
-        let news = self.news();
+        let repeats = self.repeats();
         let Some(row) = self.rows.get_mut(&listed.member.id) else {
             return;
         };
@@ -82,7 +82,7 @@
         // holds only until it says otherwise, and is not passed on.
         if listed.leaving && incarnation != 0 && !row.member.leaving {
             row.member.leaving = true;
-            row.news = news;
+            row.repeats = repeats;
             self.urgent = true;
         }
         if listed.leaving != was {
--- a/src/decide/member/mod.rs
+++ b/src/decide/member/mod.rs
@@ -135,8 +135,8 @@
     failed: time::Duration,
     flaps: u32,
     hold: time::Duration,
-    // How many more digests carry this row as news.
-    news: u32,
+    // How many more digests carry this row.
+    repeats: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -261,7 +261,7 @@
             return;
         }
         self.tombstones.remove(&member.id);
-        let news = self.news();
+        let repeats = self.repeats();
         let Some(row) = self.rows.get_mut(&member.id) else {
             return self.join(now, member, Listing::Never);
         };
@@ -274,7 +274,7 @@
             return self.join(now, member, listing);
         }
         if member.heartbeat > known.heartbeat {
-            row.news = row.news.max(digest::BEAT_NEWS);
+            row.repeats = row.repeats.max(digest::HEARTBEAT_REPEATS);
             let moved = member.address != known.address || member.service != known.service;
             if row.answered(now) || moved {
                 self.version += 1;
@@ -287,7 +287,7 @@
         }
         if member.leaving && !row.member.leaving {
             row.member.leaving = true;
-            row.news = news;
+            row.repeats = repeats;
             self.urgent = true;
             self.version += 1;
             self.events.push(Event::Leaving(member.id));
@@ -393,7 +393,7 @@
             failed: time::Duration::ZERO,
             flaps: 0,
             hold: time::Duration::ZERO,
-            news: self.news(),
+            repeats: self.repeats(),
         };
         self.rows.insert(id.clone(), row);
         self.version += 1;
--- a/src/decide/overload.rs
+++ b/src/decide/overload.rs
@@ -34,7 +34,7 @@
 /// Times as many that are turned away then: of customers with a quarter of the most service, all.
 const SATURATED_FACTOR: f64 = 4.0;
 
-/// Times as many that an overloaded entry turns away of whoever asks most of it, since it spares those that ask little.
+/// Times as many that an overloaded entry turns away of the customers that ask most of it, since it spares those that ask little.
 /// Without it a weak entry falls further behind within a second, and works on for callers that have left. When saturated it
 /// turns away all of them in any case.
 const FLOOD_FACTOR: f64 = 2.0;
--- a/src/decide/place/server.rs
+++ b/src/decide/place/server.rs
@@ -32,7 +32,7 @@
 const SERVICE_SMOOTHING: f64 = 0.05;
 
 /// What stands at an engine when a waiting request is handed over, in milliseconds: most of [`UNREAD`],
-/// since room is used as soon as it is there. Without it whoever waits to the last is late by it.
+/// since room is used as soon as it is there. Without it a request that waits to the last is late by it.
 const HANDED_AHEAD: f64 = 80.0;
 
 /// Most a believed part stays believed without use: engines yield the least recently used.
--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -1,8 +1,8 @@
 //! Which requests end the backend servers that run them, and so are not run any more.
 //!
-//! Load pattern: a request that crashes whoever runs it comes again and again, through any entry, and each
+//! Load pattern: a request that crashes the backend servers that run it comes again and again, through any entry, and each
 //! try takes a backend server away for seconds, with all that it runs. Without a memory of what ran where, one caller
-//! takes down a fleet; with a careless one, whoever ran beside it is refused too.
+//! takes down a fleet; with a careless one, requests that ran beside it are refused too.
 //!
 //! A request is a suspect once two backend servers have ended under it, or connections were lost under it for unknown reasons: a process that
 //! has started again within milliseconds is known for another one seconds later. From then on it runs beside no other
@@ -292,7 +292,7 @@
     }
 
     /// Takes in what another entry knows of a request. Returns whether that changes how it may run.
-    pub fn hear(&mut self, request: Fingerprint, told: &Case) -> bool {
+    pub fn merge(&mut self, request: Fingerprint, told: &Case) -> bool {
         if !told.is_open() && !self.cases.contains_key(&request) {
             return false;
         }
--- a/src/decide/recent.rs
+++ b/src/decide/recent.rs
@@ -89,7 +89,7 @@
 
     /// Takes in what another entry reports: customers whose service there has changed. What it doesn't tell of has faded
     /// there as it does here.
-    pub fn hear(
+    pub fn merge(
         &mut self,
         now: time::Duration,
         entry: u64,
--- a/src/decide/rotation.rs
+++ b/src/decide/rotation.rs
@@ -6,7 +6,7 @@
 //! bears more than it could itself; and while one does, the zone's other weak entries leave as well, as far as the
 //! balancer allows, so that the burst comes to a strong one.
 //!
-//! All entries of a zone decide by the same order of the same entries, so they agree but for the age of their news.
+//! All entries of a zone decide by the same order of the same entries, so they agree but for the age of what they know.
 
 use std::{cmp, time};
 
--- a/src/decide/share.rs
+++ b/src/decide/share.rs
@@ -143,7 +143,7 @@
 impl Clock {
     /// Takes in a sidecar's heartbeat. One without waiting tickets picks whatever comes, so its
     /// virtual time says nothing about the others.
-    pub fn hear(&mut self, sidecar: key::Sidecar, virtual_time: f64, waiting: u32) {
+    pub fn on_report(&mut self, sidecar: key::Sidecar, virtual_time: f64, waiting: u32) {
         self.heard
             .insert(sidecar, (waiting > 0).then_some(virtual_time));
     }
--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -229,7 +229,7 @@
     fn give_up(&mut self, refusal: refusal::Refusal) -> io::Error {
         self.over = true;
         self.conn = None;
-        self.run.tell(refusal);
+        self.run.log_refusal(refusal);
         io::Error::other(refusal.code.to_string())
     }
 }
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -83,7 +83,7 @@
         Err(_elapsed) if run.ran => refusal::Refusal::new(code::Code::BackendSilent),
         Err(_elapsed) => refusal::Refusal::later(code::Code::DeadlineUnreachable, FULL),
     };
-    run.tell(refusal);
+    run.log_refusal(refusal);
     refusal.response(Some(&run.req.head.id), &run.entry.dialect)
 }
 
--- a/src/direct/inspect.rs
+++ b/src/direct/inspect.rs
@@ -55,7 +55,7 @@
     }
 
     /// Whether a backend server is asked how cold it is.
-    pub(super) fn tells_cold(&self, server: key::Sidecar) -> bool {
+    pub(super) fn reports_cold(&self, server: key::Sidecar) -> bool {
         let target = self.target(server);
         target.is_some_and(|t| !t.health_path.is_empty())
     }
@@ -65,7 +65,7 @@
         let backends = self.backends.borrow();
         let server = backends.get(server)?.server.clone();
         let service = plan.services.get(server.service.as_str())?;
-        let health_path = if service.tells_cold() {
+        let health_path = if service.reports_cold() {
             service.health_path.clone()
         } else {
             String::new()
--- a/src/direct/leaving.rs
+++ b/src/direct/leaving.rs
@@ -88,14 +88,14 @@
 
     /// Another entry told which backend servers said in an answer that they leave.
     pub fn on_leaving(&self, processes: &[u64]) {
-        let mut news = false;
+        let mut is_new = false;
         for process in processes {
             if self.backends_leaving.add(*process) {
                 self.log_leaving(*process, "neighbour");
-                news = true;
+                is_new = true;
             }
         }
-        if news {
+        if is_new {
             self.judge();
         }
     }
@@ -153,12 +153,12 @@
     /// again, two entries kept a good backend server out of use for good, each on the other's word.
     pub fn on_departing(&self, hashes: &[u64]) {
         let now = self.now();
-        let mut news = false;
+        let mut is_new = false;
         for hash in hashes.iter().filter(|h| self.server_by_hash(**h).is_some()) {
             let before = self.named.borrow_mut().insert(*hash, now + NAMED);
-            news |= before.is_none_or(|until| now >= until);
+            is_new |= before.is_none_or(|until| now >= until);
         }
-        if news {
+        if is_new {
             self.log
                 .line("backends_named")
                 .with("leaving", hashes.len());
--- a/src/direct/neighbour.rs
+++ b/src/direct/neighbour.rs
@@ -70,9 +70,9 @@
         CONFIGURATION => entry.plan().map(|plan| plan.source.clone()),
         BACKENDS => {
             let asked = Limited::new(req.into_body(), ASKED).collect().await;
-            // Whoever asks without digests, or with others than these, is told all.
+            // Without digests, or with others than these, the answer is the complete list.
             let digests = asked.ok().and_then(|body| parts::decode(&body.to_bytes()));
-            tell(entry, digests)
+            list_answer(entry, digests)
         }
         CASES => Some(case::all(entry).into()),
         EVACUATIONS => {
@@ -89,7 +89,7 @@
 }
 
 // The list of backend servers, or the parts of it that differ from those with these digests.
-fn tell(entry: &state::Entry, digests: Option<Vec<u64>>) -> Option<Bytes> {
+fn list_answer(entry: &state::Entry, digests: Option<Vec<u64>>) -> Option<Bytes> {
     let servers = entry.servers()?;
     let told = match digests {
         Some(digests) => serde_json::to_vec(&Answer::from(entry.differing(&digests))),
@@ -106,75 +106,73 @@
 
 /// Takes over what another entry knows of requests under which backend servers ended.
 pub async fn cases(entry: &state::Entry, address: net::SocketAddr) {
-    let body = get(address, CASES, Bytes::new(), entry.slack()).await;
-    match body.map(case::Cases::decode) {
-        Some(Ok(told)) => case::hear(entry, &told.cases),
-        Some(Err(err)) => drop(
-            entry
-                .log
-                .line("neighbour_malformed")
-                .with("neighbour", address)
-                .with("code", code::Code::EntryInvalid)
-                .with("error", err),
-        ),
-        // It knows of none, or can't be asked; the next heartbeat names one that can.
-        None => {}
+    // It knows of none, or can't be asked; the next heartbeat names one that can.
+    if let Some(known) = get_message::<case::Cases>(entry, address, CASES).await {
+        case::on_cases(entry, &known.cases);
     }
 }
 
 /// Takes over the evacuations that another entry knows of. Without them an entry that starts while the store is away would send
 /// requests to an evacuated zone until the first heartbeat comes.
 pub async fn evacuations(entry: &state::Entry, address: net::SocketAddr) {
-    let body = get(address, EVACUATIONS, Bytes::new(), entry.slack()).await;
-    match body.map(message::Evacuations::decode) {
-        Some(Ok(told)) => {
-            let records = told.evacuations.iter();
-            let records = records.map(decide::evacuation::Record::from);
-            entry.on_evacuations(evacuation::Source::Peer, records);
+    // It knows of none, or can't be asked; heartbeats carry what is missing.
+    if let Some(known) = get_message::<message::Evacuations>(entry, address, EVACUATIONS).await {
+        let records = known.evacuations.iter();
+        let records = records.map(decide::evacuation::Record::from);
+        entry.on_evacuations(evacuation::Source::Peer, records);
+    }
+}
+
+async fn get_message<M: prost::Message + Default>(
+    entry: &state::Entry,
+    address: net::SocketAddr,
+    path: &str,
+) -> Option<M> {
+    let body = get(address, path, Bytes::new(), entry.slack()).await?;
+    match M::decode(body) {
+        Ok(known) => Some(known),
+        Err(err) => {
+            log_malformed(entry, address, &err);
+            None
         }
-        Some(Err(err)) => drop(
-            entry
-                .log
-                .line("neighbour_malformed")
-                .with("neighbour", address)
-                .with("code", code::Code::EntryInvalid)
-                .with("error", err),
-        ),
-        // It knows of none, or can't be asked; heartbeats carry what is missing.
-        None => {}
     }
 }
 
+fn log_malformed(entry: &state::Entry, address: net::SocketAddr, err: &dyn std::fmt::Display) {
+    entry
+        .log
+        .line("neighbour_malformed")
+        .with("neighbour", address)
+        .with("code", code::Code::EntryInvalid)
+        .with("error", err);
+}
+
 /// What another entry knows of the backend servers beyond what this one does.
-pub async fn backends(entry: &state::Entry, address: net::SocketAddr) -> Option<plan::News> {
+pub async fn backends(entry: &state::Entry, address: net::SocketAddr) -> Option<plan::Update> {
     let servers = entry.servers().map_or(0, |servers| servers.len());
     let digests = parts::encode(&entry.part_digests(parts::count(servers)));
     let body = get(address, BACKENDS, digests.into(), entry.slack()).await?;
-    let malformed = |err: &serde_json::Error| {
-        entry
-            .log
-            .line("neighbour_malformed")
-            .with("neighbour", address)
-            .with("code", code::Code::EntryInvalid)
-            .with("error", err);
-    };
-    match news(&body) {
-        Ok((news, unreadable)) => {
-            unreadable.iter().for_each(malformed);
-            Some(news)
+    match decode_list(&body) {
+        Ok((update, unreadable)) => {
+            for err in &unreadable {
+                log_malformed(entry, address, err);
+            }
+            Some(update)
         }
         Err(err) => {
-            malformed(&err);
+            log_malformed(entry, address, &err);
             None
         }
     }
 }
 
 /// Decodes a list, or parts of one. Errors are those of entries that can't be read.
-pub fn news(body: &[u8]) -> Result<(plan::News, Vec<serde_json::Error>), serde_json::Error> {
+pub fn decode_list(
+    body: &[u8],
+) -> Result<(plan::Update, Vec<serde_json::Error>), serde_json::Error> {
     if !body.starts_with(b"{") {
         let list = list(body)?;
-        return Ok((plan::News::Told(list.servers), list.unreadable));
+        return Ok((plan::Update::Told(list.servers), list.unreadable));
     }
     let told: Answer<serde_json::Value> = serde_json::from_slice(body)?;
     let list = readable(told.listed);
@@ -183,7 +181,7 @@
         told: told.parts,
         servers: list.servers,
     };
-    Ok((plan::News::Parts(parts), list.unreadable))
+    Ok((plan::Update::Parts(parts), list.unreadable))
 }
 
 // [`plan::Parts`] as they are sent, with entries that may be unreadable.
--- a/src/direct/peer/case.rs
+++ b/src/direct/peer/case.rs
@@ -137,7 +137,7 @@
 }
 
 /// Tells the others what has become of a request: with the next heartbeats, and at once if that is urgent.
-pub fn tell(entry: &state::Entry, request: quarantine::Fingerprint, urgent: bool) {
+pub fn broadcast(entry: &state::Entry, request: quarantine::Fingerprint, urgent: bool) {
     entry.unsent_cases.add(request);
     let Some(link) = entry.link.as_ref().filter(|_| urgent) else {
         return;
@@ -160,7 +160,7 @@
 }
 
 /// Takes in what another entry knows.
-pub fn hear(entry: &state::Entry, cases: &[Case]) {
+pub fn on_cases(entry: &state::Entry, cases: &[Case]) {
     let now = entry.now();
     for case in cases {
         entry.on_case(case.request(), &case.known(now));
@@ -209,6 +209,6 @@
     case.held_ms = Some(0);
     case.seen_ms = 0;
     case.cleared_ms = None;
-    hear(entry, &[case]);
+    on_cases(entry, &[case]);
     Ok(None)
 }
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -121,7 +121,7 @@
 
 fn read(entry: &rc::Rc<state::Entry>, datagram: &[u8]) {
     match message::Datagram::decode(datagram) {
-        Ok(datagram) => hear(entry, &datagram),
+        Ok(datagram) => on_datagram(entry, &datagram),
         Err(err) => drop(entry.log.line("datagram_malformed").with("error", err)),
     }
 }
@@ -191,11 +191,11 @@
     entries: u64,
 ) -> Option<message::Heartbeat> {
     let peers = entry.peers.borrow();
-    let (digest, count) = peers.heard_by(to).unwrap_or_default();
+    let (digest, count) = peers.membership_of(to).unwrap_or_default();
     if digest == entries {
         return None;
     }
-    let mut heard = peers.heard();
+    let mut heard = peers.members();
     let mut rng = entry.rng.borrow_mut();
     let starts = count < heard.len() / 2 && rng.below(heard.len()) < INTRODUCERS;
     if !starts {
@@ -269,12 +269,12 @@
     }
 }
 
-fn hear(entry: &rc::Rc<state::Entry>, datagram: &message::Datagram) {
+fn on_datagram(entry: &rc::Rc<state::Entry>, datagram: &message::Datagram) {
     let address = net::Ipv4Addr::from_bits(datagram.address);
     if let (Some(heartbeat), Some(link)) = (&datagram.heartbeat, &entry.link) {
         on_heartbeat(entry, link, datagram.sender, address, heartbeat);
     }
-    case::hear(entry, &datagram.cases);
+    case::on_cases(entry, &datagram.cases);
     entry.on_leaving(&datagram.leaving);
     for inspection in &datagram.inspections {
         entry.on_inspection(inspection);
@@ -308,7 +308,7 @@
     let heard = entry
         .peers
         .borrow_mut()
-        .hear(now, sender, address, heartbeat);
+        .on_heartbeat(now, sender, address, heartbeat);
     let Some(replaced) = heard else { return };
     if replaced.is_some() || entry.peers.borrow().entries() > before {
         entry.send_leaving_again();
@@ -331,11 +331,11 @@
     let served = customers
         .iter()
         .map(|(customer, served, _)| (*customer, *served));
-    fleet.recent().hear(now, sender, served);
+    fleet.recent().merge(now, sender, served);
     let asked = customers
         .iter()
         .map(|(customer, _, asked)| (*customer, *asked));
-    fleet.asked().hear(now, sender, asked);
+    fleet.asked().merge(now, sender, asked);
     drop(fleet);
     entry.on_departing(&heartbeat.departing);
     entry.on_held_digest(address, heartbeat.held);
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -120,7 +120,7 @@
 
     /// Takes in a heartbeat. Returns `None` if it is older than one heard before, else the number of the
     /// start that the sender's address had until now, if that was another.
-    pub fn hear(
+    pub fn on_heartbeat(
         &mut self,
         now: time::Duration,
         sender: u64,
@@ -326,7 +326,7 @@
         FRESH.max(READ + heartbeat.mul_f64(1.5))
     }
 
-    // Other entries with recent news of the store, by when they had it: watchers, or if none has any, those that read in their place.
+    // Other entries with recent answers of the store, by when they had them: watchers, or if none has any, those that read in their place.
     fn recent(
         &self,
         now: time::Duration,
@@ -394,13 +394,13 @@
     }
 
     /// What another entry said last of whom it hears: a digest, and how many.
-    pub fn heard_by(&self, address: net::Ipv4Addr) -> Option<(u64, usize)> {
+    pub fn membership_of(&self, address: net::Ipv4Addr) -> Option<(u64, usize)> {
         let peer = self.alive.get(&address)?;
         Some((peer.entries, peer.count as usize))
     }
 
     /// Addresses of the entries that are heard.
-    pub fn heard(&self) -> Vec<u32> {
+    pub fn members(&self) -> Vec<u32> {
         self.alive.keys().map(|a| a.to_bits()).collect()
     }
 
--- a/src/direct/plan.rs
+++ b/src/direct/plan.rs
@@ -116,7 +116,7 @@
 
 impl Service {
     /// Whether a backend server that starts again is asked for how long it stays cold.
-    pub fn tells_cold(&self) -> bool {
+    pub fn reports_cold(&self) -> bool {
         self.cold_per_s > 0.0 && !self.health_path.is_empty()
     }
 }
@@ -259,9 +259,9 @@
     pub report: Report,
 }
 
-/// News about the backend servers.
+/// What became known of the backend servers.
 #[derive(Clone, Debug)]
-pub enum News {
+pub enum Update {
     /// An entry is new or has changed.
     Listed(Server),
     /// An entry of a store that has come back from an older copy: it may be gone since.
--- a/src/direct/quarantine.rs
+++ b/src/direct/quarantine.rs
@@ -43,7 +43,7 @@
         if before != after && after == quarantine::Standing::Held {
             self.keep_case(loss.fingerprint);
         }
-        case::tell(self, loss.fingerprint, after != quarantine::Standing::Clear);
+        case::broadcast(self, loss.fingerprint, after != quarantine::Standing::Clear);
     }
 
     /// A connection was lost under a request, and it isn't known whether the process there ended.
@@ -51,7 +51,7 @@
         let before = self.standing(request);
         self.quarantine.borrow_mut().lost(self.now(), request);
         let after = self.log_standing(request, before);
-        case::tell(self, request, after != before);
+        case::broadcast(self, request, after != before);
     }
 
     /// A request ran to its end.
@@ -59,14 +59,14 @@
         let before = self.standing(request);
         if self.quarantine.borrow_mut().survived(self.now(), request) {
             self.log_standing(request, before);
-            case::tell(self, request, before != quarantine::Standing::Clear);
+            case::broadcast(self, request, before != quarantine::Standing::Clear);
         }
     }
 
     /// Another entry told what it knows of a request.
     pub fn on_case(&self, request: quarantine::Fingerprint, told: &quarantine::Case) {
         let before = self.standing(request);
-        if self.quarantine.borrow_mut().hear(request, told) {
+        if self.quarantine.borrow_mut().merge(request, told) {
             self.log_standing(request, before);
         }
     }
@@ -96,7 +96,7 @@
         let released = self.quarantine.borrow_mut().release(self.now(), content);
         for request in &released {
             self.log.line("released").with("fingerprint", request);
-            case::tell(self, *request, true);
+            case::broadcast(self, *request, true);
             self.keep_case(*request);
         }
         released.len()
--- a/src/direct/report.rs
+++ b/src/direct/report.rs
@@ -63,7 +63,7 @@
     }
 
     /// Logs and counts a request that ends with an answer of the entry's own.
-    pub fn tell(&self, refusal: refusal::Refusal) {
+    pub fn log_refusal(&self, refusal: refusal::Refusal) {
         self.told.set(true);
         let entry = &self.entry;
         let row = refusal.code.row();
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -50,10 +50,10 @@
         known.then(|| listed.values().cloned().collect())
     }
 
-    /// Takes in news about backend servers.
-    pub fn take(&self, news: plan::News) {
-        match news {
-            plan::News::Listed(server) => {
+    /// Takes in update about backend servers.
+    pub fn take(&self, update: plan::Update) {
+        match update {
+            plan::Update::Listed(server) => {
                 let mut listed = self.listed.borrow_mut();
                 let newer = |known: &plan::Server| known.report > server.report;
                 if listed.get(&server.id).is_some_and(newer) {
@@ -66,21 +66,21 @@
                     return;
                 }
             }
-            plan::News::Restored(server) if self.is_outdated(&server) => return,
-            plan::News::Restored(server) => return self.take(plan::News::Listed(server)),
-            // Whoever wrote an entry that can't be read: it names nothing that may be used.
-            plan::News::Gone(id) | plan::News::Unreadable(id) => {
+            plan::Update::Restored(server) if self.is_outdated(&server) => return,
+            plan::Update::Restored(server) => return self.take(plan::Update::Listed(server)),
+            // An entry that can't be read names nothing that may be used.
+            plan::Update::Gone(id) | plan::Update::Unreadable(id) => {
                 let gone = self.listed.borrow_mut().remove(&id);
                 if let Some(server) = gone {
                     self.remember_gone(server);
                 }
             }
-            plan::News::Told(servers) => self.merge(servers, |_| true),
-            plan::News::Parts(told) => {
+            plan::Update::Told(servers) => self.merge(servers, |_| true),
+            plan::Update::Parts(told) => {
                 let is_told = |id: &str| told.told.contains(&parts::of(id, told.of));
                 self.merge(told.servers, is_told);
             }
-            plan::News::All(servers) => {
+            plan::Update::All(servers) => {
                 let all = servers.into_iter().map(|s| (s.id.clone(), s)).collect();
                 *self.listed.borrow_mut() = all;
                 self.list_known.set(true);
@@ -225,7 +225,7 @@
             hash: xxh3::xxh3_64(server.id.as_bytes()),
             ended: time::Duration::ZERO,
             paused: time::Duration::ZERO,
-            unverified: earlier.is_some() && service.tells_cold(),
+            unverified: earlier.is_some() && service.reports_cold(),
             is_asked: false,
             process: server.process(),
             server,
--- a/src/direct/suspend.rs
+++ b/src/direct/suspend.rs
@@ -24,9 +24,9 @@
 impl state::Entry {
     /// The process of a backend server may be another one than before: it gets nothing until it has been asked how cold it is.
     pub(super) fn suspend(self: &rc::Rc<Self>, server: key::Sidecar, is_broadcast: bool) {
-        let tells_cold = self.tells_cold(server);
+        let reports_cold = self.reports_cold(server);
         let mut backends = self.backends.borrow_mut();
-        let Some(backend) = backends.get_mut(server).filter(|_| tells_cold) else {
+        let Some(backend) = backends.get_mut(server).filter(|_| reports_cold) else {
             return;
         };
         if std::mem::replace(&mut backend.unverified, true) {
@@ -112,7 +112,7 @@
             number: 0,
         };
         let cold_ms = answer.cold.unwrap_or_default().as_millis() as u32;
-        self.take(plan::News::Listed(plan::Server {
+        self.take(plan::Update::Listed(plan::Server {
             cold_ms,
             report,
             ..earlier
--- a/tests/asks.rs
+++ b/tests/asks.rs
@@ -119,7 +119,7 @@
     };
     plan.services.insert("models".into(), service);
     entry.set_plan(plan);
-    entry.take(plan::News::All(vec![engine()]));
+    entry.take(plan::Update::All(vec![engine()]));
     rc::Rc::new(entry)
 }
 
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -147,7 +147,7 @@
         use prost::Message as _;
         let mut peers = table::Table::default();
         if let Ok(heartbeat) = message::Heartbeat::decode(bytes.as_slice()) {
-            peers.hear(support::ms(0), 1, support::address(10), &heartbeat);
+            peers.on_heartbeat(support::ms(0), 1, support::address(10), &heartbeat);
         }
         prop_assert!(peers.entries() <= 2);
     }
--- a/tests/neighbours.rs
+++ b/tests/neighbours.rs
@@ -18,7 +18,7 @@
 fn entries_are_counted_while_they_are_heard() {
     let mut peers = table::Table::default();
     let mut hear = |at, sender, last, sequence| {
-        peers.hear(
+        peers.on_heartbeat(
             support::ms(at),
             sender,
             support::address(last),
@@ -47,7 +47,7 @@
             store_age_ms: 900,
             ..heartbeat(1)
         };
-        peers.hear(support::ms(1_000), n.into(), at(n), &heartbeat);
+        peers.on_heartbeat(support::ms(1_000), n.into(), at(n), &heartbeat);
     }
     assert!(peers.expire(support::ms(7_500)).is_empty());
     assert_eq!(peers.entries(), 360);
@@ -65,7 +65,7 @@
         .collect();
     for (own, peers) in tables.iter_mut().enumerate() {
         for other in (0..4_u8).filter(|other| usize::from(*other) != own) {
-            peers.hear(
+            peers.on_heartbeat(
                 support::ms(0),
                 other.into(),
                 support::address(other),
@@ -138,7 +138,7 @@
                 list: u64::from(other),
                 ..heartbeat(1)
             };
-            peers.hear(
+            peers.on_heartbeat(
                 support::ms(5_000),
                 other.into(),
                 support::address(other),
@@ -179,7 +179,7 @@
             store_age_ms: 920,
             ..heartbeat(1)
         };
-        peers.hear(
+        peers.on_heartbeat(
             support::ms(5_000),
             last.into(),
             support::address(last),
@@ -201,7 +201,7 @@
                 millicores: millicores(other),
                 ..heartbeat(1)
             };
-            peers.hear(
+            peers.on_heartbeat(
                 support::ms(0),
                 other.into(),
                 support::address(other),
@@ -225,7 +225,7 @@
                     leaving: true,
                     ..heartbeat(2)
                 };
-                peers.hear(
+                peers.on_heartbeat(
                     support::ms(1),
                     other.into(),
                     support::address(other),
@@ -253,7 +253,7 @@
             busy_ago_ms: busy.then_some(0),
             ..heartbeat(sequence)
         };
-        peers.hear(now, last.into(), support::address(last), &heartbeat);
+        peers.on_heartbeat(now, last.into(), support::address(last), &heartbeat);
         leaves(&peers)
     };
     assert!(!hear(3, 1, "other", false), "another zone");
@@ -274,7 +274,7 @@
             zone: table::zone("z"),
             ..heartbeat(1)
         };
-        peers.hear(
+        peers.on_heartbeat(
             support::ms(0),
             last.into(),
             support::address(last),
@@ -293,7 +293,7 @@
             zone: table::zone("z"),
             ..heartbeat(2)
         };
-        peers.hear(now, last.into(), support::address(last), &heartbeat);
+        peers.on_heartbeat(now, last.into(), support::address(last), &heartbeat);
     }
     assert_eq!(peers.expire(now).len(), 2);
     assert!(!leaves(&peers, now), "three of five");
@@ -318,7 +318,7 @@
             ..heartbeat(1)
         };
         let mut peers = entry.peers.borrow_mut();
-        peers.hear(entry.now(), last.into(), support::address(last), &heartbeat);
+        peers.on_heartbeat(entry.now(), last.into(), support::address(last), &heartbeat);
     }
     assert!(entry.out_of_rotation());
     entry.probed(support::ms(0));
@@ -329,14 +329,14 @@
 #[test]
 fn a_list_that_still_differs_is_asked_for_again() {
     let entry = support::entry(1);
-    entry.take(plan::News::All(vec![support::server("a", 5, false)]));
+    entry.take(plan::Update::All(vec![support::server("a", 5, false)]));
     let hear = |sequence, list| {
         let heartbeat = message::Heartbeat {
             list,
             ..heartbeat(sequence)
         };
         let mut peers = entry.peers.borrow_mut();
-        peers.hear(entry.now(), 2, support::address(2), &heartbeat);
+        peers.on_heartbeat(entry.now(), 2, support::address(2), &heartbeat);
     };
     hear(1, entry.list_digest());
     assert!(entry.newer().is_empty(), "nothing to take over");
@@ -391,7 +391,7 @@
             loads: loads.iter().map(load).collect(),
             ..heartbeat(sequence)
         };
-        peers.hear(
+        peers.on_heartbeat(
             support::ms(0),
             last.into(),
             support::address(last),
@@ -431,7 +431,7 @@
             ..heartbeat(at)
         };
         let now = support::ms(at);
-        peers.hear(now, last.into(), support::address(last), &heartbeat);
+        peers.on_heartbeat(now, last.into(), support::address(last), &heartbeat);
     };
     hear(1, 1_000, 400);
     hear(2, 1_000, 100);
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -162,19 +162,19 @@
     one.ended(ms(1_000), it, 1, SERVERS, ms(50), false);
     other.ended(ms(1_000), it, 2, SERVERS, ms(50), false);
     let told = one.get(it).expect("a case").clone();
-    assert!(other.hear(it, &told), "it is a suspect by both");
-    assert!(!other.hear(it, &told), "that is nothing new");
+    assert!(other.merge(it, &told), "it is a suspect by both");
+    assert!(!other.merge(it, &told), "that is nothing new");
     hold(&mut one, ms(2_000), it);
     let told = one.get(it).expect("a case").clone();
-    other.hear(it, &told);
+    other.merge(it, &told);
     assert_eq!(other.standing(it), Standing::Held);
     assert_eq!(other.digest(), one.digest());
     // Who is let go stays so when old news comes.
     assert_eq!(other.release(ms(9_000), it.content), [it]);
-    other.hear(it, &told);
+    other.merge(it, &told);
     assert_eq!(other.standing(it), Standing::Clear);
     let cleared = other.get(it).expect("a case").clone();
-    one.hear(it, &cleared);
+    one.merge(it, &cleared);
     assert_eq!(one.standing(it), Standing::Clear);
     assert_eq!(one.digest(), 0);
 }
--- a/tests/recent.rs
+++ b/tests/recent.rs
@@ -37,8 +37,8 @@
     let mut table = recent::Table::default();
     let customer = customer();
     table.add(ms(0), customer, 1.0);
-    table.hear(ms(0), 5, [(customer, 10.0)]);
-    table.hear(ms(0), 6, [(customer, 100.0)]);
+    table.merge(ms(0), 5, [(customer, 10.0)]);
+    table.merge(ms(0), 6, [(customer, 100.0)]);
     assert!((table.all(ms(0), customer) - 111.0).abs() < 1e-9);
     table.forget(ms(0), 6);
     assert!((table.all(ms(0), customer) - 11.0).abs() < 1e-9);
@@ -49,7 +49,7 @@
     let mut table = recent::Table::default();
     let customer = customer();
     for amount in [f64::NAN, f64::INFINITY, -1.0] {
-        table.hear(ms(0), 5, [(customer, amount)]);
+        table.merge(ms(0), 5, [(customer, amount)]);
         assert!(table.all(ms(0), customer).abs() < 1e-9, "{amount}");
     }
 }
@@ -60,8 +60,8 @@
     let mut customers = SlotMap::<key::Customer, ()>::with_key();
     let (one, two) = (customers.insert(()), customers.insert(()));
     table.add(ms(0), one, 30.0);
-    table.hear(ms(0), 5, [(one, 60.0), (two, 7.0)]);
-    table.hear(ms(1_500), 5, [(one, 20.0)]);
+    table.merge(ms(0), 5, [(one, 60.0), (two, 7.0)]);
+    table.merge(ms(1_500), 5, [(one, 20.0)]);
     let left = table.own(ms(1_500), one);
     assert!((table.all(ms(1_500), one) - left - 20.0).abs() < 1e-9);
     // It isn't in the newest report, and has faded there as here.
@@ -78,9 +78,9 @@
     let mut table = recent::Table::default();
     let customer = customer();
     table.add(ms(0), customer, 900.0);
-    table.hear(ms(0), 5, [(customer, 50.0)]);
+    table.merge(ms(0), 5, [(customer, 50.0)]);
     table.add(ms(3_000), customer, -900.0);
-    table.hear(ms(3_000), 5, [(customer, 50.0)]);
+    table.merge(ms(3_000), 5, [(customer, 50.0)]);
     assert!((table.all(ms(3_000), customer) - 50.0).abs() < 1e-9);
 }
 
@@ -91,7 +91,7 @@
     let (one, two) = (customers.insert(()), customers.insert(()));
     assert!(table.most(ms(0)).abs() < 1e-9);
     table.add(ms(0), one, 30.0);
-    table.hear(ms(0), 5, [(one, 60.0), (two, 70.0)]);
+    table.merge(ms(0), 5, [(one, 60.0), (two, 70.0)]);
     assert!((table.most(ms(0)) - 90.0).abs() < 1e-9);
 }
 
@@ -103,7 +103,7 @@
     let mut customers = SlotMap::<key::Customer, ()>::with_key();
     let (one, two) = (customers.insert(()), customers.insert(()));
     table.add(ms(0), one, 30.0);
-    table.hear(ms(0), 5, [(two, 70.0)]);
+    table.merge(ms(0), 5, [(two, 70.0)]);
     assert_eq!(table.take_changed(), [one]);
     assert!(table.take_changed().is_empty());
     table.add(ms(10), two, 5.0);
--- a/tests/rotation_load.rs
+++ b/tests/rotation_load.rs
@@ -305,7 +305,7 @@
             Event::Hear(to, from, heartbeat) => {
                 let now = at(self.now);
                 let peers = &mut self.entries[to].peers;
-                peers.hear(now, from as u64, address(from), &heartbeat);
+                peers.on_heartbeat(now, from as u64, address(from), &heartbeat);
             }
         }
     }
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -335,15 +335,15 @@
     for source in [drain::Source::Own, drain::Source::List, drain::Source::Peer] {
         let mut signs = drain::Signs::default();
         assert!(signs.open(millis(0)));
-        signs.hear(millis(10), source, true);
+        signs.on_sign(millis(10), source, true);
         assert!(!signs.open(millis(10)), "{source:?}");
     }
     let mut signs = drain::Signs::default();
     let mut closed = Vec::new();
     let mut now = millis(0);
     for _ in 0..8 {
-        signs.hear(now, drain::Source::List, true);
-        signs.hear(now, drain::Source::List, false);
+        signs.on_sign(now, drain::Source::List, true);
+        signs.on_sign(now, drain::Source::List, false);
         let start = now;
         while !signs.open(now) {
             now += millis(500);
@@ -351,8 +351,8 @@
         closed.push(now.saturating_sub(start));
     }
     assert!(closed.is_sorted() && closed[0] >= drain::QUIET && closed[7] == drain::QUIET_CAP);
-    signs.hear(now, drain::Source::Own, true);
-    signs.hear(now, drain::Source::Own, false);
+    signs.on_sign(now, drain::Source::Own, true);
+    signs.on_sign(now, drain::Source::Own, false);
     assert!(
         !signs.open(now + drain::FORGIVEN),
         "the word of the sidecar itself is final"
--- a/tests/share.rs
+++ b/tests/share.rs
@@ -156,9 +156,9 @@
     let [one, two, idle] = std::array::from_fn(|_| arena.insert(()));
     let mut clock = share::Clock::default();
     assert!(clock.time().abs() < 1e-9);
-    clock.hear(one, 70.0, 3);
-    clock.hear(two, 50.0, 1);
-    clock.hear(idle, 10.0, 0);
+    clock.on_report(one, 70.0, 3);
+    clock.on_report(two, 50.0, 1);
+    clock.on_report(idle, 10.0, 0);
     assert!((clock.time() - 50.0).abs() < 1e-9);
     clock.remove(two);
     assert!((clock.time() - 70.0).abs() < 1e-9);
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -98,7 +98,9 @@
         let from = self.entries.len() - self.cut_off;
         for (to, entry) in self.entries.iter_mut().enumerate() {
             if to != n && (at_ms == 0 || to < from || n >= standby::WATCHERS) {
-                entry.peers.hear(now, n as u64, address(n), &heartbeat);
+                entry
+                    .peers
+                    .on_heartbeat(now, n as u64, address(n), &heartbeat);
             }
         }
     }
