--- a/src/decide/standby.rs
+++ b/src/decide/standby.rs
@@ -4,9 +4,9 @@
 //! other entry may be one that the store still answers, and only a call tells. If all call when the last answer has become too old,
 //! a short absence costs hundreds of calls within a second, and they come just when the store returns.
 //!
-//! So an entry tries one topic at a time while its calls fail, and entries take turns, in an order on which those that hear each other agree. A turn ends with a failed call; an entry whose call
-//! succeeds goes on for all until one before it in the order has an answer again. One that is cut off from those that read, and
-//! hears of them by others, doesn't wait for a turn.
+//! So an entry tries one topic at a time while its calls fail, and entries take turns, in an order on which those that hear each
+//! other agree. A turn ends with a failed call; an entry whose call succeeds goes on for all until one before it in the order has an
+//! answer again. One that is cut off from those that read, and hears of them by others, doesn't wait for a turn.
 
 use std::time;
 
--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -92,6 +92,14 @@
         let mut standby = self.standby.get();
         let reads = standby.reads(now, view);
         self.standby.set(standby);
+        if self.reads_store.replace(reads) != reads {
+            self.log
+                .line("store_reader")
+                .with("reads", reads)
+                .with("rank", view.rank)
+                .with("entries", view.entries)
+                .with("cut_off", view.is_cut_off);
+        }
         reads
     }
 
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -92,6 +92,8 @@
     pub(super) told: cell::Cell<Option<source::Told>>,
     // Whether this entry reads the store while those that read it for all have no answer.
     pub(super) standby: cell::Cell<standby::Standby>,
+    // What that came to last, for the log.
+    pub(super) reads_store: cell::Cell<bool>,
     // Until when others are not relied on.
     pub(super) distrusted_until: cell::Cell<time::Duration>,
     // How late the process was with a timer of late.
@@ -195,6 +197,7 @@
             store_answered: cell::Cell::default(),
             told: cell::Cell::default(),
             standby: cell::Cell::default(),
+            reads_store: cell::Cell::default(),
             distrusted_until: cell::Cell::default(),
             lag: cell::Cell::default(),
             overload: cell::Cell::default(),
