--- a/src/decide/place/job.rs
+++ b/src/decide/place/job.rs
@@ -15,6 +15,9 @@
 /// for the prompts that were handed over before it came, and no longer.
 const OWED_WAIT_SHARE: f64 = 1.0;
 
+/// Part of the shortest objective of its service by which the least urgent request still waits.
+const LEAST_URGENCY: f64 = 0.5;
+
 /// A part of a prompt: its hash covers all parts before it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
@@ -48,16 +51,22 @@
 /// The objective that a request is placed by, of its route's own and the shortest of its service.
 ///
 /// Load pattern: a full service with urgent requests and less urgent ones. The longer a request may wait, the longer the queue
-/// that it still joins, so the less urgent ones fill it and the urgent ones are refused. By the shortest objective for all it is
-/// still those with the shorter prompts that are let in, and these are seldom the urgent ones. So a less urgent request waits for
-/// less than the shortest objective: by the root of the ratio, which leaves it the rest when the service isn't full.
-pub fn objective(own: time::Duration, shortest: Option<time::Duration>) -> time::Duration {
+/// that it still joins, so the less urgent ones fill it and the urgent ones are refused. So all wait as long as the shortest
+/// objective allows. At an engine it is still those with the shorter prompts that are let in, and these are seldom the urgent ones;
+/// there a less urgent request waits for less than the shortest objective, by the root of the ratio. A plain service has no prompts,
+/// and one that is full would refuse nearly all of them.
+pub fn objective(
+    own: time::Duration,
+    shortest: Option<time::Duration>,
+    is_engine: bool,
+) -> time::Duration {
     match shortest {
-        Some(shortest) if shortest < own => {
+        Some(shortest) if shortest < own && is_engine => {
             let urgency = shortest.as_secs_f64() / own.as_secs_f64();
-            shortest.mul_f64(urgency.sqrt())
+            shortest.mul_f64(urgency.sqrt().max(LEAST_URGENCY))
         }
-        _ => own,
+        Some(shortest) => shortest.min(own),
+        None => own,
     }
 }
 
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -258,8 +258,12 @@
         let req = &self.req;
         let customer = req.customer.as_deref().unwrap_or("");
         let plan = self.entry.plan();
-        let shortest = plan.and_then(|plan| plan.shortest_objective(&req.service));
-        let objective = place::objective(req.route.objective, shortest);
+        let shortest = plan
+            .as_ref()
+            .and_then(|p| p.shortest_objective(&req.service));
+        let service = plan.as_ref().and_then(|p| p.services.get(&req.service));
+        let is_engine = service.is_some_and(|s| s.engine);
+        let objective = place::objective(req.route.objective, shortest, is_engine);
         let again = self.ran.then(|| self.entry.now());
         Ok(place::Job {
             service: self.service,
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -373,32 +373,34 @@
     struct Case {
         own: u64,
         shortest: Option<u64>,
+        is_engine: bool,
         again: Option<u64>,
-        due: u64,
+        due: u128,
     }
     let cases = [
-        (1_200, None, None, 2_200),
-        (1_200, Some(600), None, 1_424),
-        (600, Some(1_200), None, 1_600),
-        (1_200, Some(600), Some(5_000), 5_424),
-        (2_400, Some(600), None, 1_300),
+        (1_200, None, true, None, 2_200),
+        (1_200, Some(600), true, None, 1_424),
+        (600, Some(1_200), true, None, 1_600),
+        (1_200, Some(600), true, Some(5_000), 5_424),
+        (60_000, Some(600), true, None, 1_300),
+        // Routes of a full plain service that were added with a longer objective were refused nearly always.
+        (1_200, Some(600), false, None, 1_600),
+        (60_000, Some(300), false, None, 1_300),
+        (600, Some(1_200), false, None, 1_600),
+        (1_200, None, false, None, 2_200),
     ]
-    .map(|(own, shortest, again, due)| Case {
+    .map(|(own, shortest, is_engine, again, due)| Case {
         own,
         shortest,
+        is_engine,
         again,
         due,
     });
     for case in cases {
-        let objective = place::objective(ms(case.own), case.shortest.map(ms));
+        let shortest = case.shortest.map(ms);
+        let objective = place::objective(ms(case.own), shortest, case.is_engine);
         let due = place::due(ms(1_000), case.again.map(ms), objective);
-        assert_eq!(
-            due.as_millis(),
-            case.due.into(),
-            "{} {:?}",
-            case.own,
-            case.shortest
-        );
+        assert_eq!(due.as_millis(), case.due, "{} {shortest:?}", case.own);
     }
 }
 
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -40,7 +40,7 @@
 struct Entry {
     peers: table::Table,
     standby: standby::Standby,
-    beats_ms: u64,
+    heartbeat_due_ms: u64,
     due_ms: [u64; TOPICS],
     failed: [u32; TOPICS],
     answered_ms: [u64; TOPICS],
@@ -65,7 +65,7 @@
     let entry = |n: usize| Entry {
         peers: table::Table::new(address(n), 100, "z", Vec::new()),
         standby: standby::Standby::default(),
-        beats_ms: rng.below(peer::interval(count).as_millis() as usize) as u64,
+        heartbeat_due_ms: rng.below(peer::interval(count).as_millis() as usize) as u64,
         due_ms: [0, 0].map(|_: u64| rng.below(PAUSE_MS as usize) as u64),
         failed: [0; TOPICS],
         answered_ms: [0; TOPICS],
@@ -147,12 +147,12 @@
         for at_ms in 0..until_ms {
             for n in 0..self.entries.len() {
                 // Everybody has heard everybody when the trouble begins.
-                if at_ms == 0 || self.entries[n].beats_ms == at_ms {
+                if at_ms == 0 || self.entries[n].heartbeat_due_ms == at_ms {
                     self.heartbeat(at_ms, n);
                 }
-                if self.entries[n].beats_ms == at_ms {
+                if self.entries[n].heartbeat_due_ms == at_ms {
                     let interval = peer::interval(self.entries.len() - 1);
-                    self.entries[n].beats_ms += interval.as_millis() as u64;
+                    self.entries[n].heartbeat_due_ms += interval.as_millis() as u64;
                 }
                 for topic in 0..TOPICS {
                     if self.entries[n].due_ms[topic] == at_ms {
--- a/tests/urgent_load.rs
+++ b/tests/urgent_load.rs
@@ -184,7 +184,8 @@
 // Load pattern: as much of each kind as the engines read of one.
 #[test]
 fn urgent_requests_are_served_as_often_as_less_urgent_ones() {
-    let [urgent, other] = World::new(|own, shortest| place::objective(own, Some(shortest))).play();
+    let [urgent, other] =
+        World::new(|own, shortest| place::objective(own, Some(shortest), true)).play();
     println!("{urgent:.3} of the urgent, {other:.3} of the others in time");
     assert!(urgent >= other - 0.05, "{urgent:.3} and {other:.3}");
 }
