--- a/src/decide/quarantine.rs
+++ b/src/decide/quarantine.rs
@@ -40,7 +40,7 @@
 /// Time for which a lost connection whose cause isn't known counts.
 const UNEXPLAINED: time::Duration = time::Duration::from_secs(10);
 
-/// Time after such a loss in which a suspect isn't tried again: the list has a process that has started again by then.
+/// Time for which a suspect waits after such a loss: the list names a restarted process within it.
 const EXPLAINED_WITHIN: time::Duration = time::Duration::from_millis(2_500);
 
 /// Time for which it is remembered that a request was found innocent or let go: until all entries have heard of it.
@@ -194,7 +194,7 @@
         case.map_or(Standing::Clear, Case::standing)
     }
 
-    /// Whether a suspect isn't tried now, since it may soon be known that its last try crashed a backend server.
+    /// Whether a suspect waits: it may soon be known whether its last attempt crashed a backend server.
     pub fn awaits_cause(&self, now: time::Duration, request: Fingerprint) -> bool {
         let case = self.cases.get(&request);
         let last = case.and_then(|case| case.unexplained.iter().max());
--- a/src/decide/standby.rs
+++ b/src/decide/standby.rs
@@ -20,7 +20,7 @@
 /// Topics that an entry reads.
 const TOPICS: usize = 2;
 
-/// Time after which a topic is tried in any case: what fails may concern the other one alone.
+/// Time after which a topic is read in any case: the failure may concern the other one alone.
 const OTHER_TOPIC: time::Duration = time::Duration::from_secs(2);
 
 /// What an entry knows of those that read the store.
@@ -42,7 +42,7 @@
     reads: bool,
     // When its next turn comes, while nobody has an answer.
     turn: Option<time::Duration>,
-    // The topic whose last call failed, and is tried again.
+    // The topic whose last call failed; the other one waits for it.
     failing: Option<usize>,
     tried: [time::Duration; TOPICS],
 }
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -80,7 +80,7 @@
 }
 
 impl World {
-    fn heartbeat(&mut self, at_ms: u64, n: usize) {
+    fn broadcast(&mut self, at_ms: u64, n: usize) {
         let sender = &self.entries[n];
         let age = |at: u64| (at_ms - at) as u32;
         let [one, other] = sender.answered_ms;
@@ -148,7 +148,7 @@
             for n in 0..self.entries.len() {
                 // Everybody has heard everybody when the trouble begins.
                 if at_ms == 0 || self.entries[n].heartbeat_due_ms == at_ms {
-                    self.heartbeat(at_ms, n);
+                    self.broadcast(at_ms, n);
                 }
                 if self.entries[n].heartbeat_due_ms == at_ms {
                     let interval = peer::interval(self.entries.len() - 1);
