--- a/src/decide/standby.rs
+++ b/src/decide/standby.rs
@@ -10,6 +10,8 @@
 
 use std::time;
 
+use super::{random, retry};
+
 /// Entries that read the store for all. One would do; with two, one may be cut off, restart or be slow before others
 /// take turns.
 pub const WATCHERS: usize = 2;
@@ -23,6 +25,33 @@
 /// Time after which a topic is read in any case: the failure may concern the other one alone.
 const OTHER_TOPIC: time::Duration = time::Duration::from_secs(2);
 
+/// How often an entry that doesn't read the store looks whether its turn has come: a fifth of the age up to which others'
+/// knowledge is fresh.
+pub const TURN_POLL: time::Duration = time::Duration::from_millis(200);
+
+/// How often a topic that waits for the other one is looked at.
+pub const TOPIC_POLL: time::Duration = time::Duration::from_millis(50);
+
+/// Pauses of a watcher after failed calls. The first is short, for a single lost answer; the last gives some 2.4 calls a second,
+/// for both topics, while the store is down.
+const WATCHER_PAUSE: retry::Backoff = retry::Backoff {
+    base: time::Duration::from_millis(150),
+    cap: time::Duration::from_millis(1_100),
+};
+
+/// The same for another entry: the next call is seldom its own.
+const OTHER_PAUSE: retry::Backoff = retry::Backoff {
+    base: time::Duration::from_millis(150),
+    cap: time::Duration::from_millis(2_400),
+};
+
+/// Least pause of another entry.
+const OTHER_PAUSE_LEAST: time::Duration = time::Duration::from_micros(37_500);
+
+/// Entries that one which has just started asks at least, since the first may have been suspended and know what was true before. Among
+/// hundreds that start at once, asking all of them takes longer than a change may.
+const ASKED_AT_START: usize = 4;
+
 /// What an entry knows of those that read the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct View {
@@ -90,6 +119,20 @@
     }
 }
 
+/// Pause after so many failed calls in a row, the first included.
+pub fn pause(is_watcher: bool, failed: u32, rng: &mut random::Random) -> time::Duration {
+    if is_watcher {
+        WATCHER_PAUSE.steady_delay(failed, rng)
+    } else {
+        OTHER_PAUSE_LEAST + OTHER_PAUSE.delay(failed, rng)
+    }
+}
+
+/// Whether an entry that has just started asks another one after so many, with or without all that it needs.
+pub fn asks_another(asked: usize, is_complete: bool) -> bool {
+    !is_complete || asked < ASKED_AT_START
+}
+
 // Time that so many turns take.
 fn turns(count: usize) -> time::Duration {
     time::Duration::from_secs_f64(count as f64 / TURNS_PER_S)
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -5,29 +5,17 @@
 
 use std::{net, time};
 
-use chivebend::decide::{random, retry, standby};
+use chivebend::decide::{random, standby};
 use chivebend::direct::peer::{self, message, table};
 
 /// Calls a second that the store gets at most while it is in trouble and after, beside its first reads.
 const CALLS_PER_S: usize = 10;
 
-/// How often an entry that doesn't read looks whether it is to.
-const LOOK_MS: u64 = 200;
-
 /// Time between two reads of a topic.
 const PAUSE_MS: u64 = 900;
 
-/// How often a topic that waits for the other one is looked at.
-const OTHER_TOPIC_MS: u64 = 50;
-
 const TOPICS: usize = 2;
 
-/// Pauses after failed calls.
-const PAUSE: retry::Backoff = retry::Backoff {
-    base: time::Duration::from_millis(150),
-    cap: time::Duration::from_millis(1_100),
-};
-
 #[derive(Clone, Copy)]
 enum Answer {
     Well,
@@ -56,6 +44,10 @@
     calls: Vec<(u64, usize)>,
 }
 
+fn millis(time: time::Duration) -> u64 {
+    time.as_millis() as u64
+}
+
 fn address(n: usize) -> net::Ipv4Addr {
     net::Ipv4Addr::new(10, 0, (n / 200) as u8, (n % 200) as u8)
 }
@@ -117,11 +109,11 @@
     fn look(&mut self, at_ms: u64, n: usize, topic: usize, trouble: Trouble) {
         let now = support::ms(at_ms);
         if !self.reads(now, n) {
-            self.entries[n].due_ms[topic] = at_ms + LOOK_MS;
+            self.entries[n].due_ms[topic] = at_ms + millis(standby::TURN_POLL);
             return;
         }
         if self.turns && !self.entries[n].standby.may_call(now, topic) {
-            self.entries[n].due_ms[topic] = at_ms + OTHER_TOPIC_MS;
+            self.entries[n].due_ms[topic] = at_ms + millis(standby::TOPIC_POLL);
             return;
         }
         self.calls.push((at_ms, n));
@@ -137,8 +129,9 @@
                 let entries = entry.peers.standby(now).entries;
                 entry.standby.failed(now, entries, topic);
                 entry.failed[topic] += 1;
-                let pause = PAUSE.steady_delay(entry.failed[topic], &mut self.rng);
-                entry.due_ms[topic] = at_ms + after_ms + pause.as_millis() as u64;
+                let is_watcher = entry.peers.is_watcher();
+                let pause = standby::pause(is_watcher, entry.failed[topic], &mut self.rng);
+                entry.due_ms[topic] = at_ms + after_ms + millis(pause);
             }
         }
     }
@@ -290,6 +283,30 @@
     }
 }
 
+#[test]
+fn an_entry_that_starts_asks_until_it_knows_all_and_four_at_least() {
+    struct Case {
+        is_complete: bool,
+        asked: usize,
+        asks: bool,
+    }
+    let cases = [
+        (false, 0, true),
+        (false, 300, true),
+        (true, 3, true),
+        (true, 4, false),
+    ]
+    .map(|(is_complete, asked, asks)| Case {
+        is_complete,
+        asked,
+        asks,
+    });
+    for case in cases {
+        let asks = standby::asks_another(case.asked, case.is_complete);
+        assert_eq!(asks, case.asks, "{} {}", case.is_complete, case.asked);
+    }
+}
+
 // Shows the pattern: without turns every entry calls at once.
 #[test]
 fn without_turns_a_short_absence_brings_calls_of_all() {
