--- a/src/decide/place/cold.rs
+++ b/src/decide/place/cold.rs
@@ -8,6 +8,9 @@
 
 use std::time;
 
+use super::Fleet;
+use crate::key;
+
 /// Requests that it gets at once: what comes late by an entry's turn or two still keeps the rate within a second.
 const AT_ONCE: f64 = 2.0;
 
@@ -104,3 +107,39 @@
     }
     SPLIT_SHARE * heard as f64 / (heard + lost) as f64
 }
+
+impl Fleet {
+    /// A backend server is cold until this time and bears so many requests a second meanwhile; until now, if it is warm.
+    pub fn set_cold(
+        &mut self,
+        now: time::Duration,
+        server: key::Sidecar,
+        until: time::Duration,
+        per_s: f64,
+    ) {
+        let Some(known) = self.servers.get_mut(server).filter(|_| per_s > 0.0) else {
+            return;
+        };
+        match &mut known.cold {
+            cold if until <= now => *cold = None,
+            Some(cold) => cold.extend(until),
+            cold @ None => *cold = Some(Cold::new(now, until, per_s, self.cold_share)),
+        }
+    }
+
+    /// Part of the rate of cold backend servers that this entry uses from now on ([`cold_share`]).
+    pub fn set_cold_share(&mut self, now: time::Duration, share: f64) {
+        if (share - self.cold_share).abs() < f64::EPSILON {
+            return;
+        }
+        self.cold_share = share;
+        let cold = self.servers.values_mut().filter_map(|s| s.cold.as_mut());
+        cold.for_each(|cold| cold.set_share(now, share));
+    }
+
+    /// Time for which a backend server stays cold, as far as is known; zero if it is warm.
+    pub fn cold_for(&self, now: time::Duration, server: key::Sidecar) -> time::Duration {
+        let cold = self.servers.get(server).and_then(|s| s.cold);
+        cold.map_or(time::Duration::ZERO, |cold| cold.left_for(now))
+    }
+}
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -24,6 +24,7 @@
 mod job;
 mod server;
 mod share;
+mod state;
 
 use std::time;
 
@@ -33,6 +34,7 @@
 pub use self::cold::share as cold_share;
 pub use self::job::{Job, Part, due, objective};
 use self::server::{Server, Waiting};
+pub use self::state::{Listed, Load, State};
 use super::{quarantine, random, recent};
 use crate::{code, key};
 
@@ -82,17 +84,6 @@
     server: key::Sidecar,
 }
 
-/// Load that other entries have put on a backend server.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
-    /// Requests in progress.
-    pub running: u32,
-    /// Prompt tokens handed over and not yet read.
-    pub unread: f64,
-    /// Recent service of the customer with the least that waits here, if any does.
-    pub least: Option<f64>,
-}
-
 /// What a decision about a request at a backend server was made of.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Weighed {
@@ -112,32 +103,6 @@
     pub tokens: f64,
 }
 
-/// What a backend server may be used for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum State {
-    /// It gets requests.
-    Ready,
-    /// It gets nothing new, and still gives other engines what it keeps.
-    Draining,
-    /// Nothing.
-    Away,
-}
-
-/// What is listed of a backend server.
-#[derive(Clone, Copy, Debug)]
-pub struct Listed<'a> {
-    /// Its id.
-    pub id: &'a str,
-    /// Number of its service.
-    pub service: u32,
-    /// Requests it runs at once.
-    pub slots: u32,
-    /// Whether it is a model engine.
-    pub engine: bool,
-    /// Whether it is in the entry's own availability zone.
-    pub near: bool,
-}
-
 /// The backend servers as one entry sees them.
 #[derive(Debug)]
 pub struct Fleet {
@@ -194,40 +159,6 @@
         known.waiting.drain(..).map(|w| w.request).collect()
     }
 
-    /// A backend server is cold until this time and bears so many requests a second meanwhile; until now, if it is warm.
-    pub fn set_cold(
-        &mut self,
-        now: time::Duration,
-        server: key::Sidecar,
-        until: time::Duration,
-        per_s: f64,
-    ) {
-        let Some(known) = self.servers.get_mut(server).filter(|_| per_s > 0.0) else {
-            return;
-        };
-        match &mut known.cold {
-            cold if until <= now => *cold = None,
-            Some(cold) => cold.extend(until),
-            cold @ None => *cold = Some(cold::Cold::new(now, until, per_s, self.cold_share)),
-        }
-    }
-
-    /// Part of the rate of cold backend servers that this entry uses from now on ([`cold_share`]).
-    pub fn set_cold_share(&mut self, now: time::Duration, share: f64) {
-        if (share - self.cold_share).abs() < f64::EPSILON {
-            return;
-        }
-        self.cold_share = share;
-        let cold = self.servers.values_mut().filter_map(|s| s.cold.as_mut());
-        cold.for_each(|cold| cold.set_share(now, share));
-    }
-
-    /// Time for which a backend server stays cold, as far as is known; zero if it is warm.
-    pub fn cold_for(&self, now: time::Duration, server: key::Sidecar) -> time::Duration {
-        let cold = self.servers.get(server).and_then(|s| s.cold);
-        cold.map_or(time::Duration::ZERO, |cold| cold.left_for(now))
-    }
-
     /// Load of this entry on a backend server.
     pub fn own(&self, now: time::Duration, server: key::Sidecar) -> Load {
         let Some(known) = self.servers.get(server) else {
