--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -28,6 +28,7 @@
 pub mod rotation;
 pub mod route;
 pub mod share;
+pub mod spread;
 pub mod standby;
 pub mod subset;
 pub mod window;
--- /dev/null
+++ b/src/decide/spread.rs
@@ -0,0 +1,458 @@
+//! Epidemic spread of what a few entries read from the platform's store.
+//!
+//! Load pattern: hundreds of entries, of which two read the store for all. When every entry fetches
+//! a change from one of the two, the transfers at that reader grow with the fleet and soon exceed
+//! what it can send before the timeout, and each entry that times out turns to the store. Here a
+//! reader sends each [`Reading`] and the changes in it to a few random peers, and every entry
+//! forwards what is new to it once, to a few others. The time until all know grows with the
+//! logarithm of the fleet, and the work of one entry doesn't grow with it. Data too large for a
+//! datagram is fetched from any peer that holds it, which by then are many. A periodic exchange
+//! with a random peer repairs what was lost (Demers et al., "Epidemic algorithms for replicated
+//! database maintenance", PODC 1987).
+
+use std::{net, time};
+
+use smallvec::SmallVec;
+
+use super::{evacuation, random};
+
+/// Number of peers to which an entry forwards what is new to it: 98 in 100 entries receive an
+/// update that each forwards once to four (`x = 1 - exp(-4x)`).
+pub const FANOUT: usize = 4;
+
+/// Interval between exchanges with a random peer.
+pub const EXCHANGE_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
+/// Interval between exchanges of an entry that has no data yet.
+pub const START_EXCHANGE_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
+/// Maximum age of the newest reading in a fleet of one hop. The store is read every 0.9 s.
+const MAX_AGE: time::Duration = time::Duration::from_millis(1_400);
+
+/// Time that a hop may add to the age of a reading.
+const HOP_TIME: time::Duration = time::Duration::from_millis(100);
+
+/// Delay before a list is fetched whose changes may still arrive one by one.
+const FETCH_DELAY: time::Duration = time::Duration::from_millis(150);
+
+/// Time for which a peer isn't asked again after it refused or failed.
+const AVOID_TIME: time::Duration = time::Duration::from_secs(1);
+
+/// Time after a transfer for which a list that still differs isn't fetched again.
+const SETTLED_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// Time without any datagram after which an entry counts as cut off from its peers: six exchanges.
+const ISOLATION_TIME: time::Duration = time::Duration::from_millis(1_500);
+
+/// Maximum number of readers and holders remembered.
+const MAX_REMEMBERED: usize = 8;
+
+/// What an entry holds of the data in the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Holding {
+    /// The list of backend servers is at least as new as this position of the store's log; zero if
+    /// unknown.
+    pub position: evacuation::Position,
+    /// Digest of the list.
+    pub list: u64,
+    /// Version of the configuration; 0 if there is none.
+    pub configuration: u64,
+}
+
+/// What an entry read from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// Entry that read it.
+    pub reader: net::Ipv4Addr,
+    /// Incarnation of that entry.
+    pub incarnation: u64,
+    /// Number of the reading, which rises within an incarnation.
+    pub sequence: u64,
+    /// What the reader held after it.
+    pub holding: Holding,
+    /// When the store last answered the reader.
+    pub at: time::Duration,
+    /// Number of entries that forwarded it.
+    pub hops: u32,
+}
+
+/// Part of the data that is fetched from a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Topic {
+    /// The configuration.
+    #[display("configuration")]
+    Configuration,
+    /// The list of backend servers.
+    #[display("backends")]
+    Backends,
+}
+
+/// A transfer that is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fetch {
+    /// Peer to ask.
+    pub peer: net::Ipv4Addr,
+    /// What to ask for.
+    pub topic: Topic,
+    /// What the peer holds.
+    pub holding: Holding,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    peer: net::Ipv4Addr,
+    holding: Holding,
+    since: time::Duration,
+}
+
+/// What an entry knows of readings and of who holds them.
+#[derive(Clone, Debug, Default)]
+pub struct Spread {
+    // The newest reading of each reader.
+    readings: SmallVec<[Reading; 4]>,
+    // Peers that hold newer data than this entry.
+    holders: SmallVec<[Holder; MAX_REMEMBERED]>,
+    avoided: SmallVec<[(net::Ipv4Addr, time::Duration); 4]>,
+    // Position that the list is at least as new as.
+    position: evacuation::Position,
+    // The same, but only where the list was equal to the store's or a peer's: what peers rely on.
+    confirmed: evacuation::Position,
+    // When the store last answered this entry.
+    own_answer_at: Option<time::Duration>,
+    // Position of the newest changes that were applied one by one.
+    changed_at: evacuation::Position,
+    // Own digest and a peer's digest of lists that stay different after a transfer, with the time
+    // of the next one.
+    settled: Option<(u64, u64, time::Duration)>,
+    failed_fetches: u32,
+    // Number of own readings.
+    sequence: u64,
+    // When the last datagram of a peer arrived.
+    heard_at: Option<time::Duration>,
+    start: Start,
+    transfers: Transfers,
+}
+
+impl Spread {
+    /// Returns the position up to which the list was found to agree with the store.
+    pub fn confirmed_position(&self) -> evacuation::Position {
+        self.confirmed
+    }
+
+    /// Records that the list agrees with the store up to this position.
+    pub fn advance(&mut self, position: evacuation::Position) {
+        self.position = self.position.max(position);
+        self.confirmed = self.confirmed.max(position);
+    }
+
+    // Records a list at this position with which this entry's agrees, or which it has merged.
+    fn compare(&mut self, own: u64, theirs: u64, position: evacuation::Position) {
+        if own == theirs {
+            self.advance(position);
+        } else if self.are_settled(own, theirs) {
+            self.position = self.position.max(position);
+        }
+    }
+
+    /// Records that changes up to this position were applied one by one. A list that is fetched
+    /// must be as new, or they would be undone.
+    pub fn on_changes(&mut self, position: evacuation::Position) {
+        self.changed_at = self.changed_at.max(position);
+    }
+
+    /// Adds a reading of this entry.
+    pub fn add_own_reading(
+        &mut self,
+        reader: net::Ipv4Addr,
+        incarnation: u64,
+        holding: Holding,
+        at: time::Duration,
+    ) {
+        self.sequence += 1;
+        self.own_answer_at = Some(at);
+        let reading = Reading {
+            reader,
+            incarnation,
+            sequence: self.sequence,
+            holding,
+            at,
+            hops: 0,
+        };
+        self.on_reading(reading, holding);
+    }
+
+    /// Records a reading, beside what this entry holds; returns whether it is new here, so that it
+    /// has to be forwarded.
+    pub fn on_reading(&mut self, reading: Reading, own: Holding) -> bool {
+        let theirs = reading.holding;
+        self.compare(own.list, theirs.list, theirs.position);
+        let known = self
+            .readings
+            .iter()
+            .position(|r| r.reader == reading.reader);
+        let Some(known) = known else {
+            if self.readings.len() >= MAX_REMEMBERED {
+                let oldest = self.readings.iter().enumerate().min_by_key(|(_, r)| r.at);
+                let oldest = oldest.map_or(0, |(at, _)| at);
+                self.readings.swap_remove(oldest);
+            }
+            self.readings.push(reading);
+            return true;
+        };
+        let known = &mut self.readings[known];
+        let is_newer = if known.incarnation == reading.incarnation {
+            reading.sequence > known.sequence
+        } else {
+            reading.at > known.at
+        };
+        if is_newer {
+            *known = reading;
+        }
+        is_newer
+    }
+
+    /// Records what a peer holds, beside what this entry holds.
+    pub fn on_holding(
+        &mut self,
+        now: time::Duration,
+        peer: net::Ipv4Addr,
+        theirs: Holding,
+        own: Holding,
+    ) {
+        self.compare(own.list, theirs.list, theirs.position);
+        let own = Holding {
+            position: self.position,
+            ..own
+        };
+        let since = self.holders.iter().find(|h| h.peer == peer);
+        let since = since.map_or(now, |h| h.since);
+        self.holders.retain(|h| h.peer != peer);
+        if !self.is_newer(theirs, own) {
+            return;
+        }
+        if self.holders.len() >= MAX_REMEMBERED {
+            self.holders.remove(0);
+        }
+        self.holders.push(Holder {
+            peer,
+            holding: theirs,
+            since,
+        });
+    }
+
+    /// Returns the newest reading, which updates carry.
+    pub fn newest_reading(&self) -> Option<&Reading> {
+        self.readings
+            .iter()
+            .max_by_key(|r| (r.holding.position, r.holding.configuration, r.at))
+    }
+
+    /// Returns the entries whose readings are fresh in a fleet of this many entries.
+    pub fn fresh_readers(
+        &self,
+        now: time::Duration,
+        entries: usize,
+    ) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
+        let age = max_age(entries);
+        let fresh = self.readings.iter().filter(move |r| now < r.at + age);
+        fresh.map(|r| r.reader)
+    }
+
+    /// Returns when the store last answered an entry, as far as is known.
+    pub fn last_answer(&self) -> Option<time::Duration> {
+        self.readings.iter().map(|r| r.at).max()
+    }
+
+    /// Returns whether a transfer is due or will be soon.
+    pub fn has_holders(&self) -> bool {
+        !self.holders.is_empty()
+    }
+
+    /// Returns the next transfer for an entry that holds `own`, if one is due. Without a list or
+    /// configuration none is delayed. An entry that reads the list itself doesn't fetch it.
+    pub fn next_fetch(
+        &mut self,
+        now: time::Duration,
+        own: Holding,
+        rng: &mut random::Random,
+    ) -> Option<Fetch> {
+        let own = Holding {
+            position: self.position,
+            ..own
+        };
+        self.settled = self.settled.filter(|(.., until)| now < *until);
+        let mut holders = std::mem::take(&mut self.holders);
+        holders.retain(|h| self.is_newer(h.holding, own));
+        self.holders = holders;
+        self.avoided.retain(|(_, until)| now < *until);
+        let reads = self.own_answer_at.is_some_and(|at| now < at + MAX_AGE);
+        let candidates = self.holders.iter().filter(|h| !self.is_avoided(h.peer));
+        let due = candidates.filter_map(|h| {
+            let topic = if h.holding.configuration > own.configuration {
+                Topic::Configuration
+            } else if own.list == 0 || (!reads && now >= h.since + FETCH_DELAY) {
+                Topic::Backends
+            } else {
+                return None;
+            };
+            Some(Fetch {
+                peer: h.peer,
+                topic,
+                holding: h.holding,
+            })
+        });
+        let due: SmallVec<[Fetch; MAX_REMEMBERED]> = due.collect();
+        due.get(rng.below(due.len())).copied()
+    }
+
+    /// Records a completed transfer; `list` is the digest of this entry's list after it.
+    pub fn on_fetched(&mut self, now: time::Duration, fetch: &Fetch, list: u64) {
+        self.failed_fetches = 0;
+        if fetch.topic == Topic::Backends {
+            if list != fetch.holding.list {
+                self.settled = Some((list, fetch.holding.list, now + SETTLED_TIME));
+            }
+            self.compare(list, fetch.holding.list, fetch.holding.position);
+        }
+    }
+
+    /// Records that a peer refused a transfer or didn't answer in time; returns the number of
+    /// consecutive failures.
+    pub fn on_fetch_failed(&mut self, now: time::Duration, peer: net::Ipv4Addr) -> u32 {
+        self.avoided.push((peer, now + AVOID_TIME));
+        self.failed_fetches += 1;
+        self.failed_fetches
+    }
+
+    /// Records that a datagram of a peer arrived.
+    pub fn on_heard(&mut self, now: time::Duration) {
+        self.heard_at = Some(now);
+    }
+
+    /// Returns whether no peer has been heard for a while, though there were some.
+    pub fn is_isolated(&self, now: time::Duration) -> bool {
+        self.heard_at.is_some_and(|at| now >= at + ISOLATION_TIME)
+    }
+
+    /// Returns whether an entry that has started and lacks data reads the store itself, see
+    /// [`Start::reads`].
+    pub fn reads_at_start(
+        &mut self,
+        since_start: time::Duration,
+        peers: usize,
+        rng: &mut random::Random,
+    ) -> bool {
+        self.start.reads(since_start, peers, rng)
+    }
+
+    /// Returns whether a transfer to a peer is accepted, see [`Transfers::accept`].
+    pub fn accept_transfer(&mut self, now: time::Duration) -> bool {
+        self.transfers.accept(now)
+    }
+
+    fn are_settled(&self, own: u64, theirs: u64) -> bool {
+        let settled = self.settled.map(|(own, theirs, _)| (own, theirs));
+        settled == Some((own, theirs))
+    }
+
+    fn is_newer(&self, theirs: Holding, own: Holding) -> bool {
+        let is_later = theirs.position > own.position && theirs.position >= self.changed_at;
+        let has_newer_list = theirs.list != 0 && (own.list == 0 || is_later);
+        let differs = own.list != theirs.list && !self.are_settled(own.list, theirs.list);
+        theirs.configuration > own.configuration || (has_newer_list && differs)
+    }
+
+    fn is_avoided(&self, peer: net::Ipv4Addr) -> bool {
+        self.avoided.iter().any(|(avoided, _)| *avoided == peer)
+    }
+}
+
+/// Returns up to `count` different random peers.
+pub fn targets(
+    peers: &[net::Ipv4Addr],
+    count: usize,
+    rng: &mut random::Random,
+) -> SmallVec<[net::Ipv4Addr; 8]> {
+    let mut picked: SmallVec<[usize; 8]> = SmallVec::new();
+    // Floyd's sampling without replacement.
+    for bound in peers.len().saturating_sub(count)..peers.len() {
+        let draw = rng.below(bound + 1);
+        picked.push(if picked.contains(&draw) { bound } else { draw });
+    }
+    picked.into_iter().map(|at| peers[at]).collect()
+}
+
+// Returns the maximum age of a reading that counts as fresh: the readers' interval and a hop for
+// each factor of the fanout in the size of the fleet.
+fn max_age(entries: usize) -> time::Duration {
+    let hops = (entries.max(1) as f64).log(FANOUT as f64).ceil();
+    MAX_AGE + HOP_TIME.mul_f64(hops)
+}
+
+/// Delay before an entry that has started reads the store, within which running peers answer it.
+const START_DELAY: time::Duration = time::Duration::from_millis(200);
+
+/// Interval at which an entry that waits for others decides whether to read the store.
+const START_SLOT: time::Duration = time::Duration::from_millis(100);
+
+/// Mean number of entries that begin to read in one slot, if all start at once.
+const STARTERS_PER_SLOT: f64 = 2.0;
+
+/// Decides when an entry that has started reads the store itself. All others of a fleet that starts
+/// at once soon receive what the first few have read.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Start {
+    slots: u32,
+    reads: bool,
+}
+
+impl Start {
+    /// Returns whether an entry that lacks data, `since_start` after its start, reads the store. It
+    /// has heard of this many `peers` so far.
+    pub fn reads(
+        &mut self,
+        since_start: time::Duration,
+        peers: usize,
+        rng: &mut random::Random,
+    ) -> bool {
+        if peers == 0 {
+            return true;
+        }
+        let due = since_start.saturating_sub(START_DELAY).as_millis() / START_SLOT.as_millis();
+        let is_due = since_start >= START_DELAY;
+        while is_due && !self.reads && u128::from(self.slots) <= due {
+            self.slots += 1;
+            self.reads = rng.unit() < STARTERS_PER_SLOT / peers as f64;
+        }
+        self.reads
+    }
+}
+
+/// Bound on transfers to peers: one that would be answered too late is refused at once, so that the
+/// peer asks another.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Transfers {
+    since: time::Duration,
+    count: usize,
+}
+
+/// Maximum number of transfers in [`TRANSFER_WINDOW`]: at 10 ms each on a weak processor they take
+/// a third of it.
+pub const MAX_TRANSFERS: usize = 16;
+
+/// Window in which transfers are counted: the timeout of the peer that asks.
+pub const TRANSFER_WINDOW: time::Duration = time::Duration::from_millis(500);
+
+impl Transfers {
+    /// Returns whether one more transfer is accepted.
+    pub fn accept(&mut self, now: time::Duration) -> bool {
+        if now >= self.since + TRANSFER_WINDOW {
+            *self = Self {
+                since: now,
+                count: 0,
+            };
+        }
+        self.count += 1;
+        self.count <= MAX_TRANSFERS
+    }
+}
--- a/src/decide/standby.rs
+++ b/src/decide/standby.rs
@@ -81,28 +81,62 @@
     failed_at: [time::Duration; TOPICS],
 }
 
+/// Why an entry reads the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, derive_more::Display)]
+pub enum Reason {
+    /// It doesn't.
+    #[default]
+    #[display("none")]
+    None,
+    /// It has started and has no data.
+    #[display("start")]
+    Start,
+    /// It is a watcher.
+    #[display("watcher")]
+    Watcher,
+    /// It is its turn, or it has had an answer in its turn.
+    #[display("turn")]
+    Turn,
+    /// It is cut off from the entries that read.
+    #[display("cut_off")]
+    CutOff,
+    /// Transfers from several peers failed.
+    #[display("distrust")]
+    Distrust,
+}
+
 impl Standby {
+    /// Notes that the entry reads the store since it started.
+    pub fn begin(&mut self) {
+        self.reads = true;
+    }
+
     /// Returns whether the entry has to read the store now.
     pub fn reads(&mut self, now: time::Duration, view: View) -> bool {
+        self.reason(now, view).is_some()
+    }
+
+    /// Returns why the entry has to read the store now; `None` if it doesn't.
+    pub fn reason(&mut self, now: time::Duration, view: View) -> Option<Reason> {
         if view.rank < WATCHER_COUNT {
             self.next_turn = None;
             self.reads = true;
-            return true;
+            return Some(Reason::Watcher);
         }
         let yields = |first_answered| first_answered < view.rank || !self.reads;
         if view.first_answered.is_some_and(yields) {
             *self = Self::default();
-            return false;
+            return None;
         }
         if view.is_cut_off {
-            return true;
+            return Some(Reason::CutOff);
         }
         let before = view.rank - WATCHER_COUNT;
         let next_turn = *self
             .next_turn
             .get_or_insert_with(|| now + turns_duration(before));
         self.reads |= now >= next_turn;
-        self.reads
+        self.reads.then_some(Reason::Turn)
     }
 
     /// Returns whether this topic may be requested now.
--- a/src/direct/backends.rs
+++ b/src/direct/backends.rs
@@ -1,150 +1,55 @@
 //! Backend servers known to an entry, from the store or from peers.
 
-use std::{collections, net, time};
+use std::{net, time};
 
 use xxhash_rust::xxh3;
 
 use super::peer::lease;
-use super::{configuration, listing, parts, peer, pool, state};
+use super::{configuration, listing, parts, peer, pool, roster, state};
 use crate::decide::place;
 use crate::key;
 
-/// Maximum number of removed backend servers that are remembered: days of replacements in a fleet
-/// of 910.
-const MAX_TOMBSTONES: usize = 4_096;
-
-/// Maximum number of removed backend servers that a heartbeat names, 8 bytes each.
-pub(super) const MAX_DEREGISTERED: usize = 64;
-
 impl state::Entry {
     /// Returns the digest of the list of backend servers, which is the same for entries with the
     /// same list.
-    pub fn list_digest(&self) -> u64 {
-        self.list_digest.get()
-    }
-
-    fn update_list_digest(&self) {
-        let digests = self.part_digests(1);
-        self.list_digest.set(digests[0]);
-    }
-
-    /// Returns the digests of the list divided into `parts` parts.
-    pub fn part_digests(&self, parts: usize) -> Vec<u64> {
-        parts::digests(self.listed.borrow().values(), parts)
-    }
-
-    /// Returns the parts of the list whose digests differ from these.
-    pub fn differing_parts(&self, digests: &[u64]) -> listing::Parts {
-        let count = digests.len();
-        let own = self.part_digests(count);
-        let differs = |part: &usize| own.get(*part) != digests.get(*part);
-        let indices: Vec<usize> = (0..count).filter(differs).collect();
-        let listed = self.listed.borrow();
-        let is_included =
-            |s: &&listing::Server| indices.binary_search(&parts::index(&s.id, count)).is_ok();
-        let servers = listed.values().filter(is_included).cloned().collect();
-        listing::Parts {
-            count,
-            indices,
-            servers,
-        }
+    pub fn list_digest(&self, version: parts::Version) -> u64 {
+        self.roster.borrow().digest(version)
     }
 
     /// Returns the backend servers, if a complete list was received.
     pub fn servers(&self) -> Option<Vec<listing::Server>> {
-        let listed = self.listed.borrow();
-        let has_list = self.has_complete_list.get();
-        has_list.then(|| listed.values().cloned().collect())
+        let roster = self.roster.borrow();
+        roster
+            .is_complete()
+            .then(|| roster.servers().cloned().collect())
     }
 
     /// Applies an update of the list of backend servers.
     pub fn apply_update(&self, update: listing::Update) {
-        match update {
-            listing::Update::Listed(server) => {
-                let mut listed = self.listed.borrow_mut();
-                let is_newer = |known: &listing::Server| known.report > server.report;
-                if listed.get(&server.id).is_some_and(is_newer) {
-                    return;
-                }
-                let known = listed.insert(server.id.clone(), server.clone());
-                drop(listed);
-                if known.is_some_and(|known| known.is_same_payload(&server)) {
-                    self.reported(&server);
-                    return;
-                }
-            }
-            listing::Update::Restored(server) if self.is_outdated(&server) => return,
-            listing::Update::Restored(server) => {
-                return self.apply_update(listing::Update::Listed(server));
-            }
-            // A backend server whose list entry can't be read can't be used.
-            listing::Update::Gone(id) | listing::Update::Unreadable(id) => {
-                let gone = self.listed.borrow_mut().remove(&id);
-                if let Some(server) = gone {
-                    self.add_tombstone(server);
-                }
-            }
-            listing::Update::FromPeer(servers) => self.merge(servers, |_| true),
-            listing::Update::PartsFromPeer(parts) => {
-                let is_included = |id: &str| parts.indices.contains(&parts::index(id, parts.count));
-                self.merge(parts.servers, is_included);
-            }
-            listing::Update::All(servers) => {
-                let all = servers.into_iter().map(|s| (s.id.clone(), s)).collect();
-                *self.listed.borrow_mut() = all;
-                self.has_complete_list.set(true);
-            }
-        }
-        self.sync_backends();
+        self.apply_updates([update]);
     }
 
-    // Merges a peer's list, or the parts of it that `is_included` selects by id, but nothing
-    // that is older than what is known here: a process that was suspended sends outdated lists.
-    fn merge(&self, received: Vec<listing::Server>, is_included: impl Fn(&str) -> bool) {
-        let known = std::mem::take(&mut *self.listed.borrow_mut());
-        let mut merged = collections::HashMap::new();
-        for server in received {
-            if self.is_outdated(&server) {
-                continue;
-            }
-            let newest = match known.get(&server.id) {
-                Some(known) if known.report > server.report => known.clone(),
-                _ => server,
-            };
-            merged.insert(newest.id.clone(), newest);
-        }
-        for (id, server) in known {
-            if merged.contains_key(&id) {
-                continue;
-            }
-            if is_included(&id) {
-                self.add_tombstone(server);
-            } else {
-                merged.insert(id, server);
+    /// Applies updates of the list of backend servers; returns the list entries that changed.
+    pub fn apply_updates(
+        &self,
+        updates: impl IntoIterator<Item = listing::Update>,
+    ) -> Vec<listing::Change> {
+        let (now, mut changes, mut is_replaced) = (self.now(), Vec::new(), false);
+        for update in updates {
+            let effect = self.roster.borrow_mut().apply(now, update);
+            match effect {
+                roster::Effect::None => {}
+                roster::Effect::Reported(server) => self.reported(&server),
+                roster::Effect::Changed(some) => changes.extend(some),
+                roster::Effect::Replaced => is_replaced = true,
             }
         }
-        *self.listed.borrow_mut() = merged;
-        self.has_complete_list.set(true);
-    }
-
-    // Returns whether the backend server is known to have been removed after this report.
-    fn is_outdated(&self, server: &listing::Server) -> bool {
-        let gone = self.tombstones.borrow().get(&server.id).copied();
-        gone.is_some_and(|report| server.report <= report)
-    }
-
-    fn add_tombstone(&self, server: listing::Server) {
-        let mut gone = self.tombstones.borrow_mut();
-        if gone.len() >= MAX_TOMBSTONES {
-            gone.clear();
-        }
-        let mut deregistered = self.deregistered.borrow_mut();
-        deregistered.push_back((xxh3::xxh3_64(server.id.as_bytes()), self.now()));
-        if deregistered.len() > MAX_DEREGISTERED {
-            deregistered.pop_front();
+        if is_replaced {
+            self.sync_backends();
+        } else if !changes.is_empty() {
+            self.sync_changed(&changes);
         }
-        drop(deregistered);
-        gone.insert(server.id, server.report);
+        changes
     }
 
     /// Expires outdated state and re-evaluates all backend servers; called periodically.
@@ -169,28 +74,39 @@
 
     // Brings the backend servers in use in line with the list and the configuration.
     pub(super) fn sync_backends(&self) {
-        self.update_list_digest();
         let Some(configuration) = self.configuration() else {
             return;
         };
         let gone: Vec<String> = {
-            let listed = self.listed.borrow();
-            let keys = self.keys.borrow();
-            keys.keys()
-                .filter(|id| !listed.contains_key(*id))
-                .cloned()
-                .collect()
+            let (roster, keys) = (self.roster.borrow(), self.keys.borrow());
+            let gone = keys.keys().filter(|id| roster.get(id).is_none());
+            gone.cloned().collect()
         };
         for id in gone {
             self.remove(&id);
         }
-        let listed: Vec<listing::Server> = self.listed.borrow().values().cloned().collect();
+        let listed: Vec<listing::Server> = self.roster.borrow().servers().cloned().collect();
         for server in listed {
             self.add_or_update(&configuration, server);
         }
         self.update_states();
     }
 
+    // Brings the backend servers in use in line with these changes of the list.
+    fn sync_changed(&self, changes: &[listing::Change]) {
+        let Some(configuration) = self.configuration() else {
+            return;
+        };
+        for change in changes {
+            let server = self.roster.borrow().get(change.id()).cloned();
+            match server {
+                Some(server) => self.add_or_update(&configuration, server),
+                None => self.remove(change.id()),
+            }
+        }
+        self.update_states();
+    }
+
     fn add_or_update(&self, configuration: &configuration::Configuration, server: listing::Server) {
         let earlier = self.remove_earlier(&server);
         let known = self.keys.borrow().get(&server.id).copied();
@@ -310,7 +226,7 @@
             .get(server)
             .map(|b| b.server.id.clone());
         if let Some(id) = id {
-            self.listed.borrow_mut().remove(&id);
+            self.roster.borrow_mut().forget(&id);
             self.remove(&id);
         }
     }
--- a/src/direct/leaving.rs
+++ b/src/direct/leaving.rs
@@ -11,7 +11,7 @@
 use xxhash_rust::xxh3;
 
 use super::peer::{self, message, outbox};
-use super::{backends, pool, state};
+use super::{pool, roster, state};
 use crate::key;
 
 /// Maximum number of processes remembered: more than are leaving at a time in the largest fleet.
@@ -140,16 +140,16 @@
             return Vec::new();
         }
         let now = self.now();
-        let mut deregistered = self.deregistered.borrow_mut();
-        deregistered.retain(|(_, at)| now < *at + REMOVAL_NAMED_TIME);
-        let listed = self.listed.borrow();
-        let leaving = listed.values().filter(|s| s.leaving);
-        let leaving = leaving.map(|s| xxh3::xxh3_64(s.id.as_bytes()));
+        let mut roster = self.roster.borrow_mut();
+        let gone = roster.take_deregistered(now, REMOVAL_NAMED_TIME);
         // A backend server that was removed when its list entry expired may be listed again.
-        let gone = deregistered.iter().map(|(hash, _)| *hash);
-        let gone = gone.filter(|hash| self.server_by_hash(*hash).is_none());
-        gone.chain(leaving.take(backends::MAX_DEREGISTERED))
-            .collect()
+        let mut hashes: Vec<u64> = gone
+            .filter(|hash| self.server_by_hash(*hash).is_none())
+            .collect();
+        let leaving = roster.servers().filter(|s| s.leaving);
+        let leaving = leaving.map(|s| xxh3::xxh3_64(s.id.as_bytes()));
+        hashes.extend(leaving.take(roster::MAX_DEREGISTERED));
+        hashes
     }
 
     /// Handles a heartbeat that names leaving and removed backend servers.
--- a/src/direct/listing.rs
+++ b/src/direct/listing.rs
@@ -59,6 +59,8 @@
     Restored(Server),
     /// The list entry with this id was removed.
     Gone(String),
+    /// The list entry with this id was removed after this report, as a peer says.
+    GoneAt(String, Report),
     /// The newest list entry with this id can't be read.
     Unreadable(String),
     /// The complete list; entries that it lacks were removed.
@@ -69,6 +71,25 @@
     PartsFromPeer(Parts),
 }
 
+/// Change of a list entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It is new, or other than before.
+    Listed(Server),
+    /// The one with this id was removed after this report.
+    Gone(String, Report),
+}
+
+impl Change {
+    /// Returns the id of the backend server.
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Listed(server) => &server.id,
+            Self::Gone(id, _) => id,
+        }
+    }
+}
+
 /// Parts of a list of backend servers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Parts {
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::case;
+use super::{case, update};
 use crate::decide::{evacuation, place, quarantine};
 
 /// Resolution of service in heartbeats, in cost units: a fraction of a short request's cost, at
@@ -43,6 +43,9 @@
     /// Backend servers whose processes ended, or that have answered an inspection since.
     #[prost(message, repeated, tag = "10")]
     pub inspections: Vec<Inspection>,
+    /// What the sender holds of the data in the platform's store.
+    #[prost(message, optional, tag = "11")]
+    pub update: Option<update::Update>,
 }
 
 /// State of a backend server's process after an inspection.
@@ -192,6 +195,9 @@
     /// receives heartbeats from.
     #[prost(uint32, optional, tag = "26")]
     pub known_age_ms: Option<u32>,
+    /// True if the sender spreads what it reads from the store by [`Datagram::update`].
+    #[prost(bool, tag = "27")]
+    pub sends_updates: bool,
 }
 
 /// Load that one entry placed on a backend server.
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -14,6 +14,7 @@
 pub mod outbox;
 pub mod placement;
 pub mod table;
+pub mod update;
 
 use std::io::Read as _;
 use std::{cell, io, net, rc, time};
@@ -22,8 +23,8 @@
 use smallvec::SmallVec;
 use tokio::net as tokio_net;
 
-use super::{source, state};
-use crate::decide::evacuation;
+use super::{parts, source, state};
+use crate::decide::{evacuation, spread};
 use crate::key;
 
 /// Time between two heartbeats in a small fleet. Backend servers read 4,000 prompt tokens in this
@@ -107,21 +108,36 @@
     };
     let mut sequence = 0;
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let mut next = tokio::time::Instant::now();
+    let mut next_heartbeat = tokio::time::Instant::now();
+    let mut next_exchange = next_heartbeat;
     loop {
+        let next = next_heartbeat.min(next_exchange);
         match tokio::time::timeout_at(next, link.socket.recv_from(&mut buffer)).await {
             Ok(Ok((len, _))) => on_bytes(&entry, &buffer[..len]),
             // The network's error for an earlier datagram; the next heartbeat tries again.
             Ok(Err(err)) => log::debug!(event = "datagram_failed", error:% = err; ""),
+            Err(_elapsed) if next_exchange <= next_heartbeat => {
+                entry.exchange();
+                next_exchange = tokio::time::Instant::now() + exchange_interval(&entry);
+            }
             Err(_elapsed) => {
                 sequence += 1;
                 let others = send_heartbeats(&entry, link, sequence);
-                next = tokio::time::Instant::now() + heartbeat_interval(others);
+                next_heartbeat = tokio::time::Instant::now() + heartbeat_interval(others);
             }
         }
     }
 }
 
+// Entries without data exchange more often, since they can't serve yet.
+fn exchange_interval(entry: &state::Entry) -> time::Duration {
+    if entry.is_complete() {
+        spread::EXCHANGE_INTERVAL
+    } else {
+        spread::START_EXCHANGE_INTERVAL
+    }
+}
+
 fn on_bytes(entry: &rc::Rc<state::Entry>, datagram: &[u8]) {
     match message::Datagram::decode(datagram) {
         Ok(datagram) => on_datagram(entry, &datagram),
@@ -269,7 +285,7 @@
         configuration_version: entry
             .configuration()
             .map_or(0, |configuration| configuration.version),
-        list_digest: entry.list_digest(),
+        list_digest: entry.list_digest(parts::Version::First),
         store_age_ms: saturating_millis(entry.store_age()),
         list_age_ms: saturating_millis(entry.topic_age(source::Topic::Backends)),
         millicores: entry.settings.borrow().millicores,
@@ -283,11 +299,16 @@
         evacuations_digest: entry.zones.digest(),
         answer_age_ms: Some(saturating_millis(entry.answer_age())),
         known_age_ms: Some(saturating_millis(entry.known_age())),
+        sends_updates: true,
     }
 }
 
 fn on_datagram(entry: &rc::Rc<state::Entry>, datagram: &message::Datagram) {
     let address = net::Ipv4Addr::from_bits(datagram.address);
+    entry.spread.borrow_mut().on_heard(entry.now());
+    if let Some(update) = &datagram.update {
+        entry.on_update(address, update);
+    }
     if let (Some(heartbeat), Some(link)) = (&datagram.heartbeat, &entry.link) {
         on_heartbeat(entry, link, datagram.sender, address, heartbeat);
     }
@@ -358,7 +379,8 @@
     entry.on_held_digest(address, heartbeat.quarantined_digest);
     apply_remote_loads(entry, link);
     log_entries(entry, before);
-    if entry.relies_on_peers() {
+    // Peers that send updates notify by these.
+    if !heartbeat.sends_updates && entry.relies_on_peers() {
         entry.peer_change.notify_one();
     }
 }
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -36,6 +36,9 @@
 /// apart that their interval isn't short compared to [`MAX_FRESH_AGE`].
 const MAX_READ_AGE: time::Duration = time::Duration::from_millis(950);
 
+/// Zone in heartbeats of entries that don't say theirs.
+const UNKNOWN_ZONE: u64 = 0;
+
 /// Time for which an entry whose heartbeats have stopped still counts as a member of its zone. The
 /// load balancer knows it until the platform gives it up, and it chooses from all entries once
 /// fewer than half are in rotation.
@@ -69,6 +72,8 @@
     era: u64,
     // Digest of its evacuation records.
     evacuations_digest: u64,
+    // True if it spreads what it reads from the store by updates.
+    sends_updates: bool,
     unresponsive_until: time::Duration,
     // True if it didn't reply to the last placement request.
     is_unresponsive: bool,
@@ -176,6 +181,7 @@
             listed_at: ago(heartbeat.list_age_ms),
             era: heartbeat.era,
             evacuations_digest: heartbeat.evacuations_digest,
+            sends_updates: heartbeat.sends_updates,
             unresponsive_until,
             is_unresponsive,
         };
@@ -188,6 +194,13 @@
         Some(before.map(|(s, _)| s).filter(|s| *s != sender))
     }
 
+    /// Records addresses at which entries run, as an entry says.
+    pub fn learn(&mut self, now: time::Duration, addresses: impl Iterator<Item = net::Ipv4Addr>) {
+        for address in addresses {
+            self.last_heard.entry(address).or_insert(now);
+        }
+    }
+
     /// Removes entries whose heartbeats have stopped; returns their addresses and incarnations.
     pub fn expire(&mut self, now: time::Duration) -> Vec<(net::Ipv4Addr, u64)> {
         self.last_heard
@@ -299,10 +312,30 @@
         self.missing.len()
     }
 
-    // Returns the entries that read the platform's store for the whole fleet: the first few strong
-    // entries in order of address.
+    // Returns the position in `strong` of the second watcher: the first entry of another zone than
+    // the first watcher's, so that both aren't cut off together.
+    fn second_watcher(&self) -> usize {
+        let zone = |address: &net::Ipv4Addr| self.alive.get(address).map_or(self.zone, |p| p.zone);
+        let first = self.strong.first().map_or(UNKNOWN_ZONE, zone);
+        let is_known = |zone: u64| zone != UNKNOWN_ZONE;
+        let is_other =
+            |address| is_known(first) && is_known(zone(address)) && zone(address) != first;
+        self.strong.iter().position(is_other).unwrap_or(1)
+    }
+
+    // Returns the strong entries in the order in which they read the platform's store.
+    fn strong_order(&self) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
+        let second = self.second_watcher();
+        let rest = self.strong.iter().enumerate();
+        let rest = rest.filter(move |(at, _)| *at != 0 && *at != second);
+        let first = self.strong.first().into_iter();
+        let watchers = first.chain(self.strong.get(second));
+        watchers.chain(rest.map(|(_, a)| a)).copied()
+    }
+
+    // Returns the entries that read the platform's store for the whole fleet.
     fn watchers(&self) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
-        self.strong.iter().copied().take(standby::WATCHER_COUNT)
+        self.strong_order().take(standby::WATCHER_COUNT)
     }
 
     /// Returns whether this entry reads the platform's store for the whole fleet.
@@ -311,27 +344,28 @@
     }
 
     /// Returns the state, as this entry knows it, of the entries that read the store for the fleet.
-    pub fn standby_view(&self, now: time::Duration) -> standby::View {
+    /// `fresh` are those whose readings spread recently; the others are known by their heartbeats.
+    pub fn standby_view(&self, now: time::Duration, fresh: &[net::Ipv4Addr]) -> standby::View {
         let age = self.fresh_age();
         let answered = |address: &net::Ipv4Addr| {
-            let peer = self.alive.get(address);
-            peer.is_some_and(|p| now < p.answered_at + age)
+            let peer = self.alive.get(address).filter(|p| !p.sends_updates);
+            fresh.contains(address) || peer.is_some_and(|p| now < p.answered_at + age)
         };
         let is_strong = |address: &net::Ipv4Addr| self.strong.binary_search(address).is_ok();
-        let weak = self.alive.keys().filter(|a| !is_strong(a));
-        let order = self.strong.iter().chain(weak);
+        let weak = self.alive.keys().filter(|a| !is_strong(a)).copied();
+        let order = self.strong_order().chain(weak);
         let before = |address: &net::Ipv4Addr| Some(*address) < self.own;
         let rank = match self.own {
-            Some(own) if is_strong(&own) => self.strong.partition_point(before),
+            Some(own) if is_strong(&own) => self.strong_order().position(|a| a == own),
             _ => {
                 let weak = self.alive.keys().filter(|a| !is_strong(a) && before(a));
-                self.strong.len() + weak.count()
+                Some(self.strong.len() + weak.count())
             }
         };
         let answered = order.enumerate().find(|(_, a)| answered(a));
-        let knows = |p: &Peer| now < p.known_answered_at + age;
+        let knows = |p: &Peer| !p.sends_updates && now < p.known_answered_at + age;
         standby::View {
-            rank,
+            rank: rank.unwrap_or_default(),
             entries: 1 + self.alive.len(),
             first_answered: answered.map(|(at, _)| at),
             is_cut_off: answered.is_none() && self.alive.values().any(knows),
@@ -349,15 +383,15 @@
         MAX_FRESH_AGE.max(MAX_READ_AGE + heartbeat.mul_f64(1.5))
     }
 
-    // Returns the other entries with a recent answer of the store, by the time that `at` returns:
-    // the watchers or, if no watcher has one, the entries that read in their place.
+    // Returns the other entries that don't send updates and have a recent answer of the store, by
+    // the time that `at` returns: the watchers or, if no watcher has one, the entries that read in their place.
     fn recent(
         &self,
         now: time::Duration,
         at: impl Fn(&Peer) -> time::Duration,
     ) -> impl Iterator<Item = (net::Ipv4Addr, &Peer)> {
         let age = self.fresh_age();
-        let is_recent = move |p: &Peer| now < at(p) + age;
+        let is_recent = move |p: &Peer| !p.sends_updates && now < at(p) + age;
         let is_watcher = |a: &net::Ipv4Addr| self.watchers().any(|w| w == *a);
         let mut watchers = self.watchers().filter_map(|a| self.alive.get(&a));
         let any = watchers.any(&is_recent);
@@ -439,6 +473,12 @@
         all.into_iter().collect()
     }
 
+    /// Returns the addresses of peers that don't send updates.
+    pub fn addresses_without_updates(&self) -> Vec<net::Ipv4Addr> {
+        let alive = self.alive.iter().filter(|(_, p)| !p.sends_updates);
+        alive.map(|(address, _)| *address).collect()
+    }
+
     /// Returns the load that all other entries placed on a backend server, by the hash of its id.
     pub fn remote_load(&self, server: u64) -> place::Load {
         self.loads.sum(server)
--- /dev/null
+++ b/src/direct/peer/update.rs
@@ -0,0 +1,228 @@
+//! Messages that spread what entries read from the platform's store (protobuf).
+
+use std::{net, time};
+
+use crate::decide::{evacuation, spread};
+use crate::direct::listing;
+
+/// What an entry holds and what is new to it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Update {
+    /// The newest reading that the sender knows of.
+    #[prost(message, optional, tag = "1")]
+    pub reading: Option<Reading>,
+    /// What the sender holds.
+    #[prost(message, optional, tag = "2")]
+    pub holding: Option<Holding>,
+    /// Changes of the list of backend servers.
+    #[prost(message, repeated, tag = "3")]
+    pub changes: Vec<Change>,
+    /// True if the recipient sends its own state back.
+    #[prost(bool, tag = "4")]
+    pub wants_reply: bool,
+    /// Addresses of other entries, for a recipient that has just started.
+    #[prost(fixed32, repeated, tag = "5")]
+    pub known_addresses: Vec<u32>,
+    /// Position of the store's log up to which the changes were read.
+    #[prost(message, optional, tag = "6")]
+    pub changed_at: Option<Position>,
+}
+
+/// Position in the store's log of backend servers.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Position {
+    /// Era of the store.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    /// Offset in this era.
+    #[prost(uint64, tag = "2")]
+    pub offset: u64,
+}
+
+/// See [`spread::Holding`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Holding {
+    /// Position that the list is at least as new as.
+    #[prost(message, optional, tag = "1")]
+    pub position: Option<Position>,
+    /// Digest of the list.
+    #[prost(fixed64, tag = "2")]
+    pub list: u64,
+    /// Version of the configuration.
+    #[prost(uint64, tag = "3")]
+    pub configuration: u64,
+}
+
+/// See [`spread::Reading`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Reading {
+    /// IPv4 address of the reader.
+    #[prost(fixed32, tag = "1")]
+    pub reader: u32,
+    /// Incarnation of the reader.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of the reading.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// What the reader held.
+    #[prost(message, optional, tag = "4")]
+    pub holding: Option<Holding>,
+    /// Milliseconds since the store last answered the reader.
+    #[prost(uint32, tag = "5")]
+    pub age_ms: u32,
+    /// Number of entries that forwarded it.
+    #[prost(uint32, tag = "6")]
+    pub hops: u32,
+}
+
+/// Change of a list entry.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Change {
+    /// Id of the backend server.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Start of the process in Unix milliseconds, of its last report.
+    #[prost(uint64, tag = "2")]
+    pub start: u64,
+    /// Number of the last report.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// The list entry; without one it was removed.
+    #[prost(message, optional, tag = "4")]
+    pub listed: Option<Listed>,
+}
+
+/// Fields of a list entry, see [`listing::Server`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Listed {
+    /// Service that it runs.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Address that it listens on.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Availability zone.
+    #[prost(string, tag = "3")]
+    pub zone: String,
+    /// Number of requests that it runs at once.
+    #[prost(uint32, tag = "4")]
+    pub slots: u32,
+    /// True if it accepts no more new requests.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+    /// Milliseconds for which it stays cold after the report.
+    #[prost(uint32, tag = "6")]
+    pub cold_ms: u32,
+}
+
+impl From<evacuation::Position> for Position {
+    fn from(position: evacuation::Position) -> Self {
+        let evacuation::Position { era, offset } = position;
+        Self { era, offset }
+    }
+}
+
+impl From<Position> for evacuation::Position {
+    fn from(message: Position) -> Self {
+        let Position { era, offset } = message;
+        Self { era, offset }
+    }
+}
+
+impl From<spread::Holding> for Holding {
+    fn from(holding: spread::Holding) -> Self {
+        Self {
+            position: Some(holding.position.into()),
+            list: holding.list,
+            configuration: holding.configuration,
+        }
+    }
+}
+
+impl From<Holding> for spread::Holding {
+    fn from(message: Holding) -> Self {
+        Self {
+            position: message.position.unwrap_or_default().into(),
+            list: message.list,
+            configuration: message.configuration,
+        }
+    }
+}
+
+impl Reading {
+    /// Creates the message that is sent at `now`.
+    pub fn new(now: time::Duration, reading: &spread::Reading) -> Self {
+        let age = now.saturating_sub(reading.at);
+        Self {
+            reader: reading.reader.to_bits(),
+            incarnation: reading.incarnation,
+            sequence: reading.sequence,
+            holding: Some(reading.holding.into()),
+            age_ms: age.as_millis().min(u32::MAX.into()) as u32,
+            hops: reading.hops,
+        }
+    }
+
+    /// Returns the reading for a message that was received at `now`.
+    pub fn received(&self, now: time::Duration) -> spread::Reading {
+        spread::Reading {
+            reader: net::Ipv4Addr::from_bits(self.reader),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            holding: self.holding.unwrap_or_default().into(),
+            at: now.saturating_sub(time::Duration::from_millis(self.age_ms.into())),
+            hops: self.hops.saturating_add(1),
+        }
+    }
+}
+
+impl From<&listing::Change> for Change {
+    fn from(change: &listing::Change) -> Self {
+        let (report, listed) = match change {
+            listing::Change::Gone(_, report) => (*report, None),
+            listing::Change::Listed(server) => (
+                server.report,
+                Some(Listed {
+                    service: server.service.clone(),
+                    address: server.address.to_string(),
+                    zone: server.zone.clone(),
+                    slots: server.slots,
+                    leaving: server.leaving,
+                    cold_ms: server.cold_ms,
+                }),
+            ),
+        };
+        Self {
+            id: change.id().to_owned(),
+            start: report.start,
+            number: report.number,
+            listed,
+        }
+    }
+}
+
+impl TryFrom<&Change> for listing::Update {
+    type Error = net::AddrParseError;
+
+    fn try_from(message: &Change) -> Result<Self, Self::Error> {
+        let report = listing::Report {
+            start: message.start,
+            number: message.number,
+        };
+        let id = message.id.clone();
+        let Some(listed) = &message.listed else {
+            return Ok(Self::GoneAt(id, report));
+        };
+        Ok(Self::Restored(listing::Server {
+            id,
+            service: listed.service.clone(),
+            address: listed.address.parse()?,
+            zone: listed.zone.clone(),
+            slots: listed.slots,
+            leaving: listed.leaving,
+            cold_ms: listed.cold_ms,
+            report,
+        }))
+    }
+}
--- /dev/null
+++ b/src/direct/roster.rs
@@ -0,0 +1,265 @@
+//! The list of backend servers that an entry knows, with those that were removed.
+
+use std::{collections, time};
+
+use xxhash_rust::xxh3;
+
+use super::{listing, parts};
+
+/// Maximum number of removed backend servers that are remembered: days of replacements in a fleet
+/// of 910.
+const MAX_TOMBSTONES: usize = 4_096;
+
+/// Maximum number of removed backend servers that a heartbeat names, 8 bytes each.
+pub const MAX_DEREGISTERED: usize = 64;
+
+/// List entries by id, and the last reports of removed ones.
+#[derive(Debug, Default)]
+pub struct Roster {
+    listed: collections::HashMap<String, listing::Server>,
+    // Last reports of removed backend servers, by id.
+    tombstones: collections::HashMap<String, listing::Report>,
+    // Hashes of the ids of recently removed backend servers, with the time of their removal.
+    deregistered: collections::VecDeque<(u64, time::Duration)>,
+    is_complete: bool,
+    // Digests of the list as a single part, by version, updated with each change.
+    digests: [u64; 2],
+}
+
+/// Effect of an update.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing changed.
+    None,
+    /// Only the report of a backend server is newer.
+    Reported(listing::Server),
+    /// These list entries changed.
+    Changed(Vec<listing::Change>),
+    /// More than some list entries may have changed.
+    Replaced,
+}
+
+impl Roster {
+    /// Returns the list entries, in no particular order.
+    pub fn servers(&self) -> impl Iterator<Item = &listing::Server> {
+        self.listed.values()
+    }
+
+    /// Returns the list entry of a backend server.
+    pub fn get(&self, id: &str) -> Option<&listing::Server> {
+        self.listed.get(id)
+    }
+
+    /// Returns whether a complete list was received.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    /// Returns the digest of the list, which is the same for entries with the same list.
+    pub fn digest(&self, version: parts::Version) -> u64 {
+        self.digests[version as usize]
+    }
+
+    /// Applies an update at time `now`.
+    pub fn apply(&mut self, now: time::Duration, update: listing::Update) -> Effect {
+        match update {
+            listing::Update::Restored(server) if self.is_outdated(&server) => Effect::None,
+            listing::Update::Listed(server) | listing::Update::Restored(server) => {
+                self.list(server)
+            }
+            // A backend server whose list entry can't be read can't be used.
+            listing::Update::Gone(id) | listing::Update::Unreadable(id) => {
+                self.remove_listed(now, &id, None)
+            }
+            listing::Update::GoneAt(id, report) => self.remove_listed(now, &id, Some(report)),
+            listing::Update::FromPeer(servers) => self.merge(now, servers, |_| true),
+            listing::Update::PartsFromPeer(parts) => {
+                let is_included = |id: &str| parts.indices.contains(&parts::index(id, parts.count));
+                self.merge(now, parts.servers, is_included)
+            }
+            listing::Update::All(servers) => self.replace(servers),
+        }
+    }
+
+    /// Removes a list entry without a trace, since another instance has its address now.
+    pub fn forget(&mut self, id: &str) {
+        self.take(id);
+    }
+
+    /// Returns the digests of the list divided into `count` parts.
+    pub fn part_digests(&self, version: parts::Version, count: usize) -> Vec<u64> {
+        parts::digests(version, self.servers(), count)
+    }
+
+    /// Returns the parts of the list whose digests differ from these.
+    pub fn differing_parts(&self, version: parts::Version, digests: &[u64]) -> listing::Parts {
+        let count = digests.len();
+        let own = self.part_digests(version, count);
+        let differs = |part: &usize| own.get(*part) != digests.get(*part);
+        let indices: Vec<usize> = (0..count).filter(differs).collect();
+        let is_included =
+            |s: &&listing::Server| indices.binary_search(&parts::index(&s.id, count)).is_ok();
+        let servers = self.servers().filter(is_included).cloned().collect();
+        listing::Parts {
+            count,
+            indices,
+            servers,
+        }
+    }
+
+    /// Returns the hashes of the ids of backend servers that were removed within `retention`, and
+    /// forgets earlier ones.
+    pub fn take_deregistered(
+        &mut self,
+        now: time::Duration,
+        retention: time::Duration,
+    ) -> impl Iterator<Item = u64> + '_ {
+        self.deregistered.retain(|(_, at)| now < *at + retention);
+        self.deregistered.iter().map(|(hash, _)| *hash)
+    }
+
+    fn list(&mut self, server: listing::Server) -> Effect {
+        let known = self.listed.get(&server.id);
+        if known.is_some_and(|known| known.report > server.report) {
+            return Effect::None;
+        }
+        let is_same = known.is_some_and(|known| known.is_same_payload(&server));
+        // Peers ignored a list entry that was no newer than its removal.
+        let was_outdated = known.is_some_and(|known| self.is_outdated(known));
+        let is_accepted_again = was_outdated && !self.is_outdated(&server);
+        self.put(server.clone());
+        if is_same && !is_accepted_again {
+            Effect::Reported(server)
+        } else {
+            Effect::Changed(vec![listing::Change::Listed(server)])
+        }
+    }
+
+    // Removes a list entry, unless it is newer than the report after which it was removed.
+    fn remove_listed(
+        &mut self,
+        now: time::Duration,
+        id: &str,
+        removed_at: Option<listing::Report>,
+    ) -> Effect {
+        let known = self.listed.get(id).map(|known| known.report);
+        let is_newer = |known: listing::Report| removed_at.is_some_and(|at| known > at);
+        if known.is_some_and(is_newer) {
+            return Effect::None;
+        }
+        let Some(report) = known.max(removed_at) else {
+            return Effect::None;
+        };
+        if known.is_none() {
+            // Keeps a delayed list entry out.
+            let last = self.tombstones.get(id).copied();
+            self.add_tombstone(id.to_owned(), last.unwrap_or_default().max(report));
+            return Effect::None;
+        }
+        self.take(id);
+        self.deregister(now, id.to_owned(), report);
+        Effect::Changed(vec![listing::Change::Gone(id.to_owned(), report)])
+    }
+
+    // Merges a peer's list, or the parts of it that `is_included` selects by id, but nothing
+    // that is older than what is known here: a process that was suspended sends outdated lists.
+    fn merge(
+        &mut self,
+        now: time::Duration,
+        received: Vec<listing::Server>,
+        is_included: impl Fn(&str) -> bool,
+    ) -> Effect {
+        let mut kept = collections::HashSet::new();
+        for server in received {
+            if self.is_outdated(&server) {
+                continue;
+            }
+            kept.insert(server.id.clone());
+            let known = self.listed.get(&server.id);
+            if known.is_none_or(|known| known.report <= server.report) {
+                self.put(server);
+            }
+        }
+        let is_gone = |id: &&String| is_included(id) && !kept.contains(*id);
+        let gone: Vec<String> = self.listed.keys().filter(is_gone).cloned().collect();
+        for id in gone {
+            if let Some(server) = self.take(&id) {
+                self.deregister(now, id, server.report);
+            }
+        }
+        self.is_complete = true;
+        Effect::Replaced
+    }
+
+    // Replaces the list by the store's. If few entries changed, returns these.
+    fn replace(&mut self, servers: Vec<listing::Server>) -> Effect {
+        let was_complete = std::mem::replace(&mut self.is_complete, true);
+        let before = std::mem::take(&mut self.listed);
+        self.digests = [0; 2];
+        let mut changes = Vec::new();
+        for server in servers {
+            let known = before.get(&server.id);
+            if known.is_none_or(|known| !known.is_same_payload(&server)) {
+                changes.push(listing::Change::Listed(server.clone()));
+            }
+            self.put(server);
+        }
+        let gone = before.into_iter();
+        let gone = gone.filter(|(id, _)| !self.listed.contains_key(id));
+        changes.extend(gone.map(|(id, server)| listing::Change::Gone(id, server.report)));
+        if was_complete {
+            Effect::Changed(changes)
+        } else {
+            Effect::Replaced
+        }
+    }
+
+    fn put(&mut self, server: listing::Server) {
+        self.add_to_digests(&server);
+        if let Some(known) = self.listed.insert(server.id.clone(), server) {
+            self.subtract_from_digests(&known);
+        }
+    }
+
+    fn take(&mut self, id: &str) -> Option<listing::Server> {
+        let server = self.listed.remove(id)?;
+        self.subtract_from_digests(&server);
+        Some(server)
+    }
+
+    fn add_to_digests(&mut self, server: &listing::Server) {
+        for version in parts::Version::ALL {
+            let digest = &mut self.digests[version as usize];
+            *digest = digest.wrapping_add(parts::entry_hash(version, server));
+        }
+    }
+
+    fn subtract_from_digests(&mut self, server: &listing::Server) {
+        for version in parts::Version::ALL {
+            let digest = &mut self.digests[version as usize];
+            *digest = digest.wrapping_sub(parts::entry_hash(version, server));
+        }
+    }
+
+    // Returns whether the backend server is known to have been removed after this report.
+    fn is_outdated(&self, server: &listing::Server) -> bool {
+        let gone = self.tombstones.get(&server.id);
+        gone.is_some_and(|report| server.report <= *report)
+    }
+
+    fn deregister(&mut self, now: time::Duration, id: String, report: listing::Report) {
+        self.deregistered
+            .push_back((xxh3::xxh3_64(id.as_bytes()), now));
+        if self.deregistered.len() > MAX_DEREGISTERED {
+            self.deregistered.pop_front();
+        }
+        self.add_tombstone(id, report);
+    }
+
+    fn add_tombstone(&mut self, id: String, report: listing::Report) {
+        if self.tombstones.len() >= MAX_TOMBSTONES {
+            self.tombstones.clear();
+        }
+        self.tombstones.insert(id, report);
+    }
+}
--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -4,7 +4,8 @@
 
 use smallvec::SmallVec;
 
-use super::state;
+use super::{parts, peer, state};
+use crate::decide::{random, standby};
 
 /// Minimum time between two requests for the same list from peers.
 const PEER_LIST_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -13,6 +14,13 @@
 /// network link that is congested stays so for seconds.
 const DISTRUST_TIME: time::Duration = time::Duration::from_secs(4);
 
+/// Time after its start, in addition to [`SETTLE_INTERVALS`], within which an entry doesn't know its
+/// place among the entries that read the store.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(500);
+
+/// Number of heartbeat intervals after which most peers have been heard.
+const SETTLE_INTERVALS: f64 = 1.5;
+
 /// A list of backend servers that a peer sent.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PeerList {
@@ -30,6 +38,16 @@
     Backends,
 }
 
+impl Topic {
+    /// Returns the name of the topic in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Backends => "backends",
+        }
+    }
+}
+
 impl state::Entry {
     /// Records that the store delivered current data for this topic.
     pub fn on_store_answer(&self, topic: Topic) {
@@ -79,33 +97,95 @@
     pub fn known_age(&self) -> time::Duration {
         let now = self.now();
         let last = self.peers.borrow().last_store_answer();
+        let last = last.max(self.spread.borrow().last_answer());
         let last = last.map_or(time::Duration::MAX, |at| now.saturating_sub(at));
         self.answer_age().min(last)
     }
 
-    /// Returns whether this entry has complete data and leaves reading the store to the watchers,
-    /// or to peers that precede it in the standby order.
+    /// Returns whether this entry leaves reading the store to the watchers, or to peers that precede
+    /// it in the standby order. An entry that has just started does so until its data arrives.
     pub fn relies_on_peers(&self) -> bool {
         let now = self.now();
-        let is_complete = self.configuration.borrow().is_some() && self.has_complete_list.get();
-        let is_trusted = now >= self.distrusted_until.get();
-        is_complete && is_trusted && !self.reads_store(now)
+        if self.is_complete() {
+            now >= self.distrusted_until.get() && !self.reads_store(now)
+        } else {
+            !self.reads_at_start(now)
+        }
+    }
+
+    fn reads_at_start(&self, now: time::Duration) -> bool {
+        let peers = self.peers.borrow().send_addresses().len();
+        let mut rng = self.rng.borrow_mut();
+        let reads = self
+            .spread
+            .borrow_mut()
+            .reads_at_start(now, peers, &mut rng);
+        if reads {
+            let mut standby = self.standby.get();
+            standby.begin();
+            self.standby.set(standby);
+            self.set_reason(standby::Reason::Start);
+        }
+        reads
     }
 
     fn reads_store(&self, now: time::Duration) -> bool {
-        let view = self.peers.borrow().standby_view(now);
+        let view = self.standby_view(now);
         let mut standby = self.standby.get();
-        let reads = standby.reads(now, view);
+        let reason = standby.reason(now, view);
         self.standby.set(standby);
-        if self.reads_store.replace(reads) != reads {
+        let reason = reason.unwrap_or(standby::Reason::None);
+        self.set_reason(reason);
+        reason != standby::Reason::None
+    }
+
+    fn set_reason(&self, reason: standby::Reason) {
+        if self.read_reason.replace(reason) != reason {
+            let view = self.standby_view(self.now());
             self.log
                 .line("store_reader")
-                .with("reads", reads)
+                .with("reads", reason != standby::Reason::None)
+                .with("reason", reason)
                 .with("rank", view.rank)
-                .with("entries", view.entries)
-                .with("cut_off", view.is_cut_off);
+                .with("entries", view.entries);
+        }
+    }
+
+    /// Returns whether this entry reads the store itself.
+    pub fn reads_store_now(&self) -> bool {
+        self.read_reason() != standby::Reason::None
+    }
+
+    /// Returns why this entry reads the store.
+    pub fn read_reason(&self) -> standby::Reason {
+        if self.now() < self.distrusted_until.get() {
+            standby::Reason::Distrust
+        } else {
+            self.read_reason.get()
+        }
+    }
+
+    fn standby_view(&self, now: time::Duration) -> standby::View {
+        let (peers, spread) = (self.peers.borrow(), self.spread.borrow());
+        let own = self.settings.borrow().address;
+        let fresh = spread.fresh_readers(now, peers.entry_count());
+        let fresh: SmallVec<[net::Ipv4Addr; 8]> = fresh.filter(|a| *a != own).collect();
+        let addresses = peers.send_addresses().len();
+        if now >= SETTLE_TIME + peer::heartbeat_interval(addresses).mul_f64(SETTLE_INTERVALS) {
+            let view = peers.standby_view(now, &fresh);
+            let is_cut_off = view.is_cut_off || spread.is_isolated(now);
+            return standby::View { is_cut_off, ..view };
+        }
+        // The heartbeats of most peers haven't arrived yet, so that the order isn't known.
+        let reads = self.read_reason.get() != standby::Reason::None;
+        let yields = fresh.iter().any(|reader| !reads || *reader < own);
+        let draw = random::Random::new(self.incarnation).below(addresses + 1);
+        standby::View {
+            rank: standby::WATCHER_COUNT + draw,
+            entries: addresses + 1,
+            first_answered: yields.then_some(0),
+            is_cut_off: false,
         }
-        reads
     }
 
     /// Returns whether the store may be called for this topic after the failures so far.
@@ -126,7 +206,7 @@
     /// Records that a call to the store for this topic failed.
     pub fn on_store_failure(&self, topic: Topic) {
         let now = self.now();
-        let entries = self.peers.borrow().standby_view(now).entries;
+        let entries = self.standby_view(now).entries;
         let mut standby = self.standby.get();
         standby.on_failure(now, entries, topic as usize);
         self.standby.set(standby);
@@ -150,7 +230,7 @@
             previous.is_some_and(|p| p.digest == list && now < p.received_at + PEER_LIST_INTERVAL)
         };
         let list = peers.newest_server_list(now, previous.map(|p| p.peer));
-        let differs = |list| list != self.list_digest.get() && !is_recent(list);
+        let differs = |list| list != self.list_digest(parts::Version::First) && !is_recent(list);
         if let Some((address, _)) = list.filter(|(_, list)| differs(*list)) {
             newer.push((address, Topic::Backends));
         }
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -8,10 +8,12 @@
 
 use super::peer::{lease, message, outbox, placement, table};
 use super::{
-    callers, configuration, dialect, evacuation, leaving, listing, logger, losses, meter, peer,
-    pool, source, waiting,
+    callers, configuration, dialect, evacuation, leaving, logger, losses, meter, peer, pool,
+    roster, source, waiting,
+};
+use crate::decide::{
+    health, overload, place, quarantine, random, retry, rotation, spread, standby,
 };
-use crate::decide::{health, overload, place, quarantine, random, retry, rotation, standby};
 use crate::key;
 
 /// Minimum Retry-After for a request whose wait timed out: about the time that an engine needs to
@@ -71,11 +73,10 @@
     /// Metrics.
     pub meter: meter::Meter,
     pub(super) configuration: cell::RefCell<Option<rc::Rc<configuration::Configuration>>>,
-    pub(super) listed: cell::RefCell<collections::HashMap<String, listing::Server>>,
-    // Last reports of removed backend servers, by id.
-    pub(super) tombstones: cell::RefCell<collections::HashMap<String, listing::Report>>,
-    // Hashes of the ids of recently removed backend servers, with the time of their removal.
-    pub(super) deregistered: cell::RefCell<collections::VecDeque<(u64, time::Duration)>>,
+    /// The list of backend servers.
+    pub roster: cell::RefCell<roster::Roster>,
+    /// What is known of other entries' reads of the store.
+    pub spread: cell::RefCell<spread::Spread>,
     // Hashes of the ids of backend servers that peers named as leaving, with the expiry.
     pub(super) named_leaving: cell::RefCell<collections::HashMap<u64, time::Duration>>,
     // Backend servers that announced in a response that they are leaving.
@@ -83,8 +84,6 @@
     pub(super) zones: evacuation::Zones,
     // Inspection results of backend servers that the next heartbeats carry.
     pub(super) inspections: outbox::Outbox<message::Inspection>,
-    pub(super) has_complete_list: cell::Cell<bool>,
-    pub(super) list_digest: cell::Cell<u64>,
     // The newest era of the store that was seen.
     pub(super) store_era: cell::Cell<u64>,
     // When the store last delivered current data, by topic.
@@ -95,8 +94,8 @@
     pub(super) last_peer_list: cell::Cell<Option<source::PeerList>>,
     // State that decides whether this entry reads the store while the watchers get no response.
     pub(super) standby: cell::Cell<standby::Standby>,
-    // True if this entry read the store at the last evaluation, for the log.
-    pub(super) reads_store: cell::Cell<bool>,
+    // Why this entry read the store at the last evaluation.
+    pub(super) read_reason: cell::Cell<standby::Reason>,
     // Until when this entry doesn't rely on peers.
     pub(super) distrusted_until: cell::Cell<time::Duration>,
     // Decaying maximum of the delay of timers.
@@ -187,21 +186,18 @@
             log,
             meter: meter::Meter::default(),
             configuration: cell::RefCell::default(),
-            listed: cell::RefCell::default(),
-            tombstones: cell::RefCell::default(),
-            deregistered: cell::RefCell::default(),
+            roster: cell::RefCell::default(),
+            spread: cell::RefCell::default(),
             named_leaving: cell::RefCell::default(),
             backends_leaving: leaving::Table::default(),
             zones: evacuation::Zones::default(),
             inspections: outbox::Outbox::default(),
-            has_complete_list: cell::Cell::default(),
-            list_digest: cell::Cell::default(),
             store_era: cell::Cell::default(),
             store_seen: cell::Cell::default(),
             store_answered: cell::Cell::default(),
             last_peer_list: cell::Cell::default(),
             standby: cell::Cell::default(),
-            reads_store: cell::Cell::default(),
+            read_reason: cell::Cell::default(),
             distrusted_until: cell::Cell::default(),
             timer_lag: cell::Cell::default(),
             overload: cell::Cell::default(),
@@ -255,10 +251,14 @@
         self.configuration.borrow().clone()
     }
 
+    /// Returns whether the entry has a configuration and a list of backend servers.
+    pub fn is_complete(&self) -> bool {
+        self.configuration.borrow().is_some() && self.roster.borrow().is_complete()
+    }
+
     /// Returns whether the entry is ready for new connections.
     pub fn is_ready(&self) -> bool {
-        let knows = self.configuration.borrow().is_some() && self.has_complete_list.get();
-        knows && !self.leaving.get() && !self.out_of_rotation()
+        self.is_complete() && !self.leaving.get() && !self.out_of_rotation()
     }
 
     /// Returns whether the balancer should prefer peers for now.
--- a/src/direct/transfer.rs
+++ b/src/direct/transfer.rs
@@ -16,16 +16,22 @@
 use tokio::{net as tokio_net, task};
 
 use super::peer::{case, message};
-use super::{conn, evacuation, listing, parts, state};
+use super::{conn, evacuation, listing, parts, source, state};
 use crate::code;
 use crate::decide;
 
 /// Path of the configuration.
 const CONFIGURATION: &str = "/configuration";
 
-/// Path of the list of backend servers.
+/// Path of the list of backend servers, with digests of [`parts::Version::First`].
 const BACKENDS: &str = "/backends";
 
+/// Path of the list of backend servers, with digests of [`parts::Version::Second`].
+const LIST: &str = "/list";
+
+/// Query of a request that may be refused because of too many others.
+const REFUSABLE: &str = "refusable";
+
 /// Path of the cases of requests that crashed backend servers, or may have.
 const CASES: &str = "/cases";
 
@@ -42,6 +48,29 @@
 /// megabyte.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Why a transfer from a peer failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The connection couldn't be opened.
+    #[error("connect: {0}")]
+    Connect(io::Error),
+    /// The connection broke.
+    #[error("connection broken")]
+    Broken,
+    /// The peer serves too many others.
+    #[error("refused")]
+    Refused,
+    /// The peer doesn't have the data.
+    #[error("not found")]
+    NotFound,
+    /// The response can't be read.
+    #[error("malformed")]
+    Malformed,
+    /// The transfer timed out.
+    #[error("timed out")]
+    TimedOut,
+}
+
 /// Serves requests of peers on this address until the process ends.
 pub async fn serve(entry: rc::Rc<state::Entry>, address: net::SocketAddr) -> io::Result<()> {
     let listener = tokio_net::TcpListener::bind(address).await?;
@@ -67,20 +96,23 @@
 }
 
 async fn answer(entry: &state::Entry, req: http::Request<Incoming>) -> http::Response<Full<Bytes>> {
+    let topic = match req.uri().path() {
+        CONFIGURATION => Some(source::Topic::Configuration),
+        BACKENDS | LIST => Some(source::Topic::Backends),
+        _ => None,
+    };
+    let is_refusable = req.uri().query() == Some(REFUSABLE);
+    if is_refusable && topic.is_some_and(|topic| !entry.accepts_transfer(topic)) {
+        let mut response = http::Response::new(Full::default());
+        *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+        return response;
+    }
     let content = match req.uri().path() {
         CONFIGURATION => entry
             .configuration()
             .map(|configuration| configuration.source.clone()),
-        BACKENDS => {
-            let request = Limited::new(req.into_body(), MAX_REQUEST_BYTES)
-                .collect()
-                .await;
-            // Without valid digests the response is the complete list.
-            let digests = request
-                .ok()
-                .and_then(|body| parts::decode(&body.to_bytes()));
-            list_answer(entry, digests)
-        }
+        BACKENDS => list_answer(entry, parts::Version::First, req.into_body()).await,
+        LIST => list_answer(entry, parts::Version::Second, req.into_body()).await,
         CASES => Some(case::encode_all(entry).into()),
         EVACUATIONS => {
             let evacuations = entry.zones.records();
@@ -95,12 +127,24 @@
     response
 }
 
-// Returns the list of backend servers, or only the parts whose digests differ from these.
-fn list_answer(entry: &state::Entry, digests: Option<Vec<u64>>) -> Option<Bytes> {
-    let servers = entry.servers()?;
+// Returns the list of backend servers, or only the parts whose digests differ from the request's.
+// Without valid digests the response is the complete list.
+async fn list_answer(
+    entry: &state::Entry,
+    version: parts::Version,
+    body: Incoming,
+) -> Option<Bytes> {
+    let body = Limited::new(body, MAX_REQUEST_BYTES).collect().await;
+    let digests = body.ok().and_then(|body| parts::decode(&body.to_bytes()));
+    let roster = entry.roster.borrow();
+    if !roster.is_complete() {
+        return None;
+    }
     let json = match digests {
-        Some(digests) => serde_json::to_vec(&Answer::from(entry.differing_parts(&digests))),
-        None => serde_json::to_vec(&servers),
+        Some(digests) => {
+            serde_json::to_vec(&Answer::from(roster.differing_parts(version, &digests)))
+        }
+        None => serde_json::to_vec(&roster.servers().collect::<Vec<_>>()),
     };
     // Serialization can't fail, since the entries were deserialized before.
     json.ok().map(Bytes::from)
@@ -110,8 +154,9 @@
 pub async fn fetch_configuration(
     address: net::SocketAddr,
     extra_timeout: time::Duration,
-) -> Option<Bytes> {
-    fetch(address, CONFIGURATION, Bytes::new(), extra_timeout).await
+) -> Result<Bytes, Error> {
+    let path = format!("{CONFIGURATION}?{REFUSABLE}");
+    fetch(address, &path, Bytes::new(), extra_timeout).await
 }
 
 /// Fetches and merges a peer's cases of requests that crashed backend servers, or may have.
@@ -140,7 +185,8 @@
     address: net::SocketAddr,
     path: &str,
 ) -> Option<M> {
-    let body = fetch(address, path, Bytes::new(), entry.extra_timeout()).await?;
+    let body = fetch(address, path, Bytes::new(), entry.extra_timeout()).await;
+    let body = body.ok()?;
     match M::decode(body) {
         Ok(message) => Some(message),
         Err(err) => {
@@ -159,24 +205,37 @@
         .with("error", err);
 }
 
-/// Fetches the parts of a peer's list of backend servers that differ from this entry's.
+/// Fetches the parts of a peer's list of backend servers that differ from this entry's, by digests
+/// of this version.
 pub async fn fetch_backends(
     entry: &state::Entry,
     address: net::SocketAddr,
-) -> Option<listing::Update> {
-    let servers = entry.servers().map_or(0, |servers| servers.len());
-    let digests = parts::encode(&entry.part_digests(parts::count(servers)));
-    let body = fetch(address, BACKENDS, digests.into(), entry.extra_timeout()).await?;
+    version: parts::Version,
+) -> Result<listing::Update, Error> {
+    let digests = {
+        let roster = entry.roster.borrow();
+        let count = if roster.is_complete() {
+            roster.servers().count()
+        } else {
+            0
+        };
+        parts::encode(&roster.part_digests(version, parts::count(count)))
+    };
+    let path = match version {
+        parts::Version::First => BACKENDS.to_owned(),
+        parts::Version::Second => format!("{LIST}?{REFUSABLE}"),
+    };
+    let body = fetch(address, &path, digests.into(), entry.extra_timeout()).await?;
     match decode_answer(&body) {
         Ok((update, unreadable)) => {
             for err in &unreadable {
                 log_malformed(entry, address, err);
             }
-            Some(update)
+            Ok(update)
         }
         Err(err) => {
             log_malformed(entry, address, &err);
-            None
+            Err(Error::Malformed)
         }
     }
 }
@@ -252,23 +311,26 @@
     path: &str,
     body: Bytes,
     extra_timeout: time::Duration,
-) -> Option<Bytes> {
+) -> Result<Bytes, Error> {
     let call = async {
-        let mut conn = conn::open(address).await.ok()?;
+        let mut conn = conn::open(address).await.map_err(Error::Connect)?;
         let req = http::Request::get(path)
             .header(http::header::HOST, address.to_string())
             .body(Full::new(body))
-            .ok()?;
-        let response = conn.send(req).await.ok()?;
-        let found = response.status() == http::StatusCode::OK;
+            .map_err(|_invalid| Error::Malformed)?;
+        let response = conn.send(req).await.map_err(|_lost| Error::Broken)?;
+        match response.status() {
+            http::StatusCode::OK => {}
+            http::StatusCode::SERVICE_UNAVAILABLE => return Err(Error::Refused),
+            _ => return Err(Error::NotFound),
+        }
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
             .collect()
             .await;
-        let body = body.ok().filter(|_| found)?;
-        Some(body.to_bytes())
+        body.map(http_body_util::Collected::to_bytes)
+            .map_err(|_broken| Error::Broken)
     };
     tokio::time::timeout(TIMEOUT + extra_timeout, call)
         .await
-        .ok()
-        .flatten()
+        .unwrap_or(Err(Error::TimedOut))
 }
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -7,6 +7,8 @@
 use chivebend::direct::{listing, parts, pool, state, transfer};
 use smallvec::smallvec;
 
+const VERSION: parts::Version = parts::Version::Second;
+
 #[test]
 fn backend_server_that_a_peer_names_as_leaving_gets_no_new_requests() {
     let (watcher, other) = (support::entry(1), support::entry(2));
@@ -100,9 +102,9 @@
     let (one, other) = (support::entry(1), support::entry(2));
     one.apply_update(listing::Update::All(vec![started("a", 100, 7)]));
     other.apply_update(listing::Update::All(vec![started("a", 100, 9)]));
-    assert_eq!(one.list_digest(), other.list_digest());
+    assert_eq!(one.list_digest(VERSION), other.list_digest(VERSION));
     other.apply_update(listing::Update::Listed(started("a", 200, 1)));
-    assert_ne!(one.list_digest(), other.list_digest());
+    assert_ne!(one.list_digest(VERSION), other.list_digest(VERSION));
 }
 
 #[test]
@@ -211,17 +213,27 @@
 fn peer_gets_only_the_parts_of_the_list_that_differ() {
     let (one, other) = (support::entry(1), support::entry(2));
     let named = |n: usize| support::server(&format!("s{n}"), 1, false);
+    let part_digests = |entry: &state::Entry| {
+        let roster = entry.roster.borrow();
+        roster.part_digests(VERSION, parts::count(400))
+    };
     one.apply_update(listing::Update::All((0..400).map(named).collect()));
     other.apply_update(listing::Update::All((0..400).map(named).collect()));
     one.apply_update(listing::Update::Listed(support::server("new", 1, false)));
     one.apply_update(listing::Update::Listed(support::server("s7", 2, true)));
     one.apply_update(listing::Update::Gone("s8".into()));
-    let digests = parts::encode(&other.part_digests(parts::count(400)));
-    let differing = one.differing_parts(&parts::decode(&digests).expect("digests"));
+    let digests = parts::encode(&part_digests(&other));
+    let differing = one
+        .roster
+        .borrow()
+        .differing_parts(VERSION, &parts::decode(&digests).expect("digests"));
     assert!(differing.servers.len() < 60, "{}", differing.servers.len());
     other.apply_update(listing::Update::PartsFromPeer(differing));
-    assert_eq!(other.list_digest(), one.list_digest());
-    let differing = one.differing_parts(&other.part_digests(parts::count(400)));
+    assert_eq!(other.list_digest(VERSION), one.list_digest(VERSION));
+    let differing = one
+        .roster
+        .borrow()
+        .differing_parts(VERSION, &part_digests(&other));
     assert!(differing.indices.is_empty() && differing.servers.is_empty());
 }
 
--- a/tests/neighbours.rs
+++ b/tests/neighbours.rs
@@ -5,7 +5,7 @@
 
 use chivebend::decide::{overload, rotation};
 use chivebend::direct::peer::{message, table};
-use chivebend::direct::{listing, source};
+use chivebend::direct::{listing, parts, source};
 
 fn heartbeat(sequence: u64) -> message::Heartbeat {
     message::Heartbeat {
@@ -346,7 +346,7 @@
         let mut peers = entry.peers.borrow_mut();
         peers.on_heartbeat(entry.now(), 2, support::address(2), &heartbeat);
     };
-    on_heartbeat(1, entry.list_digest());
+    on_heartbeat(1, entry.list_digest(parts::Version::First));
     assert!(entry.newer_at_peers().is_empty(), "nothing to take over");
     on_heartbeat(2, 77);
     let list = (support::address(2), source::Topic::Backends);
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -100,7 +100,7 @@
     fn reads(&mut self, now: time::Duration, n: usize) -> bool {
         let entry = &mut self.entries[n];
         if self.takes_turns {
-            entry.standby.reads(now, entry.peers.standby_view(now))
+            entry.standby.reads(now, entry.peers.standby_view(now, &[]))
         } else {
             entry.peers.is_watcher() || !entry.peers.has_fresh_watcher(now)
         }
@@ -126,7 +126,7 @@
                 entry.due_ms[topic] = at_ms + POLL_INTERVAL_MS;
             }
             Answer::Failure(after_ms) => {
-                let entries = entry.peers.standby_view(now).entries;
+                let entries = entry.peers.standby_view(now, &[]).entries;
                 entry.standby.on_failure(now, entries, topic);
                 entry.failures[topic] += 1;
                 let is_watcher = entry.peers.is_watcher();
