Round each entry's part of the retry allowance at random

Cause: the fleet's budget is divided among its entries.

Change: each entry adds a constant draw in 0..1 to its part, so that the parts are rounded up and down and the sum over the fleet is the allowance (`retry::allowance_part`).

An entry whose draw is low still refuses a first retry that another could make.

--- a/src/decide/retry.rs
+++ b/src/decide/retry.rs
@@ -99,6 +99,17 @@
     }
 }
 
+/// Returns an entry's part of an allowance of retries that is divided among `entries`, rounded at
+/// random by `draw` in `0.0..1.0`, which is an entry's own and constant.
+///
+/// Load pattern: hundreds of entries, each with a few requests within the window, so that each one's
+/// part is a fraction of a retry. Rounded down, the fleet would make none of them; rounded up, an
+/// entry's worth too many for each. With evenly distributed draws, the sum over the fleet is the
+/// allowance.
+pub fn allowance_part(allowance: f64, entries: usize, draw: f64) -> f64 {
+    allowance / entries.max(1) as f64 + draw
+}
+
 fn slice(at: time::Duration) -> u64 {
     (at.as_millis() / SLICE.as_millis()) as u64
 }
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -458,8 +458,10 @@
     pub fn withdraw_retry(&self, service: u32) -> bool {
         let (now, mut budgets) = (self.now(), self.budgets.borrow_mut());
         let settings = self.settings.borrow();
-        let entries = self.peers.borrow().entry_count().max(settings.min_entries) as f64;
-        let (ratio, slack) = (settings.retry_ratio, settings.retry_allowance / entries);
+        let entries = self.peers.borrow().entry_count().max(settings.min_entries);
+        let draw = random::Random::new(self.incarnation).unit();
+        let slack = retry::allowance_part(settings.retry_allowance, entries, draw);
+        let ratio = settings.retry_ratio;
         let window = settings.retry_window;
         let budget = budgets.entry(service).or_default();
         budget.try_withdraw(now, window, ratio, slack)
