--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -20,6 +20,10 @@
 /// update that each forwards once to four (`x = 1 - exp(-4x)`).
 pub const FANOUT: usize = 4;
 
+/// Number of these peers that are of the entry's own zone, so that most transfers, which follow the
+/// updates, stay within it.
+const NEAR_FANOUT: usize = FANOUT / 2;
+
 /// Interval between exchanges with a random peer.
 pub const EXCHANGE_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
@@ -35,6 +39,9 @@
 /// Delay before a list is fetched whose changes may still arrive one by one.
 const FETCH_DELAY: time::Duration = time::Duration::from_millis(150);
 
+/// Delay before data is fetched from another zone, within which a peer of this one may have it.
+const FAR_DELAY: time::Duration = time::Duration::from_millis(60);
+
 /// Time for which a peer isn't asked again after it refused or failed.
 const AVOID_TIME: time::Duration = time::Duration::from_secs(1);
 
@@ -76,7 +83,7 @@
     pub hops: u32,
 }
 
-/// Part of the data that is fetched from a peer.
+/// Part of the data in the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
 pub enum Topic {
     /// The configuration.
@@ -98,9 +105,14 @@
     pub holding: Holding,
 }
 
+/// Peers that a message goes to.
+pub type Targets = SmallVec<[net::Ipv4Addr; 8]>;
+
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     peer: net::Ipv4Addr,
+    // True if it is in this entry's zone.
+    is_near: bool,
     holding: Holding,
     since: time::Duration,
 }
@@ -211,11 +223,11 @@
         is_newer
     }
 
-    /// Records what a peer holds, beside what this entry holds.
+    /// Records what a peer, in this entry's zone or not, holds, beside what this entry holds.
     pub fn on_holding(
         &mut self,
         now: time::Duration,
-        peer: net::Ipv4Addr,
+        (peer, is_near): (net::Ipv4Addr, bool),
         theirs: Holding,
         own: Holding,
     ) {
@@ -235,6 +247,7 @@
         }
         self.holders.push(Holder {
             peer,
+            is_near,
             holding: theirs,
             since,
         });
@@ -286,23 +299,32 @@
         self.holders = holders;
         self.avoided.retain(|(_, until)| now < *until);
         let reads = self.own_answer_at.is_some_and(|at| now < at + MAX_AGE);
-        let candidates = self.holders.iter().filter(|h| !self.is_avoided(h.peer));
-        let due = candidates.filter_map(|h| {
-            let topic = if h.holding.configuration > own.configuration {
+        let is_starting = own.list == 0 || own.configuration == 0;
+        let due = |holder: &Holder| {
+            let age = now.saturating_sub(holder.since);
+            let topic = if holder.holding.configuration > own.configuration {
                 Topic::Configuration
-            } else if own.list == 0 || (!reads && now >= h.since + FETCH_DELAY) {
+            } else if own.list == 0 || (!reads && age >= FETCH_DELAY) {
                 Topic::Backends
             } else {
                 return None;
             };
-            Some(Fetch {
-                peer: h.peer,
+            let is_due = holder.is_near || is_starting || age >= FAR_DELAY;
+            is_due.then_some(Fetch {
+                peer: holder.peer,
                 topic,
-                holding: h.holding,
+                holding: holder.holding,
             })
-        });
-        let due: SmallVec<[Fetch; MAX_REMEMBERED]> = due.collect();
-        due.get(rng.below(due.len())).copied()
+        };
+        for is_near in [true, false] {
+            let holders = self.holders.iter();
+            let holders = holders.filter(|h| h.is_near == is_near && !self.is_avoided(h.peer));
+            let due: SmallVec<[Fetch; MAX_REMEMBERED]> = holders.filter_map(due).collect();
+            if !due.is_empty() {
+                return due.get(rng.below(due.len())).copied();
+            }
+        }
+        None
     }
 
     /// Records a completed transfer; `list` is the digest of this entry's list after it.
@@ -367,19 +389,35 @@
     }
 }
 
-/// Returns up to `count` different random peers.
-pub fn targets(
-    peers: &[net::Ipv4Addr],
-    count: usize,
+/// Returns the peers to forward an update to, of those `near` and of `all`.
+pub fn forward_targets(
+    near: &[net::Ipv4Addr],
+    all: &[net::Ipv4Addr],
     rng: &mut random::Random,
-) -> SmallVec<[net::Ipv4Addr; 8]> {
-    let mut picked: SmallVec<[usize; 8]> = SmallVec::new();
-    // Floyd's sampling without replacement.
-    for bound in peers.len().saturating_sub(count)..peers.len() {
-        let draw = rng.below(bound + 1);
-        picked.push(if picked.contains(&draw) { bound } else { draw });
+) -> Targets {
+    let mut chosen = targets(near, NEAR_FANOUT, rng);
+    for target in targets(all, FANOUT, rng) {
+        if chosen.len() < FANOUT && !chosen.contains(&target) {
+            chosen.push(target);
+        }
     }
-    picked.into_iter().map(|at| peers[at]).collect()
+    chosen
+}
+
+/// Returns the peer for an exchange: with even odds one that is near.
+pub fn exchange_target(
+    near: &[net::Ipv4Addr],
+    all: &[net::Ipv4Addr],
+    rng: &mut random::Random,
+) -> Targets {
+    let is_near = !near.is_empty() && rng.unit() < 0.5;
+    targets(if is_near { near } else { all }, 1, rng)
+}
+
+/// Returns up to `count` different random peers.
+pub fn targets(peers: &[net::Ipv4Addr], count: usize, rng: &mut random::Random) -> Targets {
+    let picked = rng.sample(peers.len(), count).into_iter();
+    picked.map(|at| peers[at]).collect()
 }
 
 // Returns the maximum age of a reading that counts as fresh: the readers' interval and a hop for
--- a/src/direct/backends.rs
+++ b/src/direct/backends.rs
@@ -5,7 +5,8 @@
 use xxhash_rust::xxh3;
 
 use super::peer::lease;
-use super::{configuration, listing, parts, peer, pool, roster, state};
+use super::pool::backend;
+use super::{configuration, listing, parts, peer, roster, state};
 use crate::decide::place;
 use crate::key;
 
@@ -150,7 +151,7 @@
             );
         self.keys.borrow_mut().insert(server.id.clone(), key);
         self.apply_cold_report(configuration, key, &server);
-        let backend = pool::Backend {
+        let backend = backend::Backend {
             hash: xxh3::xxh3_64(server.id.as_bytes()),
             down_until: time::Duration::ZERO,
             paused_until: time::Duration::ZERO,
@@ -237,7 +238,7 @@
         let states: Vec<(key::Sidecar, place::State)> = {
             let health = self.health.borrow();
             let backends = self.backends.borrow();
-            let state = |(key, b): (key::Sidecar, &pool::Backend)| {
+            let state = |(key, b): (key::Sidecar, &backend::Backend)| {
                 let is_leaving = self.is_backend_leaving(b) || self.is_named_leaving(now, b.hash);
                 let is_draining = is_leaving || self.zones.is_evacuated(&b.server);
                 let is_fit = b.is_available(now) && health.state(now, key).is_usable();
--- a/src/direct/evacuation.rs
+++ b/src/direct/evacuation/mod.rs
@@ -5,12 +5,14 @@
 //! read the store. Heartbeats carry a digest of the records; an entry with another digest is sent
 //! all records with each heartbeat until the digests agree.
 
+pub mod zones;
+
 use std::fmt::Write as _;
-use std::{cell, time};
+use std::time;
 
 use prost::Message as _;
 
-use super::peer::{self, message};
+use super::peer::message;
 use super::{listing, state};
 use crate::decide::evacuation;
 
@@ -29,28 +31,6 @@
     Peer,
 }
 
-/// Records of evacuated zones.
-#[derive(Debug, Default)]
-pub struct Zones(cell::RefCell<evacuation::Table>);
-
-impl Zones {
-    /// Returns whether a backend server's zone is evacuated, so that no request may be sent to it.
-    pub fn is_evacuated(&self, server: &listing::Server) -> bool {
-        self.0.borrow().is_evacuated(&server.zone)
-    }
-
-    /// Returns the digest of the records; 0 if there are none.
-    pub fn digest(&self) -> u64 {
-        self.0.borrow().digest()
-    }
-
-    /// Returns all records as messages.
-    pub(super) fn records(&self) -> Vec<message::Evacuation> {
-        let table = self.0.borrow();
-        table.records().map(message::Evacuation::from).collect()
-    }
-}
-
 impl state::Entry {
     /// Applies records of evacuations.
     pub fn on_evacuations(
@@ -114,11 +94,11 @@
         let Some(link) = &self.link else { return };
         let datagram = message::Datagram {
             evacuations: self.zones.records(),
-            ..peer::envelope(self, link)
+            ..link.envelope(self.incarnation)
         };
         let bytes = datagram.encode_to_vec();
         for address in self.peers.borrow().send_addresses() {
-            link.send_bytes(address, &bytes);
+            link.send_bytes(*address, &bytes);
         }
     }
 
--- a/src/direct/leaving.rs
+++ b/src/direct/leaving/mod.rs
@@ -5,21 +5,18 @@
 //! shows later: an outdated copy of the list, a peer or a late report may show the backend server
 //! as ready. After a restart, under the same id or not, it is another process.
 
-use std::{cell, collections, time};
+pub mod table;
+
+use std::time;
 
 use prost::Message as _;
 use xxhash_rust::xxh3;
 
-use super::peer::{self, message, outbox};
-use super::{pool, roster, state};
+use super::peer::message;
+use super::pool::backend;
+use super::{roster, state};
 use crate::key;
 
-/// Maximum number of processes remembered: more than are leaving at a time in the largest fleet.
-const MAX_REMEMBERED: usize = 4_096;
-
-/// Maximum number of processes that are sent again for an entry that has just started.
-const MAX_RESENT: usize = 64;
-
 /// Time for which heartbeats name a removed backend server: long enough for every entry to receive
 /// the list without it, also one that is seconds behind.
 const REMOVAL_NAMED_TIME: time::Duration = time::Duration::from_secs(5);
@@ -28,43 +25,6 @@
 /// heartbeats, after which either the list has it or it was an error.
 const NAMED_LEAVING_TIME: time::Duration = time::Duration::from_millis(1_500);
 
-/// Leaving processes, by [`super::listing::Server::process_hash`].
-#[derive(Debug, Default)]
-pub struct Table {
-    known: cell::RefCell<collections::HashSet<u64>>,
-    order: cell::RefCell<collections::VecDeque<u64>>,
-    pub(super) unsent: outbox::Outbox<u64>,
-}
-
-impl Table {
-    // Adds a process and returns whether it is new.
-    fn add(&self, process: u64) -> bool {
-        if !self.known.borrow_mut().insert(process) {
-            return false;
-        }
-        let mut order = self.order.borrow_mut();
-        order.push_back(process);
-        if order.len() > MAX_REMEMBERED
-            && let Some(oldest) = order.pop_front()
-        {
-            self.known.borrow_mut().remove(&oldest);
-        }
-        true
-    }
-
-    // Queues the newest processes to be sent again, for an entry that has just started.
-    fn queue_resend(&self) {
-        let order = self.order.borrow();
-        self.unsent
-            .replace(order.iter().rev().take(MAX_RESENT).copied());
-    }
-
-    pub(super) fn contains(&self, process: u64) -> bool {
-        let known = self.known.borrow();
-        !known.is_empty() && known.contains(&process)
-    }
-}
-
 impl state::Entry {
     /// Handles a response in which a backend server announces that it is leaving, and broadcasts
     /// it.
@@ -78,11 +38,11 @@
         if let Some(link) = &self.link {
             let datagram = message::Datagram {
                 leaving: vec![process],
-                ..peer::envelope(self, link)
+                ..link.envelope(self.incarnation)
             };
             let bytes = datagram.encode_to_vec();
             for address in self.peers.borrow().send_addresses() {
-                link.send_bytes(address, &bytes);
+                link.send_bytes(*address, &bytes);
             }
         }
         self.update_states();
@@ -108,7 +68,7 @@
     }
 
     /// Returns whether a backend server is leaving, by its own announcement or by the list.
-    pub(super) fn is_backend_leaving(&self, backend: &pool::Backend) -> bool {
+    pub(super) fn is_backend_leaving(&self, backend: &backend::Backend) -> bool {
         backend.server.leaving || self.backends_leaving.contains(backend.process)
     }
 
@@ -116,9 +76,10 @@
     /// slot was granted.
     pub fn accepts_requests(&self, server: key::Sidecar) -> bool {
         let (now, backends) = (self.now(), self.backends.borrow());
-        let is_open =
-            |b: &pool::Backend| !self.is_backend_leaving(b) && !self.zones.is_evacuated(&b.server);
-        let takes = |b: &pool::Backend| is_open(b) && b.is_available(now);
+        let is_open = |b: &backend::Backend| {
+            !self.is_backend_leaving(b) && !self.zones.is_evacuated(&b.server)
+        };
+        let takes = |b: &backend::Backend| is_open(b) && b.is_available(now);
         backends.get(server).is_some_and(takes)
     }
 
--- a/src/direct/peer/case.rs
+++ b/src/direct/peer/case.rs
@@ -10,79 +10,17 @@
 
 use prost::Message as _;
 
-use super::message;
+use super::{case_message, message};
 use crate::decide::quarantine;
 use crate::direct::state;
 
 /// Maximum number of cases sent with one heartbeat.
 const MAX_CASES_PER_HEARTBEAT: usize = 24;
 
-/// What is known about a request, with ages in place of times.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Case {
-    /// Hash of the name of the request's customer.
-    #[prost(fixed64, tag = "1")]
-    pub customer: u64,
-    /// Hash of the rest of the request.
-    #[prost(fixed64, tag = "2")]
-    pub content: u64,
-    /// Crashes of backend servers while they ran the request.
-    #[prost(message, repeated, tag = "3")]
-    pub crashes: Vec<Crash>,
-    /// Milliseconds since the request was quarantined, if it is.
-    #[prost(uint32, optional, tag = "4")]
-    pub quarantined_ms: Option<u32>,
-    /// Milliseconds since the request was cleared, if it was.
-    #[prost(uint32, optional, tag = "5")]
-    pub cleared_ms: Option<u32>,
-    /// Milliseconds since the request was last tried.
-    #[prost(uint32, tag = "6")]
-    pub seen_ms: u32,
-    /// Milliseconds since each loss of a connection during the request for an unknown reason.
-    #[prost(uint32, repeated, tag = "7")]
-    pub unexplained_ms: Vec<u32>,
-}
-
-/// A crash of a backend server while it ran a request.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct Crash {
-    /// Hash of the backend server's id.
-    #[prost(fixed64, tag = "1")]
-    pub server: u64,
-    /// Milliseconds since the crash.
-    #[prost(uint32, tag = "2")]
-    pub ago_ms: u32,
-    /// True if the request was the only suspect running there.
-    #[prost(bool, tag = "3")]
-    pub alone: bool,
-    /// Probability of the crash without the request.
-    #[prost(float, tag = "4")]
-    pub chance: f32,
-}
-
-/// A list of cases.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Cases {
-    /// The cases.
-    #[prost(message, repeated, tag = "1")]
-    pub cases: Vec<Case>,
-}
-
-/// Case of a quarantined request as written to the platform's store, where it outlives all entries.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct StoredCase {
-    /// The case.
-    #[prost(message, optional, tag = "1")]
-    pub case: Option<Case>,
-    /// When it was written, in Unix milliseconds.
-    #[prost(uint64, tag = "2")]
-    pub unix_ms: u64,
-}
-
-impl Case {
+impl case_message::Case {
     fn new(now: time::Duration, request: quarantine::Fingerprint, case: &quarantine::Case) -> Self {
         let ago = |at: time::Duration| super::saturating_millis(now.saturating_sub(at));
-        let end = |end: &quarantine::Crash| Crash {
+        let end = |end: &quarantine::Crash| case_message::Crash {
             server: end.server,
             ago_ms: ago(end.at),
             alone: end.alone,
@@ -108,7 +46,7 @@
 
     fn to_record(&self, now: time::Duration) -> quarantine::Case {
         let at = |ms: u32| now.saturating_sub(time::Duration::from_millis(ms.into()));
-        let end = |end: &Crash| quarantine::Crash {
+        let end = |end: &case_message::Crash| quarantine::Crash {
             server: end.server,
             at: at(end.ago_ms),
             alone: end.alone,
@@ -127,14 +65,14 @@
 fn cases(
     entry: &state::Entry,
     requests: impl IntoIterator<Item = quarantine::Fingerprint>,
-) -> Vec<Case> {
+) -> Vec<case_message::Case> {
     let (now, table) = (entry.now(), entry.quarantine.borrow());
-    let case = |request| Some(Case::new(now, request, table.get(request)?));
+    let case = |request| Some(case_message::Case::new(now, request, table.get(request)?));
     requests.into_iter().filter_map(case).collect()
 }
 
 /// Returns the cases to send with the next heartbeat.
-pub(super) fn take_unsent(entry: &state::Entry) -> Vec<Case> {
+pub(super) fn take_unsent(entry: &state::Entry) -> Vec<case_message::Case> {
     cases(entry, entry.unsent_cases.take(MAX_CASES_PER_HEARTBEAT))
 }
 
@@ -147,11 +85,11 @@
     };
     let datagram = message::Datagram {
         cases: cases(entry, [request]),
-        ..super::envelope(entry, link)
+        ..link.envelope(entry.incarnation)
     };
     let bytes = datagram.encode_to_vec();
     for address in entry.peers.borrow().send_addresses() {
-        link.send_bytes(address, &bytes);
+        link.send_bytes(*address, &bytes);
     }
 }
 
@@ -159,11 +97,11 @@
 pub fn encode_all(entry: &state::Entry) -> Vec<u8> {
     let known: Vec<_> = entry.quarantine.borrow().cases().map(|(r, _)| r).collect();
     let cases = cases(entry, known);
-    Cases { cases }.encode_to_vec()
+    case_message::Cases { cases }.encode_to_vec()
 }
 
 /// Merges cases from another entry.
-pub fn on_cases(entry: &state::Entry, cases: &[Case]) {
+pub fn on_cases(entry: &state::Entry, cases: &[case_message::Case]) {
     let now = entry.now();
     for case in cases {
         entry.on_case(case.fingerprint(), &case.to_record(now));
@@ -185,7 +123,7 @@
     if entry.standing(request) != quarantine::Standing::Quarantined {
         return None;
     }
-    let stored = StoredCase {
+    let stored = case_message::StoredCase {
         case: cases(entry, [request]).pop(),
         unix_ms: unix.as_millis() as u64,
     };
@@ -199,7 +137,7 @@
     value: &[u8],
     unix: time::Duration,
 ) -> Result<Option<quarantine::Fingerprint>, prost::DecodeError> {
-    let stored = StoredCase::decode(value)?;
+    let stored = case_message::StoredCase::decode(value)?;
     let Some(mut case) = stored.case else {
         return Ok(None);
     };
--- a/src/direct/peer/lease.rs
+++ b/src/direct/peer/lease.rs
@@ -146,7 +146,7 @@
     fill(&mut reply);
     let datagram = message::Datagram {
         placement_reply: Some(reply),
-        ..super::envelope(entry, link)
+        ..link.envelope(entry.incarnation)
     };
     link.send(holder.address, &datagram);
 }
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::{case, update};
+use super::{case_message, update};
 use crate::decide::{evacuation, place, quarantine};
 
 /// Resolution of service in heartbeats, in cost units: a fraction of a short request's cost, at
@@ -32,7 +32,7 @@
     pub progress: Vec<Progress>,
     /// Requests during which backend servers crashed.
     #[prost(message, repeated, tag = "7")]
-    pub cases: Vec<case::Case>,
+    pub cases: Vec<case_message::Case>,
     /// Backend servers that announced in a response that they are leaving, by
     /// [`crate::direct::listing::Server::process_hash`].
     #[prost(fixed64, repeated, tag = "8")]
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -8,7 +8,9 @@
 //! by the load in the heartbeats.
 
 pub mod case;
+pub mod case_message;
 pub mod lease;
+pub mod link;
 pub mod loads;
 pub mod message;
 pub mod outbox;
@@ -17,24 +19,15 @@
 pub mod update;
 
 use std::io::Read as _;
-use std::{cell, io, net, rc, time};
+use std::{io, net, rc, time};
 
 use prost::Message as _;
 use smallvec::SmallVec;
-use tokio::net as tokio_net;
 
-use super::{parts, source, state};
+use super::{parts, state};
 use crate::decide::{evacuation, spread};
 use crate::key;
 
-/// Time between two heartbeats in a small fleet. Backend servers read 4,000 prompt tokens in this
-/// time, a third of what may be sent to them ahead.
-const MIN_HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(80);
-
-/// Maximum number of heartbeats that an entry receives per second. A larger fleet sends them less
-/// often, so that their cost in processor time doesn't grow with the fleet.
-const MAX_HEARTBEATS_RECEIVED_PER_S: u32 = 120;
-
 /// Maximum size of a datagram in bytes; a heartbeat about 100 backend servers and 100 customers
 /// takes 4 KB.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -56,51 +49,6 @@
 /// Mean number of entries that send all addresses they know to one that has just started.
 const MEAN_INTRODUCERS: usize = 8;
 
-/// Addresses that an entry exchanges datagrams on.
-#[derive(Clone, Debug)]
-pub struct Addresses {
-    /// Its own address and the port that all entries use.
-    pub own: net::SocketAddrV4,
-    /// Addresses where other entries may be.
-    pub seeds: Vec<net::Ipv4Addr>,
-}
-
-/// The UDP socket for datagrams to and from other entries.
-#[derive(Debug)]
-pub struct Link {
-    socket: tokio_net::UdpSocket,
-    own: net::SocketAddrV4,
-    // When a late timer last read the datagrams that had arrived.
-    last_catch_up: cell::Cell<time::Duration>,
-    // When the queues of all backend servers were last checked for requests that can be placed.
-    last_full_pump: cell::Cell<time::Duration>,
-}
-
-impl Link {
-    /// Sends a datagram; a failure is treated like a loss in the network.
-    fn send(&self, to: net::Ipv4Addr, datagram: &message::Datagram) {
-        self.send_bytes(to, &datagram.encode_to_vec());
-    }
-
-    pub(super) fn send_bytes(&self, to: net::Ipv4Addr, datagram: &[u8]) {
-        let to = net::SocketAddrV4::new(to, self.own.port());
-        let sent = self.socket.try_send_to(datagram, to.into());
-        if let Err(err) = sent {
-            log::debug!(event = "datagram_failed", error:% = err; "");
-        }
-    }
-}
-
-/// Opens the socket; an entry without one makes all decisions itself.
-pub async fn open(addresses: &Addresses) -> io::Result<Link> {
-    Ok(Link {
-        socket: tokio_net::UdpSocket::bind(addresses.own).await?,
-        own: addresses.own,
-        last_catch_up: cell::Cell::default(),
-        last_full_pump: cell::Cell::default(),
-    })
-}
-
 /// Receives datagrams and sends heartbeats until the process ends.
 pub async fn run(entry: rc::Rc<state::Entry>) {
     let Some(link) = &entry.link else {
@@ -123,7 +71,7 @@
             Err(_elapsed) => {
                 sequence += 1;
                 let others = send_heartbeats(&entry, link, sequence);
-                next_heartbeat = tokio::time::Instant::now() + heartbeat_interval(others);
+                next_heartbeat = tokio::time::Instant::now() + table::heartbeat_interval(others);
             }
         }
     }
@@ -151,7 +99,7 @@
 /// would take the deciding entry for silent while the reply is in the receive buffer, and this
 /// entry would decide itself for half a second. A process that is on time has read everything
 /// already and returns at once.
-fn catch_up(entry: &rc::Rc<state::Entry>, link: &Link, until: tokio::time::Instant) {
+fn catch_up(entry: &rc::Rc<state::Entry>, link: &link::Link, until: tokio::time::Instant) {
     let now = entry.now();
     if until.elapsed() < LATE_TIMER_THRESHOLD
         || now < link.last_catch_up.get() + LATE_TIMER_THRESHOLD
@@ -171,16 +119,10 @@
     }
 }
 
-/// Returns the time between heartbeats in a fleet with this number of other entries.
-pub fn heartbeat_interval(others: usize) -> time::Duration {
-    let slow = time::Duration::from_secs(1) * others as u32 / MAX_HEARTBEATS_RECEIVED_PER_S;
-    MIN_HEARTBEAT_INTERVAL.max(slow)
-}
-
 // Sends a heartbeat to every other entry and returns their number. The common part is encoded once;
 // the part for a single recipient is appended, since protobuf decoders merge repeated occurrences
 // of a message's fields.
-fn send_heartbeats(entry: &state::Entry, link: &Link, sequence: u64) -> usize {
+fn send_heartbeats(entry: &state::Entry, link: &link::Link, sequence: u64) -> usize {
     let heartbeat = heartbeat_message(entry, sequence);
     let entries = heartbeat.entries;
     let common = message::Datagram {
@@ -191,10 +133,10 @@
             .unsent
             .take(MAX_CHANGES_PER_HEARTBEAT),
         inspections: entry.inspections.take(MAX_CHANGES_PER_HEARTBEAT),
-        ..envelope(entry, link)
+        ..link.envelope(entry.incarnation)
     };
     let common = common.encode_to_vec();
-    let addresses = entry.peers.borrow().send_addresses();
+    let addresses = entry.peers.borrow().send_addresses().to_vec();
     for address in &addresses {
         let mut bytes = common.clone();
         let specific = message::Datagram {
@@ -236,14 +178,6 @@
     })
 }
 
-pub(super) fn envelope(entry: &state::Entry, link: &Link) -> message::Datagram {
-    message::Datagram {
-        sender: entry.incarnation,
-        address: link.own.ip().to_bits(),
-        ..message::Datagram::default()
-    }
-}
-
 fn saturating_millis(age: time::Duration) -> u32 {
     age.as_millis().min(u32::MAX.into()) as u32
 }
@@ -287,7 +221,7 @@
             .map_or(0, |configuration| configuration.version),
         list_digest: entry.list_digest(parts::Version::First),
         store_age_ms: saturating_millis(entry.store_age()),
-        list_age_ms: saturating_millis(entry.topic_age(source::Topic::Backends)),
+        list_age_ms: saturating_millis(entry.topic_age(spread::Topic::Backends)),
         millicores: entry.settings.borrow().millicores,
         zone: table::zone(&entry.settings.borrow().zone),
         busy_ago_ms: entry.busy_ago().map(saturating_millis),
@@ -336,7 +270,7 @@
 
 fn on_heartbeat(
     entry: &state::Entry,
-    link: &Link,
+    link: &link::Link,
     sender: u64,
     address: net::Ipv4Addr,
     heartbeat: &message::Heartbeat,
@@ -419,9 +353,9 @@
 
 // Passes the load reported by other entries to the placement decision, and places queued requests
 // for which there is room now: on the backend servers whose load changed, and on all of them at
-// most once per MIN_HEARTBEAT_INTERVAL, since a customer's service at other entries changes the
+// most once per table::MIN_HEARTBEAT_INTERVAL, since a customer's service at other entries changes the
 // order of the queue.
-fn apply_remote_loads(entry: &state::Entry, link: &Link) {
+fn apply_remote_loads(entry: &state::Entry, link: &link::Link) {
     let changed = entry.peers.borrow_mut().take_changed();
     for hash in changed {
         let Some(server) = entry.server_by_hash(hash) else {
@@ -432,7 +366,7 @@
         entry.grant_waiting(server);
     }
     let now = entry.now();
-    if now < link.last_full_pump.get() + MIN_HEARTBEAT_INTERVAL {
+    if now < link.last_full_pump.get() + table::MIN_HEARTBEAT_INTERVAL {
         return;
     }
     link.last_full_pump.set(now);
--- a/src/direct/peer/placement.rs
+++ b/src/direct/peer/placement.rs
@@ -127,7 +127,7 @@
     entry.placement_requests.remember(to, progress);
     let datagram = message::Datagram {
         progress: vec![progress],
-        ..super::envelope(entry, link)
+        ..link.envelope(entry.incarnation)
     };
     link.send(to, &datagram);
 }
@@ -186,7 +186,7 @@
     };
     let datagram = message::Datagram {
         placement_request: Some(request_message(entry, number, hash, req, job)),
-        ..super::envelope(entry, link)
+        ..link.envelope(entry.incarnation)
     };
     link.send(decider, &datagram);
     let mut until = tokio::time::Instant::now() + REPLY_TIMEOUT;
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table.rs
@@ -44,6 +44,31 @@
 /// fewer than half are in rotation.
 const MISSING_RETENTION: time::Duration = time::Duration::from_secs(30);
 
+/// Time between two heartbeats in a small fleet. Backend servers read 4,000 prompt tokens in this
+/// time, a third of what may be sent to them ahead.
+pub const MIN_HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(80);
+
+/// Maximum number of heartbeats that an entry receives per second. A larger fleet sends them less
+/// often, so that their cost in processor time doesn't grow with the fleet.
+const MAX_HEARTBEATS_RECEIVED_PER_S: u32 = 120;
+
+/// Returns the time between heartbeats in a fleet with this number of other entries.
+pub fn heartbeat_interval(others: usize) -> time::Duration {
+    let slow = time::Duration::from_secs(1) * others as u32 / MAX_HEARTBEATS_RECEIVED_PER_S;
+    MIN_HEARTBEAT_INTERVAL.max(slow)
+}
+
+/// A list of backend servers that a peer without updates sent.
+#[derive(Clone, Copy, Debug)]
+pub struct FetchedList {
+    /// The peer.
+    pub peer: net::Ipv4Addr,
+    /// Digest of the list.
+    pub digest: u64,
+    /// When it arrived.
+    pub received_at: time::Duration,
+}
+
 #[derive(Debug)]
 struct Peer {
     incarnation: u64,
@@ -104,6 +129,10 @@
     // Zone and time of removal of entries whose heartbeats stopped before they announced leaving.
     missing: collections::HashMap<net::Ipv4Addr, (u64, time::Duration)>,
     seeds: Vec<net::Ipv4Addr>,
+    // Addresses to send datagrams to, in order, and those of live peers in this entry's zone. Kept
+    // because each update that is forwarded needs them.
+    addresses: Vec<net::Ipv4Addr>,
+    near: Vec<net::Ipv4Addr>,
     loads: loads::Loads,
     // Entries with enough processor capacity to work for the whole fleet, in order of address; may
     // include this one.
@@ -120,14 +149,16 @@
     /// address, `millicores` its processor capacity in thousandths of a core, `zone` its
     /// availability zone.
     pub fn new(own: net::Ipv4Addr, millicores: u32, zone: &str, seeds: Vec<net::Ipv4Addr>) -> Self {
-        Self {
+        let mut table = Self {
             own: Some(own),
             millicores,
             zone: self::zone(zone),
             seeds,
             strong: vec![own],
             ..Self::default()
-        }
+        };
+        table.update_addresses();
+        table
     }
 
     /// Applies a heartbeat. Returns `None` if a newer one has been received, otherwise the previous
@@ -146,11 +177,12 @@
         if before.is_some_and(|(s, sequence)| s == sender && sequence >= heartbeat.sequence) {
             return None;
         }
-        self.last_heard.insert(address, now);
+        let mut has_new = self.last_heard.insert(address, now).is_none();
         self.missing.remove(&address);
         let ago = |ms: u32| now.saturating_sub(time::Duration::from_millis(ms.into()));
         for address in &heartbeat.known_addresses {
             let address = net::Ipv4Addr::from_bits(*address);
+            has_new |= !self.last_heard.contains_key(&address);
             self.last_heard.entry(address).or_insert(now);
         }
         let known = self.alive.get(&address);
@@ -160,6 +192,7 @@
         let same =
             |p: &Peer| p.leaving == heartbeat.leaving && p.millicores == heartbeat.millicores;
         let is_unchanged = known.is_some_and(same);
+        has_new |= known.is_none_or(|p| p.zone != heartbeat.zone);
         let peer = Peer {
             incarnation: sender,
             sequence: heartbeat.sequence,
@@ -191,22 +224,40 @@
         if !is_unchanged {
             self.update_strong();
         }
+        if has_new {
+            self.update_addresses();
+        }
         Some(before.map(|(s, _)| s).filter(|s| *s != sender))
     }
 
     /// Records addresses at which entries run, as an entry says.
     pub fn learn(&mut self, now: time::Duration, addresses: impl Iterator<Item = net::Ipv4Addr>) {
+        let mut has_new = false;
         for address in addresses {
+            has_new |= !self.last_heard.contains_key(&address);
             self.last_heard.entry(address).or_insert(now);
         }
+        if has_new {
+            self.update_addresses();
+        }
+    }
+
+    fn update_addresses(&mut self) {
+        let known = self.last_heard.keys().chain(&self.seeds).copied();
+        let all: collections::BTreeSet<_> = known.filter(|a| Some(*a) != self.own).collect();
+        self.addresses = all.into_iter().collect();
+        let near = self.alive.iter().filter(|(_, p)| p.zone == self.zone);
+        self.near = near.map(|(address, _)| *address).collect();
     }
 
     /// Removes entries whose heartbeats have stopped; returns their addresses and incarnations.
     pub fn expire(&mut self, now: time::Duration) -> Vec<(net::Ipv4Addr, u64)> {
+        let known = self.last_heard.len();
         self.last_heard
             .retain(|_, heard| now < *heard + ADDRESS_RETENTION);
+        let has_forgotten = self.last_heard.len() < known;
         let timeout =
-            PEER_TIMEOUT.max(super::heartbeat_interval(self.alive.len()) * MIN_MISSED_HEARTBEATS);
+            PEER_TIMEOUT.max(heartbeat_interval(self.alive.len()) * MIN_MISSED_HEARTBEATS);
         let silent = |(address, p): (&net::Ipv4Addr, &Peer)| {
             (now >= p.heard_at + timeout).then_some((*address, p.incarnation))
         };
@@ -225,6 +276,9 @@
         if !gone.is_empty() {
             self.update_strong();
         }
+        if has_forgotten || !gone.is_empty() {
+            self.update_addresses();
+        }
         gone
     }
 
@@ -379,7 +433,7 @@
 
     // Returns the maximum age of other entries' data from the store that counts as fresh.
     fn fresh_age(&self) -> time::Duration {
-        let heartbeat = super::heartbeat_interval(self.alive.len());
+        let heartbeat = heartbeat_interval(self.alive.len());
         MAX_FRESH_AGE.max(MAX_READ_AGE + heartbeat.mul_f64(1.5))
     }
 
@@ -467,10 +521,19 @@
     }
 
     /// Returns the addresses to send datagrams to, without this entry's own.
-    pub fn send_addresses(&self) -> Vec<net::Ipv4Addr> {
-        let known = self.last_heard.keys().chain(&self.seeds).copied();
-        let all: collections::BTreeSet<_> = known.filter(|a| Some(*a) != self.own).collect();
-        all.into_iter().collect()
+    pub fn send_addresses(&self) -> &[net::Ipv4Addr] {
+        &self.addresses
+    }
+
+    /// Returns the addresses of the live peers in this entry's zone.
+    pub fn near_addresses(&self) -> &[net::Ipv4Addr] {
+        &self.near
+    }
+
+    /// Returns whether a peer is known to be in this entry's zone.
+    pub fn is_near(&self, address: net::Ipv4Addr) -> bool {
+        let peer = self.alive.get(&address);
+        peer.is_some_and(|peer| peer.zone == self.zone)
     }
 
     /// Returns the addresses of peers that don't send updates.
--- a/src/direct/pool.rs
+++ b/src/direct/pool/mod.rs
@@ -1,5 +1,7 @@
 //! Connection pools and availability of backend servers.
 
+pub mod backend;
+
 use std::{io, rc, time};
 
 use super::{conn, listing, state};
@@ -20,43 +22,6 @@
 /// backend server closes it at that moment, the outcome is unknown.
 const MAX_UNSAFE_IDLE: time::Duration = time::Duration::from_millis(1_500);
 
-/// A backend server and the connections to it.
-#[derive(Debug)]
-pub struct Backend {
-    /// List entry of the backend server.
-    pub server: listing::Server,
-    /// Hash of its id, by which entries refer to it in messages.
-    pub hash: u64,
-    pub(super) idle: Vec<conn::Conn>,
-    /// Time until which its process counts as crashed unless it reports again.
-    pub(super) down_until: time::Duration,
-    /// End of the pause that it requested from this entry.
-    pub(super) paused_until: time::Duration,
-    /// True if its process may have been replaced, so that it must be asked how cold it is before
-    /// use.
-    pub(super) is_unverified: bool,
-    /// True while it is being asked.
-    pub(super) is_being_asked: bool,
-    /// Hash of its process, see [`listing::Server::process_hash`].
-    pub process: u64,
-}
-
-impl Backend {
-    /// Returns whether it is running, verified and not pausing, as far as this entry knows.
-    pub(super) fn is_available(&self, now: time::Duration) -> bool {
-        now >= self.paused_until && now >= self.down_until && !self.is_unverified
-    }
-
-    /// Applies a new report. Returns whether the process had counted as crashed.
-    pub(super) fn reported(&mut self, report: listing::Report) -> bool {
-        if report <= self.server.report {
-            return false;
-        }
-        self.server.report = report;
-        !std::mem::take(&mut self.down_until).is_zero()
-    }
-}
-
 /// Returns how many idle connections each of `entries` entries may keep to a backend server that
 /// accepts `accepted` connections.
 pub fn idle_share(accepted: usize, entries: usize) -> usize {
@@ -164,7 +129,7 @@
     pub fn retry_after(&self, service: u32) -> Option<time::Duration> {
         let now = self.now();
         let backends = self.backends.borrow();
-        let of_service = |b: &&Backend| self.service(&b.server.service) == service;
+        let of_service = |b: &&backend::Backend| self.service(&b.server.service) == service;
         let pausing = backends
             .values()
             .filter(|b| now < b.paused_until && !self.is_backend_leaving(b));
--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -4,8 +4,9 @@
 
 use smallvec::SmallVec;
 
-use super::{parts, peer, state};
-use crate::decide::{random, standby};
+use super::peer::table;
+use super::{parts, state};
+use crate::decide::{random, spread, standby};
 
 /// Minimum time between two requests for the same list from peers.
 const PEER_LIST_INTERVAL: time::Duration = time::Duration::from_secs(1);
@@ -21,36 +22,9 @@
 /// Number of heartbeat intervals after which most peers have been heard.
 const SETTLE_INTERVALS: f64 = 1.5;
 
-/// A list of backend servers that a peer sent.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct PeerList {
-    peer: net::Ipv4Addr,
-    digest: u64,
-    received_at: time::Duration,
-}
-
-/// What an entry reads from the platform's store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Topic {
-    /// The configuration.
-    Configuration,
-    /// The backend servers.
-    Backends,
-}
-
-impl Topic {
-    /// Returns the name of the topic in metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Configuration => "configuration",
-            Self::Backends => "backends",
-        }
-    }
-}
-
 impl state::Entry {
     /// Records that the store delivered current data for this topic.
-    pub fn on_store_answer(&self, topic: Topic) {
+    pub fn on_store_answer(&self, topic: spread::Topic) {
         let mut seen = self.store_seen.get();
         seen[topic as usize] = Some(self.now());
         self.store_seen.set(seen);
@@ -71,15 +45,15 @@
 
     /// Returns the time since the store delivered current data for this topic; the maximum if it
     /// never did.
-    pub fn topic_age(&self, topic: Topic) -> time::Duration {
+    pub fn topic_age(&self, topic: spread::Topic) -> time::Duration {
         let seen = self.store_seen.get()[topic as usize];
         seen.map_or(time::Duration::MAX, |at| self.now().saturating_sub(at))
     }
 
     /// Returns the time since the store delivered current data for both topics.
     pub fn store_age(&self) -> time::Duration {
-        let configuration = self.topic_age(Topic::Configuration);
-        configuration.max(self.topic_age(Topic::Backends))
+        let configuration = self.topic_age(spread::Topic::Configuration);
+        configuration.max(self.topic_age(spread::Topic::Backends))
     }
 
     /// Returns the time since the store responded to this entry for both topics, with usable data
@@ -171,7 +145,7 @@
         let fresh = spread.fresh_readers(now, peers.entry_count());
         let fresh: SmallVec<[net::Ipv4Addr; 8]> = fresh.filter(|a| *a != own).collect();
         let addresses = peers.send_addresses().len();
-        if now >= SETTLE_TIME + peer::heartbeat_interval(addresses).mul_f64(SETTLE_INTERVALS) {
+        if now >= SETTLE_TIME + table::heartbeat_interval(addresses).mul_f64(SETTLE_INTERVALS) {
             let view = peers.standby_view(now, &fresh);
             let is_cut_off = view.is_cut_off || spread.is_isolated(now);
             return standby::View { is_cut_off, ..view };
@@ -189,12 +163,12 @@
     }
 
     /// Returns whether the store may be called for this topic after the failures so far.
-    pub fn may_call_store(&self, topic: Topic) -> bool {
+    pub fn may_call_store(&self, topic: spread::Topic) -> bool {
         self.standby.get().may_call(self.now(), topic as usize)
     }
 
     /// Records that the store responded to a call for this topic, with usable data or not.
-    pub fn on_store_reached(&self, topic: Topic) {
+    pub fn on_store_reached(&self, topic: spread::Topic) {
         let mut answered = self.store_answered.get();
         answered[topic as usize] = Some(self.now());
         self.store_answered.set(answered);
@@ -204,7 +178,7 @@
     }
 
     /// Records that a call to the store for this topic failed.
-    pub fn on_store_failure(&self, topic: Topic) {
+    pub fn on_store_failure(&self, topic: spread::Topic) {
         let now = self.now();
         let entries = self.standby_view(now).entries;
         let mut standby = self.standby.get();
@@ -213,7 +187,7 @@
     }
 
     /// Returns the topics for which peers have newer data, and which peer to ask for each.
-    pub fn newer_at_peers(&self) -> SmallVec<[(net::Ipv4Addr, Topic); 2]> {
+    pub fn newer_at_peers(&self) -> SmallVec<[(net::Ipv4Addr, spread::Topic); 2]> {
         let (now, peers) = (self.now(), self.peers.borrow());
         let mut newer = SmallVec::new();
         let version = self
@@ -223,7 +197,7 @@
             .map_or(0, |p| p.version);
         let configuration = peers.newest_configuration(now);
         if let Some((address, _)) = configuration.filter(|(_, newest)| *newest > version) {
-            newer.push((address, Topic::Configuration));
+            newer.push((address, spread::Topic::Configuration));
         }
         let previous = self.last_peer_list.get();
         let is_recent = |list| {
@@ -232,7 +206,7 @@
         let list = peers.newest_server_list(now, previous.map(|p| p.peer));
         let differs = |list| list != self.list_digest(parts::Version::First) && !is_recent(list);
         if let Some((address, _)) = list.filter(|(_, list)| differs(*list)) {
-            newer.push((address, Topic::Backends));
+            newer.push((address, spread::Topic::Backends));
         }
         newer
     }
@@ -242,11 +216,12 @@
     pub fn note_peer_list(&self, peer: net::Ipv4Addr) {
         let list = self.peers.borrow().server_list_digest_of(peer);
         let received_at = self.now();
-        self.last_peer_list.set(list.map(|digest| PeerList {
-            peer,
-            digest,
-            received_at,
-        }));
+        self.last_peer_list
+            .set(list.map(|digest| table::FetchedList {
+                peer,
+                digest,
+                received_at,
+            }));
     }
 
     /// Records that a request to a peer failed, so that this entry reads the store itself
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -4,8 +4,8 @@
 
 use prost::Message as _;
 
-use super::peer::{self, message, update};
-use super::{listing, parts, source, state};
+use super::peer::{message, update};
+use super::{listing, parts, state};
 use crate::code;
 use crate::decide::{evacuation, spread};
 
@@ -92,26 +92,28 @@
             changed_at: Some(changed_at.into()),
             ..self.update()
         };
-        self.send_update(spread::FANOUT, update);
+        let targets = {
+            let (peers, mut rng) = (self.peers.borrow(), self.rng.borrow_mut());
+            spread::forward_targets(peers.near_addresses(), peers.send_addresses(), &mut rng)
+        };
+        self.send_update_to(&targets, update);
     }
 
     /// Exchanges state with a random peer; without data, with several.
     pub fn exchange(&self) {
-        let count = if self.is_complete() {
-            1
-        } else {
-            STARTER_TARGETS
+        let targets = {
+            let (peers, mut rng) = (self.peers.borrow(), self.rng.borrow_mut());
+            let all = peers.send_addresses();
+            if self.is_complete() {
+                spread::exchange_target(peers.near_addresses(), all, &mut rng)
+            } else {
+                spread::targets(all, STARTER_TARGETS, &mut rng)
+            }
         };
         let update = update::Update {
             wants_reply: true,
             ..self.update()
         };
-        self.send_update(count, update);
-    }
-
-    fn send_update(&self, count: usize, update: update::Update) {
-        let peers = self.peers.borrow().send_addresses();
-        let targets = spread::targets(&peers, count, &mut self.rng.borrow_mut());
         self.send_update_to(&targets, update);
     }
 
@@ -119,7 +121,7 @@
         let Some(link) = &self.link else { return };
         let datagram = message::Datagram {
             update: Some(update),
-            ..peer::envelope(self, link)
+            ..link.envelope(self.incarnation)
         };
         let bytes = datagram.encode_to_vec();
         for target in targets {
@@ -147,10 +149,11 @@
         let changes = self.apply_changes(peer, update, changed_at);
         let reading = update.reading.as_ref().map(|r| r.received(now));
         let own = self.holding();
+        let is_near = self.peers.borrow().is_near(peer);
         let mut spread = self.spread.borrow_mut();
         let is_new = reading.is_some_and(|reading| spread.on_reading(reading, own));
         if let Some(holding) = update.holding {
-            spread.on_holding(now, peer, holding.into(), own);
+            spread.on_holding(now, (peer, is_near), holding.into(), own);
         }
         let has_holders = spread.has_holders();
         drop(spread);
@@ -202,9 +205,8 @@
         let mut reply = self.update();
         // An entry without a configuration has just started and knows few others.
         if request.holding.is_none_or(|h| h.configuration == 0) {
-            let known = self.peers.borrow().send_addresses();
-            let mut rng = self.rng.borrow_mut();
-            let sample = spread::targets(&known, ADDRESS_SAMPLE_SIZE, &mut rng);
+            let (peers, mut rng) = (self.peers.borrow(), self.rng.borrow_mut());
+            let sample = spread::targets(peers.send_addresses(), ADDRESS_SAMPLE_SIZE, &mut rng);
             reply.known_addresses = sample.into_iter().map(net::Ipv4Addr::to_bits).collect();
         }
         self.send_update_to(&[peer], reply);
@@ -247,12 +249,12 @@
     }
 
     /// Returns whether a transfer to a peer is accepted now.
-    pub fn accepts_transfer(&self, topic: source::Topic) -> bool {
+    pub fn accepts_transfer(&self, topic: spread::Topic) -> bool {
         let accepts = self.spread.borrow_mut().accept_transfer(self.now());
         let result = if accepts { "served" } else { "refused" };
         self.meter.count("transfers", result);
         if !accepts {
-            self.meter.count("transfers_refused", topic.name());
+            self.meter.count("transfers_refused", &topic.to_string());
         }
         accepts
     }
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -6,11 +6,11 @@
 use tokio::sync::{Notify, watch};
 use xxhash_rust::xxh3;
 
-use super::peer::{lease, message, outbox, placement, table};
-use super::{
-    callers, configuration, dialect, evacuation, leaving, logger, losses, meter, peer, pool,
-    roster, source, waiting,
-};
+use super::evacuation::zones;
+use super::leaving::table as leaving;
+use super::peer::{lease, link, message, outbox, placement, table};
+use super::pool::backend;
+use super::{callers, configuration, dialect, logger, losses, meter, roster, waiting};
 use crate::decide::{
     health, overload, place, quarantine, random, retry, rotation, spread, standby,
 };
@@ -81,7 +81,7 @@
     pub(super) named_leaving: cell::RefCell<collections::HashMap<u64, time::Duration>>,
     // Backend servers that announced in a response that they are leaving.
     pub(super) backends_leaving: leaving::Table,
-    pub(super) zones: evacuation::Zones,
+    pub(super) zones: zones::Zones,
     // Inspection results of backend servers that the next heartbeats carry.
     pub(super) inspections: outbox::Outbox<message::Inspection>,
     // The newest era of the store that was seen.
@@ -91,7 +91,7 @@
     // When the store last responded, by topic, even if its data could not be used yet.
     pub(super) store_answered: cell::Cell<[Option<time::Duration>; 2]>,
     // The list of backend servers that a peer sent last.
-    pub(super) last_peer_list: cell::Cell<Option<source::PeerList>>,
+    pub(super) last_peer_list: cell::Cell<Option<table::FetchedList>>,
     // State that decides whether this entry reads the store while the watchers get no response.
     pub(super) standby: cell::Cell<standby::Standby>,
     // Why this entry read the store at the last evaluation.
@@ -123,7 +123,7 @@
     /// Peers of this entry.
     pub peers: cell::RefCell<table::Table>,
     /// Datagram socket to the peers.
-    pub link: Option<peer::Link>,
+    pub link: Option<link::Link>,
     /// Pending requests for slots that peers decide about.
     pub placement_requests: placement::PendingRequests,
     /// Slots granted to requests of peers.
@@ -142,7 +142,7 @@
     // Earliest time of the next request for a peer's cases.
     pub(super) next_cases_request: cell::Cell<time::Duration>,
     /// Backend servers in use.
-    pub backends: cell::RefCell<slotmap::SecondaryMap<key::Sidecar, pool::Backend>>,
+    pub backends: cell::RefCell<slotmap::SecondaryMap<key::Sidecar, backend::Backend>>,
     /// Placement of requests on backend servers.
     pub fleet: cell::RefCell<place::Fleet>,
     /// Health of backend servers.
@@ -175,7 +175,7 @@
         log: logger::Logger,
         seed: u64,
         seeds: Vec<net::Ipv4Addr>,
-        link: Option<peer::Link>,
+        link: Option<link::Link>,
     ) -> Self {
         let limit = (settings.sockets as f64 * CALLER_SOCKET_SHARE) as usize;
         let peers = table::Table::new(settings.address, settings.millicores, &settings.zone, seeds);
@@ -190,7 +190,7 @@
             spread: cell::RefCell::default(),
             named_leaving: cell::RefCell::default(),
             backends_leaving: leaving::Table::default(),
-            zones: evacuation::Zones::default(),
+            zones: zones::Zones::default(),
             inspections: outbox::Outbox::default(),
             store_era: cell::Cell::default(),
             store_seen: cell::Cell::default(),
--- a/src/direct/suspend.rs
+++ b/src/direct/suspend.rs
@@ -9,7 +9,7 @@
 use prost::Message as _;
 
 use super::inspect;
-use super::peer::{self, message};
+use super::peer::message;
 use super::{listing, state};
 use crate::decide::{place, restart};
 use crate::key;
@@ -131,11 +131,11 @@
         }
         let datagram = message::Datagram {
             inspections: vec![inspection],
-            ..peer::envelope(self, link)
+            ..link.envelope(self.incarnation)
         };
         let bytes = datagram.encode_to_vec();
         for address in self.peers.borrow().send_addresses() {
-            link.send_bytes(address, &bytes);
+            link.send_bytes(*address, &bytes);
         }
     }
 
--- a/src/direct/transfer.rs
+++ b/src/direct/transfer.rs
@@ -15,10 +15,10 @@
 use prost::Message as _;
 use tokio::{net as tokio_net, task};
 
-use super::peer::{case, message};
-use super::{conn, evacuation, listing, parts, source, state};
+use super::peer::{case, case_message, message};
+use super::{conn, evacuation, listing, parts, state};
 use crate::code;
-use crate::decide;
+use crate::decide::{self, spread};
 
 /// Path of the configuration.
 const CONFIGURATION: &str = "/configuration";
@@ -97,8 +97,8 @@
 
 async fn answer(entry: &state::Entry, req: http::Request<Incoming>) -> http::Response<Full<Bytes>> {
     let topic = match req.uri().path() {
-        CONFIGURATION => Some(source::Topic::Configuration),
-        BACKENDS | LIST => Some(source::Topic::Backends),
+        CONFIGURATION => Some(spread::Topic::Configuration),
+        BACKENDS | LIST => Some(spread::Topic::Backends),
         _ => None,
     };
     let is_refusable = req.uri().query() == Some(REFUSABLE);
@@ -162,7 +162,7 @@
 /// Fetches and merges a peer's cases of requests that crashed backend servers, or may have.
 pub async fn fetch_cases(entry: &state::Entry, address: net::SocketAddr) {
     // Otherwise the peer has no cases or can't be reached; a later heartbeat names one that can.
-    if let Some(cases) = fetch_message::<case::Cases>(entry, address, CASES).await {
+    if let Some(cases) = fetch_message::<case_message::Cases>(entry, address, CASES).await {
         case::on_cases(entry, &cases.cases);
     }
 }
--- a/tests/asks.rs
+++ b/tests/asks.rs
@@ -15,7 +15,7 @@
 use std::{net, rc, thread, time};
 
 use chivebend::decide::place;
-use chivebend::direct::peer::{self, message, placement};
+use chivebend::direct::peer::{self, link, message, placement};
 use chivebend::direct::{configuration, listing, logger, request, state};
 use prost::Message as _;
 use smallvec::SmallVec;
@@ -100,11 +100,11 @@
 async fn entry(port: u16) -> rc::Rc<state::Entry> {
     let started = time::Instant::now();
     let log = logger::open(started).expect("a thread");
-    let place = peer::Addresses {
+    let place = link::Addresses {
         own: net::SocketAddrV4::new(OWN, port),
         seeds: vec![DECIDER],
     };
-    let link = peer::open(&place).await.expect("a socket");
+    let link = link::open(&place).await.expect("a socket");
     let entry = state::Entry::new(
         started,
         settings(),
--- a/tests/neighbours.rs
+++ b/tests/neighbours.rs
@@ -3,9 +3,9 @@
 #[path = "support/direct.rs"]
 mod support;
 
-use chivebend::decide::{overload, rotation};
+use chivebend::decide::{overload, rotation, spread};
 use chivebend::direct::peer::{message, table};
-use chivebend::direct::{listing, parts, source};
+use chivebend::direct::{listing, parts};
 
 fn heartbeat(sequence: u64) -> message::Heartbeat {
     message::Heartbeat {
@@ -349,7 +349,7 @@
     on_heartbeat(1, entry.list_digest(parts::Version::First));
     assert!(entry.newer_at_peers().is_empty(), "nothing to take over");
     on_heartbeat(2, 77);
-    let list = (support::address(2), source::Topic::Backends);
+    let list = (support::address(2), spread::Topic::Backends);
     assert_eq!(entry.newer_at_peers().as_slice(), [list]);
     entry.note_peer_list(support::address(2));
     assert!(entry.newer_at_peers().is_empty(), "it was fetched just now");
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -5,7 +5,7 @@
 
 use chivebend::decide::{evacuation, random, spread};
 use chivebend::direct::peer::{message, update};
-use chivebend::direct::{listing, parts, roster, source, state};
+use chivebend::direct::{listing, parts, roster, state};
 use prost::Message as _;
 
 fn position(offset: u64) -> evacuation::Position {
@@ -137,7 +137,7 @@
             list: 1 + u64::from(case.differs),
             configuration: 1,
         };
-        spread.on_holding(support::ms(0), support::address(2), theirs, own);
+        spread.on_holding(support::ms(0), (support::address(2), true), theirs, own);
         let mut rng = random::Random::new(1);
         // The changes may still arrive one by one.
         let early = spread.next_fetch(support::ms(1), own, &mut rng);
@@ -162,9 +162,14 @@
     };
     let mut rng = random::Random::new(1);
     spread.on_changes(position(30));
-    spread.on_holding(support::ms(0), support::address(2), theirs(20), own);
+    spread.on_holding(support::ms(0), (support::address(2), true), theirs(20), own);
     assert_eq!(spread.next_fetch(support::ms(500), own, &mut rng), None);
-    spread.on_holding(support::ms(500), support::address(3), theirs(40), own);
+    spread.on_holding(
+        support::ms(500),
+        (support::address(3), true),
+        theirs(40),
+        own,
+    );
     let fetch = spread.next_fetch(support::ms(1_000), own, &mut rng);
     assert_eq!(fetch.map(|f| f.peer), Some(support::address(3)));
 }
@@ -184,10 +189,10 @@
     };
     let mut rng = random::Random::new(1);
     let peer = support::address(2);
-    spread.on_holding(support::ms(0), peer, theirs(20), own);
+    spread.on_holding(support::ms(0), (peer, true), theirs(20), own);
     let fetch = spread.next_fetch(support::ms(500), own, &mut rng);
     spread.on_fetched(support::ms(500), &fetch.expect("a fetch"), own.list);
-    spread.on_holding(support::ms(900), peer, theirs(30), own);
+    spread.on_holding(support::ms(900), (peer, true), theirs(30), own);
     assert_eq!(spread.next_fetch(support::ms(1_900), own, &mut rng), None);
     // Peers must not take it for the store's list.
     assert_eq!(spread.confirmed_position(), position(0));
@@ -203,7 +208,7 @@
     };
     let mut rng = random::Random::new(1);
     for last in [2, 3] {
-        spread.on_holding(support::ms(0), support::address(last), theirs, own);
+        spread.on_holding(support::ms(0), (support::address(last), true), theirs, own);
     }
     let mut asked = Vec::new();
     while let Some(fetch) = spread.next_fetch(support::ms(1), own, &mut rng) {
@@ -324,7 +329,7 @@
     };
     assert_eq!(
         newer(false),
-        [(support::address(2), source::Topic::Backends)]
+        [(support::address(2), spread::Topic::Backends)]
     );
     assert_eq!(newer(true), []);
     // They skip the fields that they don't know, and their datagrams lack them.
--- a/tests/spread_load.rs
+++ b/tests/spread_load.rs
@@ -10,7 +10,7 @@
 use std::{cmp, collections, net, time};
 
 use chivebend::decide::{evacuation, random, spread, standby};
-use chivebend::direct::peer::{self, message, table};
+use chivebend::direct::peer::{message, table};
 
 /// Interval between two reads of the store by one entry.
 const READ_INTERVAL_MS: u64 = 900;
@@ -24,6 +24,9 @@
 /// Time in which a weak entry applies what it fetched.
 const APPLY_MS: u64 = 60;
 
+/// Availability zones of the fleet.
+const ZONES: usize = 6;
+
 /// Timeout of a transfer.
 const TIMEOUT_MS: u64 = 500;
 
@@ -77,6 +80,8 @@
     standby: standby::Standby,
     table: table::Table,
     known: Vec<net::Ipv4Addr>,
+    // Those known to be in the same zone.
+    near: Vec<net::Ipv4Addr>,
     state: State,
     started_ms: u64,
     can_read: bool,
@@ -121,6 +126,8 @@
     // What the store holds.
     stored: State,
     calls: usize,
+    // Transfers, and those of them from another zone.
+    transfers: (usize, usize),
 }
 
 fn address(n: usize) -> net::Ipv4Addr {
@@ -132,6 +139,10 @@
     )
 }
 
+fn zone(n: usize) -> usize {
+    n % ZONES
+}
+
 fn index(address: net::Ipv4Addr) -> usize {
     let [_, high, middle, low] = address.octets().map(usize::from);
     high * 40_000 + middle * 200 + low
@@ -144,11 +155,16 @@
 
 impl Model {
     fn new(design: Design, count: usize, seed: u64) -> Self {
+        let others = |n: usize| (0..count).filter(move |m| *m != n);
         let entry = |n: usize| Entry {
             spread: spread::Spread::default(),
             standby: standby::Standby::default(),
             table: table::Table::new(address(n), 100, "z", Vec::new()),
-            known: (0..count).filter(|m| *m != n).map(address).collect(),
+            known: others(n).map(address).collect(),
+            near: others(n)
+                .filter(|m| zone(*m) == zone(n))
+                .map(address)
+                .collect(),
             state: State::default(),
             started_ms: 0,
             can_read: true,
@@ -174,6 +190,7 @@
                 configuration: 1,
             },
             calls: 0,
+            transfers: (0, 0),
         }
     }
 
@@ -191,7 +208,7 @@
     fn begin(&mut self, n: usize, at_ms: u64) {
         self.entries[n].started_ms = at_ms;
         let mut phase = |bound: usize| at_ms + self.rng.below(bound) as u64;
-        let interval = peer::heartbeat_interval(self.entries.len()).as_millis() as usize;
+        let interval = table::heartbeat_interval(self.entries.len()).as_millis() as usize;
         let (poll, exchange) = (phase(POLL_MS as usize), phase(50));
         let (heartbeat, read) = (phase(interval), phase(READ_INTERVAL_MS as usize));
         self.at(poll, Event::Poll(n));
@@ -241,11 +258,22 @@
                     wants_reply: true,
                     ..self.update(n, Vec::new())
                 };
-                self.send_to_random(n, if is_complete { 1 } else { 2 }, &update);
+                let entry = &self.entries[n];
+                let targets = if is_complete {
+                    spread::exchange_target(&entry.near, &entry.known, &mut self.rng)
+                } else {
+                    spread::targets(&entry.known, 2, &mut self.rng)
+                };
+                for target in targets {
+                    self.send(n, index(target), update.clone());
+                }
             }
             Event::Heartbeat(n) => self.send_heartbeats(n),
             Event::Read(n) => self.read(n),
-            Event::Arrival(n, update) => self.on_update(n, &update),
+            Event::Arrival(n, update) => {
+                self.on_update(n, &update);
+                self.fetch(n);
+            }
             Event::HeartbeatArrival(n, from, heartbeat) => {
                 let (now, entry) = (self.now(), &mut self.entries[n]);
                 let sender = from as u64;
@@ -279,8 +307,9 @@
         }
     }
 
-    fn send_to_random(&mut self, n: usize, count: usize, update: &Update) {
-        for target in spread::targets(&self.entries[n].known, count, &mut self.rng) {
+    fn forward(&mut self, n: usize, update: &Update) {
+        let entry = &self.entries[n];
+        for target in spread::forward_targets(&entry.near, &entry.known, &mut self.rng) {
             self.send(n, index(target), update.clone());
         }
     }
@@ -320,19 +349,20 @@
             entry.spread.on_changes(update.changed_at);
         }
         let own = self.holding(n);
+        let is_near = zone(n) == zone(update.from);
         let spread = &mut self.entries[n].spread;
         let reading = update.reading.map(|reading| spread::Reading {
             hops: reading.hops + 1,
             ..reading
         });
         let is_new = reading.is_some_and(|reading| spread.on_reading(reading, own));
-        spread.on_holding(now, address(update.from), update.holding, own);
+        spread.on_holding(now, (address(update.from), is_near), update.holding, own);
         if is_new || !new.is_empty() {
             let forwarded = Update {
                 changed_at: update.changed_at,
                 ..self.update(n, new)
             };
-            self.send_to_random(n, spread::FANOUT, &forwarded);
+            self.forward(n, &forwarded);
         }
         if update.wants_reply {
             let mut reply = self.update(n, Vec::new());
@@ -423,12 +453,12 @@
         self.note(n);
         if self.design == Design::Updates {
             let update = self.update(n, changes);
-            self.send_to_random(n, spread::FANOUT, &update);
+            self.forward(n, &update);
         }
     }
 
     fn send_heartbeats(&mut self, n: usize) {
-        let interval = peer::heartbeat_interval(self.entries.len()).as_millis() as u64;
+        let interval = table::heartbeat_interval(self.entries.len()).as_millis() as u64;
         self.at(self.now_ms + interval, Event::Heartbeat(n));
         // Those of entries that don't read the store change nothing here.
         if n >= standby::WATCHER_COUNT {
@@ -482,6 +512,8 @@
         }
         // An entry works through what it has to send in order.
         peer.busy_until_ms = peer.busy_until_ms.max(now_ms) + TRANSFER_MS;
+        self.transfers.0 += 1;
+        self.transfers.1 += usize::from(zone(n) != zone(index(next.peer)));
         let state = peer.state;
         let done = peer.busy_until_ms;
         let size = DATAGRAM_BYTES * 20;
@@ -516,7 +548,7 @@
         self.note(n);
         if self.design == Design::Updates {
             let update = self.update(n, Vec::new());
-            self.send_to_random(n, spread::FANOUT, &update);
+            self.forward(n, &update);
         }
     }
 
@@ -535,6 +567,7 @@
             entry.sent_bytes = 0;
         }
         self.calls = 0;
+        self.transfers = (0, 0);
     }
 
     // Returns when the last entry knew what the store holds; the maximum if some don't.
@@ -616,10 +649,13 @@
             model.run(12_000);
             let took = model.all_knew_ms().saturating_sub(6_000);
             println!(
-                "{count} entries, loss {loss}: {took} ms, {:?} bytes",
-                model.sent_bytes()
+                "{count} entries, loss {loss}: {took} ms, {:?} bytes, {:?} transfers",
+                model.sent_bytes(),
+                model.transfers
             );
             assert!(took <= 1_000, "{count} entries, loss {loss}: {took} ms");
+            let (all, far) = model.transfers;
+            assert!(2 * far <= all + ZONES, "{count} entries: {far} of {all}");
         }
     }
 }
@@ -638,6 +674,7 @@
                 // Three addresses are known at the start.
                 let seeds = spread::targets(&model.entries[n].known, 3, &mut model.rng);
                 model.entries[n].known = seeds.to_vec();
+                model.entries[n].near.clear();
                 let at = 1 + model.rng.below(300) as u64;
                 model.begin(n, at);
                 model.entries[n].started_ms = at;
@@ -665,6 +702,7 @@
     entry.state = State::default();
     entry.spread = spread::Spread::default();
     entry.known = [3, 4, 5].map(address).to_vec();
+    entry.near.clear();
     entry.knew_ms = None;
     entry.started_ms = model.now_ms;
     model.run(8_000);
