--- a/src/decide/spread.rs
+++ b/src/decide/spread.rs
@@ -253,11 +253,9 @@
         });
     }
 
-    /// Returns the newest reading, which updates carry.
+    /// Returns the reading with the latest answer of the store, which updates carry.
     pub fn newest_reading(&self) -> Option<&Reading> {
-        self.readings
-            .iter()
-            .max_by_key(|r| (r.holding.position, r.holding.configuration, r.at))
+        self.readings.iter().max_by_key(|r| r.at)
     }
 
     /// Returns the entries whose readings are fresh in a fleet of this many entries.
@@ -320,8 +318,8 @@
             let holders = self.holders.iter();
             let holders = holders.filter(|h| h.is_near == is_near && !self.is_avoided(h.peer));
             let due: SmallVec<[Fetch; MAX_REMEMBERED]> = holders.filter_map(due).collect();
-            if !due.is_empty() {
-                return due.get(rng.below(due.len())).copied();
+            if let Some(fetch) = due.get(rng.below(due.len())) {
+                return Some(*fetch);
             }
         }
         None
--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -227,6 +227,11 @@
     /// Records that a request to a peer failed, so that this entry reads the store itself
     /// for a while.
     pub fn distrust_peers(&self) {
+        self.log
+            .line("store_reader")
+            .with("reads", true)
+            .with("reason", standby::Reason::Distrust)
+            .with("for_s", DISTRUST_TIME.as_secs());
         self.distrusted_until.set(self.now() + DISTRUST_TIME);
     }
 }
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -249,13 +249,10 @@
     }
 
     /// Returns whether a transfer to a peer is accepted now.
-    pub fn accepts_transfer(&self, topic: spread::Topic) -> bool {
+    pub fn accepts_transfer(&self) -> bool {
         let accepts = self.spread.borrow_mut().accept_transfer(self.now());
         let result = if accepts { "served" } else { "refused" };
         self.meter.count("transfers", result);
-        if !accepts {
-            self.meter.count("transfers_refused", &topic.to_string());
-        }
         accepts
     }
 }
--- a/src/direct/transfer.rs
+++ b/src/direct/transfer.rs
@@ -18,7 +18,7 @@
 use super::peer::{case, case_message, message};
 use super::{conn, evacuation, listing, parts, state};
 use crate::code;
-use crate::decide::{self, spread};
+use crate::decide;
 
 /// Path of the configuration.
 const CONFIGURATION: &str = "/configuration";
@@ -96,13 +96,8 @@
 }
 
 async fn answer(entry: &state::Entry, req: http::Request<Incoming>) -> http::Response<Full<Bytes>> {
-    let topic = match req.uri().path() {
-        CONFIGURATION => Some(spread::Topic::Configuration),
-        BACKENDS | LIST => Some(spread::Topic::Backends),
-        _ => None,
-    };
     let is_refusable = req.uri().query() == Some(REFUSABLE);
-    if is_refusable && topic.is_some_and(|topic| !entry.accepts_transfer(topic)) {
+    if is_refusable && !entry.accepts_transfer() {
         let mut response = http::Response::new(Full::default());
         *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
         return response;
