Split the spread and the peers' table by job

`decide/spread`: the state, a start, the targets of an update and the bound on transfers are files of their own.

--- a/src/decide/spread.rs
+++ b/src/decide/spread/mod.rs
@@ -10,20 +10,16 @@
 //! with a random peer repairs what was lost (Demers et al., "Epidemic algorithms for replicated
 //! database maintenance", PODC 1987).
 
+pub mod start;
+pub mod target;
+pub mod transfer;
+
 use std::{net, time};
 
 use smallvec::SmallVec;
 
 use super::{evacuation, random};
 
-/// Number of peers to which an entry forwards what is new to it: 98 in 100 entries receive an
-/// update that each forwards once to four (`x = 1 - exp(-4x)`).
-pub const FANOUT: usize = 4;
-
-/// Number of these peers that are of the entry's own zone, so that most transfers, which follow the
-/// updates, stay within it.
-const NEAR_FANOUT: usize = FANOUT / 2;
-
 /// Interval between exchanges with a random peer.
 pub const EXCHANGE_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
@@ -105,9 +101,6 @@
     pub holding: Holding,
 }
 
-/// Peers that a message goes to.
-pub type Targets = SmallVec<[net::Ipv4Addr; 8]>;
-
 #[derive(Clone, Copy, Debug)]
 struct Holder {
     peer: net::Ipv4Addr,
@@ -141,8 +134,8 @@
     sequence: u64,
     // When the last datagram of a peer arrived.
     heard_at: Option<time::Duration>,
-    start: Start,
-    transfers: Transfers,
+    start: start::Start,
+    transfers: transfer::Window,
 }
 
 impl Spread {
@@ -355,7 +348,7 @@
     }
 
     /// Returns whether an entry that has started and lacks data reads the store itself, see
-    /// [`Start::reads`].
+    /// [`start::Start::reads`].
     pub fn reads_at_start(
         &mut self,
         since_start: time::Duration,
@@ -365,7 +358,7 @@
         self.start.reads(since_start, peers, rng)
     }
 
-    /// Returns whether a transfer to a peer is accepted, see [`Transfers::accept`].
+    /// Returns whether a transfer to a peer is accepted, see [`transfer::Window::accept`].
     pub fn accept_transfer(&mut self, now: time::Duration) -> bool {
         self.transfers.accept(now)
     }
@@ -387,108 +380,9 @@
     }
 }
 
-/// Returns the peers to forward an update to, of those `near` and of `all`.
-pub fn forward_targets(
-    near: &[net::Ipv4Addr],
-    all: &[net::Ipv4Addr],
-    rng: &mut random::Random,
-) -> Targets {
-    let mut chosen = targets(near, NEAR_FANOUT, rng);
-    for target in targets(all, FANOUT, rng) {
-        if chosen.len() < FANOUT && !chosen.contains(&target) {
-            chosen.push(target);
-        }
-    }
-    chosen
-}
-
-/// Returns the peer for an exchange: with even odds one that is near.
-pub fn exchange_target(
-    near: &[net::Ipv4Addr],
-    all: &[net::Ipv4Addr],
-    rng: &mut random::Random,
-) -> Targets {
-    let is_near = !near.is_empty() && rng.unit() < 0.5;
-    targets(if is_near { near } else { all }, 1, rng)
-}
-
-/// Returns up to `count` different random peers.
-pub fn targets(peers: &[net::Ipv4Addr], count: usize, rng: &mut random::Random) -> Targets {
-    let picked = rng.sample(peers.len(), count).into_iter();
-    picked.map(|at| peers[at]).collect()
-}
-
 // Returns the maximum age of a reading that counts as fresh: the readers' interval and a hop for
 // each factor of the fanout in the size of the fleet.
 fn max_age(entries: usize) -> time::Duration {
-    let hops = (entries.max(1) as f64).log(FANOUT as f64).ceil();
+    let hops = (entries.max(1) as f64).log(target::FANOUT as f64).ceil();
     MAX_AGE + HOP_TIME.mul_f64(hops)
 }
-
-/// Delay before an entry that has started reads the store, within which running peers answer it.
-const START_DELAY: time::Duration = time::Duration::from_millis(200);
-
-/// Interval at which an entry that waits for others decides whether to read the store.
-const START_SLOT: time::Duration = time::Duration::from_millis(100);
-
-/// Mean number of entries that begin to read in one slot, if all start at once.
-const STARTERS_PER_SLOT: f64 = 2.0;
-
-/// Decides when an entry that has started reads the store itself. All others of a fleet that starts
-/// at once soon receive what the first few have read.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Start {
-    slots: u32,
-    reads: bool,
-}
-
-impl Start {
-    /// Returns whether an entry that lacks data, `since_start` after its start, reads the store. It
-    /// has heard of this many `peers` so far.
-    pub fn reads(
-        &mut self,
-        since_start: time::Duration,
-        peers: usize,
-        rng: &mut random::Random,
-    ) -> bool {
-        if peers == 0 {
-            return true;
-        }
-        let due = since_start.saturating_sub(START_DELAY).as_millis() / START_SLOT.as_millis();
-        let is_due = since_start >= START_DELAY;
-        while is_due && !self.reads && u128::from(self.slots) <= due {
-            self.slots += 1;
-            self.reads = rng.unit() < STARTERS_PER_SLOT / peers as f64;
-        }
-        self.reads
-    }
-}
-
-/// Bound on transfers to peers: one that would be answered too late is refused at once, so that the
-/// peer asks another.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Transfers {
-    since: time::Duration,
-    count: usize,
-}
-
-/// Maximum number of transfers in [`TRANSFER_WINDOW`]: at 10 ms each on a weak processor they take
-/// a third of it.
-pub const MAX_TRANSFERS: usize = 16;
-
-/// Window in which transfers are counted: the timeout of the peer that asks.
-pub const TRANSFER_WINDOW: time::Duration = time::Duration::from_millis(500);
-
-impl Transfers {
-    /// Returns whether one more transfer is accepted.
-    pub fn accept(&mut self, now: time::Duration) -> bool {
-        if now >= self.since + TRANSFER_WINDOW {
-            *self = Self {
-                since: now,
-                count: 0,
-            };
-        }
-        self.count += 1;
-        self.count <= MAX_TRANSFERS
-    }
-}
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -7,8 +7,10 @@
 //! decay within seconds. If the deciding entry doesn't reply, the requesting entry decides itself,
 //! by the load in the heartbeats.
 
+pub mod addresses;
 pub mod case;
 pub mod case_message;
+pub mod interval;
 pub mod lease;
 pub mod link;
 pub mod loads;
@@ -71,7 +73,7 @@
             Err(_elapsed) => {
                 sequence += 1;
                 let others = send_heartbeats(&entry, link, sequence);
-                next_heartbeat = tokio::time::Instant::now() + table::heartbeat_interval(others);
+                next_heartbeat = tokio::time::Instant::now() + interval::heartbeat(others);
             }
         }
     }
@@ -353,7 +355,7 @@
 
 // Passes the load reported by other entries to the placement decision, and places queued requests
 // for which there is room now: on the backend servers whose load changed, and on all of them at
-// most once per table::MIN_HEARTBEAT_INTERVAL, since a customer's service at other entries changes the
+// most once per interval::MIN_HEARTBEAT, since a customer's service at other entries changes the
 // order of the queue.
 fn apply_remote_loads(entry: &state::Entry, link: &link::Link) {
     let changed = entry.peers.borrow_mut().take_changed();
@@ -366,7 +368,7 @@
         entry.grant_waiting(server);
     }
     let now = entry.now();
-    if now < link.last_full_pump.get() + table::MIN_HEARTBEAT_INTERVAL {
+    if now < link.last_full_pump.get() + interval::MIN_HEARTBEAT {
         return;
     }
     link.last_full_pump.set(now);
--- a/src/direct/peer/table.rs
+++ b/src/direct/peer/table/mod.rs
@@ -1,12 +1,14 @@
 //! Table of the other entries, built from their heartbeats.
 
+pub mod watch;
+
 use std::{collections, net, time};
 
 use smallvec::SmallVec;
 use xxhash_rust::xxh3;
 
-use super::{loads, message};
-use crate::decide::{place, random, rotation, standby};
+use super::{addresses, interval, loads, message};
+use crate::decide::{place, random, rotation};
 
 /// Time without a heartbeat after which an entry is removed: its load, service and shares no longer
 /// count. In a large fleet, where heartbeats are seconds apart, the timeout is
@@ -17,47 +19,15 @@
 /// 40 is lost, four in a row are lost once in 2.5 million.
 const MIN_MISSED_HEARTBEATS: u32 = 4;
 
-/// Time without a heartbeat after which an address is no longer sent heartbeats, unless it is a
-/// seed.
-const ADDRESS_RETENTION: time::Duration = time::Duration::from_secs(15);
-
 /// Time for which no placement requests are sent to an entry that didn't reply. A paused process or
 /// a lossy link becomes apparent within it, and callers don't wait for further attempts.
 const UNRESPONSIVE_PAUSE: time::Duration = time::Duration::from_millis(500);
 
-/// Maximum age of another entry's data from the store that counts as fresh. A watcher gets an
-/// answer from the store every 0.9 s and, among 30 entries, sends its heartbeat a quarter of a
-/// second later; with a bound below this sum all entries would call the store in turn. Beyond the
-/// bound an entry calls the store itself, so that it learns of a leaving backend server or a new
-/// configuration within two seconds in any case.
-pub const MAX_FRESH_AGE: time::Duration = time::Duration::from_millis(1_400);
-
-/// Maximum age of a watcher's data at the time of its heartbeat, used where heartbeats are so far
-/// apart that their interval isn't short compared to [`MAX_FRESH_AGE`].
-const MAX_READ_AGE: time::Duration = time::Duration::from_millis(950);
-
-/// Zone in heartbeats of entries that don't say theirs.
-const UNKNOWN_ZONE: u64 = 0;
-
 /// Time for which an entry whose heartbeats have stopped still counts as a member of its zone. The
 /// load balancer knows it until the platform gives it up, and it chooses from all entries once
 /// fewer than half are in rotation.
 const MISSING_RETENTION: time::Duration = time::Duration::from_secs(30);
 
-/// Time between two heartbeats in a small fleet. Backend servers read 4,000 prompt tokens in this
-/// time, a third of what may be sent to them ahead.
-pub const MIN_HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(80);
-
-/// Maximum number of heartbeats that an entry receives per second. A larger fleet sends them less
-/// often, so that their cost in processor time doesn't grow with the fleet.
-const MAX_HEARTBEATS_RECEIVED_PER_S: u32 = 120;
-
-/// Returns the time between heartbeats in a fleet with this number of other entries.
-pub fn heartbeat_interval(others: usize) -> time::Duration {
-    let slow = time::Duration::from_secs(1) * others as u32 / MAX_HEARTBEATS_RECEIVED_PER_S;
-    MIN_HEARTBEAT_INTERVAL.max(slow)
-}
-
 /// A list of backend servers that a peer without updates sent.
 #[derive(Clone, Copy, Debug)]
 pub struct FetchedList {
@@ -124,14 +94,12 @@
     millicores: u32,
     zone: u64,
     alive: collections::BTreeMap<net::Ipv4Addr, Peer>,
-    // Addresses to send heartbeats to, with the time of their last mention or heartbeat.
-    last_heard: collections::HashMap<net::Ipv4Addr, time::Duration>,
+    // Addresses to send datagrams to.
+    addresses: addresses::Addresses,
     // Zone and time of removal of entries whose heartbeats stopped before they announced leaving.
     missing: collections::HashMap<net::Ipv4Addr, (u64, time::Duration)>,
-    seeds: Vec<net::Ipv4Addr>,
-    // Addresses to send datagrams to, in order, and those of live peers in this entry's zone. Kept
-    // because each update that is forwarded needs them.
-    addresses: Vec<net::Ipv4Addr>,
+    // Addresses of live peers in this entry's zone. Kept because each update that is forwarded needs
+    // them.
     near: Vec<net::Ipv4Addr>,
     loads: loads::Loads,
     // Entries with enough processor capacity to work for the whole fleet, in order of address; may
@@ -149,16 +117,14 @@
     /// address, `millicores` its processor capacity in thousandths of a core, `zone` its
     /// availability zone.
     pub fn new(own: net::Ipv4Addr, millicores: u32, zone: &str, seeds: Vec<net::Ipv4Addr>) -> Self {
-        let mut table = Self {
+        Self {
             own: Some(own),
             millicores,
             zone: self::zone(zone),
-            seeds,
+            addresses: addresses::Addresses::new(own, seeds),
             strong: vec![own],
             ..Self::default()
-        };
-        table.update_addresses();
-        table
+        }
     }
 
     /// Applies a heartbeat. Returns `None` if a newer one has been received, otherwise the previous
@@ -177,14 +143,12 @@
         if before.is_some_and(|(s, sequence)| s == sender && sequence >= heartbeat.sequence) {
             return None;
         }
-        let mut has_new = self.last_heard.insert(address, now).is_none();
+        self.addresses.on_heard(now, address);
         self.missing.remove(&address);
         let ago = |ms: u32| now.saturating_sub(time::Duration::from_millis(ms.into()));
-        for address in &heartbeat.known_addresses {
-            let address = net::Ipv4Addr::from_bits(*address);
-            has_new |= !self.last_heard.contains_key(&address);
-            self.last_heard.entry(address).or_insert(now);
-        }
+        let mentioned = heartbeat.known_addresses.iter();
+        self.addresses
+            .learn(now, mentioned.map(|bits| net::Ipv4Addr::from_bits(*bits)));
         let known = self.alive.get(&address);
         let (unresponsive_until, is_unresponsive) = known.map_or_else(Default::default, |p| {
             (p.unresponsive_until, p.is_unresponsive)
@@ -192,7 +156,7 @@
         let same =
             |p: &Peer| p.leaving == heartbeat.leaving && p.millicores == heartbeat.millicores;
         let is_unchanged = known.is_some_and(same);
-        has_new |= known.is_none_or(|p| p.zone != heartbeat.zone);
+        let has_zone = known.is_some_and(|p| p.zone == heartbeat.zone);
         let peer = Peer {
             incarnation: sender,
             sequence: heartbeat.sequence,
@@ -224,40 +188,27 @@
         if !is_unchanged {
             self.update_strong();
         }
-        if has_new {
-            self.update_addresses();
+        if !has_zone {
+            self.update_near();
         }
         Some(before.map(|(s, _)| s).filter(|s| *s != sender))
     }
 
     /// Records addresses at which entries run, as an entry says.
     pub fn learn(&mut self, now: time::Duration, addresses: impl Iterator<Item = net::Ipv4Addr>) {
-        let mut has_new = false;
-        for address in addresses {
-            has_new |= !self.last_heard.contains_key(&address);
-            self.last_heard.entry(address).or_insert(now);
-        }
-        if has_new {
-            self.update_addresses();
-        }
+        self.addresses.learn(now, addresses);
     }
 
-    fn update_addresses(&mut self) {
-        let known = self.last_heard.keys().chain(&self.seeds).copied();
-        let all: collections::BTreeSet<_> = known.filter(|a| Some(*a) != self.own).collect();
-        self.addresses = all.into_iter().collect();
+    fn update_near(&mut self) {
         let near = self.alive.iter().filter(|(_, p)| p.zone == self.zone);
         self.near = near.map(|(address, _)| *address).collect();
     }
 
     /// Removes entries whose heartbeats have stopped; returns their addresses and incarnations.
     pub fn expire(&mut self, now: time::Duration) -> Vec<(net::Ipv4Addr, u64)> {
-        let known = self.last_heard.len();
-        self.last_heard
-            .retain(|_, heard| now < *heard + ADDRESS_RETENTION);
-        let has_forgotten = self.last_heard.len() < known;
+        self.addresses.expire(now);
         let timeout =
-            PEER_TIMEOUT.max(heartbeat_interval(self.alive.len()) * MIN_MISSED_HEARTBEATS);
+            PEER_TIMEOUT.max(interval::heartbeat(self.alive.len()) * MIN_MISSED_HEARTBEATS);
         let silent = |(address, p): (&net::Ipv4Addr, &Peer)| {
             (now >= p.heard_at + timeout).then_some((*address, p.incarnation))
         };
@@ -275,9 +226,7 @@
         }
         if !gone.is_empty() {
             self.update_strong();
-        }
-        if has_forgotten || !gone.is_empty() {
-            self.update_addresses();
+            self.update_near();
         }
         gone
     }
@@ -366,127 +315,6 @@
         self.missing.len()
     }
 
-    // Returns the position in `strong` of the second watcher: the first entry of another zone than
-    // the first watcher's, so that both aren't cut off together.
-    fn second_watcher(&self) -> usize {
-        let zone = |address: &net::Ipv4Addr| self.alive.get(address).map_or(self.zone, |p| p.zone);
-        let first = self.strong.first().map_or(UNKNOWN_ZONE, zone);
-        let is_known = |zone: u64| zone != UNKNOWN_ZONE;
-        let is_other =
-            |address| is_known(first) && is_known(zone(address)) && zone(address) != first;
-        self.strong.iter().position(is_other).unwrap_or(1)
-    }
-
-    // Returns the strong entries in the order in which they read the platform's store.
-    fn strong_order(&self) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
-        let second = self.second_watcher();
-        let rest = self.strong.iter().enumerate();
-        let rest = rest.filter(move |(at, _)| *at != 0 && *at != second);
-        let first = self.strong.first().into_iter();
-        let watchers = first.chain(self.strong.get(second));
-        watchers.chain(rest.map(|(_, a)| a)).copied()
-    }
-
-    // Returns the entries that read the platform's store for the whole fleet.
-    fn watchers(&self) -> impl Iterator<Item = net::Ipv4Addr> + '_ {
-        self.strong_order().take(standby::WATCHER_COUNT)
-    }
-
-    /// Returns whether this entry reads the platform's store for the whole fleet.
-    pub fn is_watcher(&self) -> bool {
-        self.watchers().any(|a| Some(a) == self.own)
-    }
-
-    /// Returns the state, as this entry knows it, of the entries that read the store for the fleet.
-    /// `fresh` are those whose readings spread recently; the others are known by their heartbeats.
-    pub fn standby_view(&self, now: time::Duration, fresh: &[net::Ipv4Addr]) -> standby::View {
-        let age = self.fresh_age();
-        let answered = |address: &net::Ipv4Addr| {
-            let peer = self.alive.get(address).filter(|p| !p.sends_updates);
-            fresh.contains(address) || peer.is_some_and(|p| now < p.answered_at + age)
-        };
-        let is_strong = |address: &net::Ipv4Addr| self.strong.binary_search(address).is_ok();
-        let weak = self.alive.keys().filter(|a| !is_strong(a)).copied();
-        let order = self.strong_order().chain(weak);
-        let before = |address: &net::Ipv4Addr| Some(*address) < self.own;
-        let rank = match self.own {
-            Some(own) if is_strong(&own) => self.strong_order().position(|a| a == own),
-            _ => {
-                let weak = self.alive.keys().filter(|a| !is_strong(a) && before(a));
-                Some(self.strong.len() + weak.count())
-            }
-        };
-        let answered = order.enumerate().find(|(_, a)| answered(a));
-        let knows = |p: &Peer| !p.sends_updates && now < p.known_answered_at + age;
-        standby::View {
-            rank: rank.unwrap_or_default(),
-            entries: 1 + self.alive.len(),
-            first_answered: answered.map(|(at, _)| at),
-            is_cut_off: answered.is_none() && self.alive.values().any(knows),
-        }
-    }
-
-    /// Returns when the store last answered another entry.
-    pub fn last_store_answer(&self) -> Option<time::Duration> {
-        self.alive.values().map(|p| p.answered_at).max()
-    }
-
-    // Returns the maximum age of other entries' data from the store that counts as fresh.
-    fn fresh_age(&self) -> time::Duration {
-        let heartbeat = heartbeat_interval(self.alive.len());
-        MAX_FRESH_AGE.max(MAX_READ_AGE + heartbeat.mul_f64(1.5))
-    }
-
-    // Returns the other entries that don't send updates and have a recent answer of the store, by
-    // the time that `at` returns: the watchers or, if no watcher has one, the entries that read in their place.
-    fn recent(
-        &self,
-        now: time::Duration,
-        at: impl Fn(&Peer) -> time::Duration,
-    ) -> impl Iterator<Item = (net::Ipv4Addr, &Peer)> {
-        let age = self.fresh_age();
-        let is_recent = move |p: &Peer| !p.sends_updates && now < at(p) + age;
-        let is_watcher = |a: &net::Ipv4Addr| self.watchers().any(|w| w == *a);
-        let mut watchers = self.watchers().filter_map(|a| self.alive.get(&a));
-        let any = watchers.any(&is_recent);
-        let peers = self.alive.iter().map(|(a, p)| (*a, p));
-        peers.filter(move |(a, p)| is_recent(p) && (!any || is_watcher(a)))
-    }
-
-    fn fresh(&self, now: time::Duration) -> impl Iterator<Item = (net::Ipv4Addr, &Peer)> {
-        self.recent(now, |p| p.store_at)
-    }
-
-    /// Returns whether another entry has fresh data from the store.
-    pub fn has_fresh_watcher(&self, now: time::Duration) -> bool {
-        self.fresh(now).next().is_some()
-    }
-
-    /// Returns the entry with the newest configuration among those that the store answered
-    /// recently, and the version.
-    pub fn newest_configuration(&self, now: time::Duration) -> Option<(net::Ipv4Addr, u64)> {
-        let answered = self.recent(now, |p| p.answered_at);
-        let newest = answered.max_by_key(|(_, p)| p.configuration_version);
-        newest.map(|(a, p)| (a, p.configuration_version))
-    }
-
-    /// Returns the entry with fresh data to copy the list of backend servers from, and the list's
-    /// digest.
-    ///
-    /// Among the entries that have seen the store's newest era it is `last_sender`, which sent its
-    /// list last, as long as its data is fresh, since it remembers that list and sends only the
-    /// changes; otherwise it is the entry that read the list last.
-    pub fn newest_server_list(
-        &self,
-        now: time::Duration,
-        last_sender: Option<net::Ipv4Addr>,
-    ) -> Option<(net::Ipv4Addr, u64)> {
-        let newest = self
-            .fresh(now)
-            .max_by_key(|(a, p)| (p.era, Some(*a) == last_sender, p.listed_at));
-        newest.map(|(a, p)| (a, p.list_digest))
-    }
-
     /// Returns the number of entries that accept requests, this one included.
     pub fn entry_count(&self) -> usize {
         1 + self.alive.values().filter(|p| !p.leaving).count()
@@ -522,7 +350,7 @@
 
     /// Returns the addresses to send datagrams to, without this entry's own.
     pub fn send_addresses(&self) -> &[net::Ipv4Addr] {
-        &self.addresses
+        self.addresses.all()
     }
 
     /// Returns the addresses of the live peers in this entry's zone.
--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::peer::table;
+use super::peer::{interval, table};
 use super::{parts, state};
 use crate::decide::{random, spread, standby};
 
@@ -145,7 +145,7 @@
         let fresh = spread.fresh_readers(now, peers.entry_count());
         let fresh: SmallVec<[net::Ipv4Addr; 8]> = fresh.filter(|a| *a != own).collect();
         let addresses = peers.send_addresses().len();
-        if now >= SETTLE_TIME + table::heartbeat_interval(addresses).mul_f64(SETTLE_INTERVALS) {
+        if now >= SETTLE_TIME + interval::heartbeat(addresses).mul_f64(SETTLE_INTERVALS) {
             let view = peers.standby_view(now, &fresh);
             let is_cut_off = view.is_cut_off || spread.is_isolated(now);
             return standby::View { is_cut_off, ..view };
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -7,7 +7,8 @@
 use super::peer::{message, update};
 use super::{listing, parts, state};
 use crate::code;
-use crate::decide::{evacuation, spread};
+use crate::decide::evacuation;
+use crate::decide::spread::{self, target};
 
 /// Maximum number of list changes in a datagram, about 100 bytes each; of more, all are fetched.
 const MAX_CHANGES: usize = 64;
@@ -94,7 +95,7 @@
         };
         let targets = {
             let (peers, mut rng) = (self.peers.borrow(), self.rng.borrow_mut());
-            spread::forward_targets(peers.near_addresses(), peers.send_addresses(), &mut rng)
+            target::forward(peers.near_addresses(), peers.send_addresses(), &mut rng)
         };
         self.send_update_to(&targets, update);
     }
@@ -105,9 +106,9 @@
             let (peers, mut rng) = (self.peers.borrow(), self.rng.borrow_mut());
             let all = peers.send_addresses();
             if self.is_complete() {
-                spread::exchange_target(peers.near_addresses(), all, &mut rng)
+                target::exchange(peers.near_addresses(), all, &mut rng)
             } else {
-                spread::targets(all, STARTER_TARGETS, &mut rng)
+                target::sample(all, STARTER_TARGETS, &mut rng)
             }
         };
         let update = update::Update {
@@ -206,7 +207,7 @@
         // An entry without a configuration has just started and knows few others.
         if request.holding.is_none_or(|h| h.configuration == 0) {
             let (peers, mut rng) = (self.peers.borrow(), self.rng.borrow_mut());
-            let sample = spread::targets(peers.send_addresses(), ADDRESS_SAMPLE_SIZE, &mut rng);
+            let sample = target::sample(peers.send_addresses(), ADDRESS_SAMPLE_SIZE, &mut rng);
             reply.known_addresses = sample.into_iter().map(net::Ipv4Addr::to_bits).collect();
         }
         self.send_update_to(&[peer], reply);
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -3,7 +3,8 @@
 #[path = "support/direct.rs"]
 mod support;
 
-use chivebend::decide::{evacuation, random, spread};
+use chivebend::decide::spread::{self, target};
+use chivebend::decide::{evacuation, random};
 use chivebend::direct::peer::{message, update};
 use chivebend::direct::{listing, parts, roster, state};
 use prost::Message as _;
@@ -258,7 +259,7 @@
     let mut rng = random::Random::new(1);
     for count in [1, 4, 9, 20] {
         for _ in 0..100 {
-            let mut targets = spread::targets(&peers, count, &mut rng).to_vec();
+            let mut targets = target::sample(&peers, count, &mut rng).to_vec();
             targets.sort();
             targets.dedup();
             assert_eq!(targets.len(), count.min(9));
--- a/tests/spread_load.rs
+++ b/tests/spread_load.rs
@@ -9,8 +9,9 @@
 
 use std::{cmp, collections, net, time};
 
-use chivebend::decide::{evacuation, random, spread, standby};
-use chivebend::direct::peer::{message, table};
+use chivebend::decide::spread::{self, target};
+use chivebend::decide::{evacuation, random, standby};
+use chivebend::direct::peer::{interval, message, table};
 
 /// Interval between two reads of the store by one entry.
 const READ_INTERVAL_MS: u64 = 900;
@@ -208,7 +209,7 @@
     fn begin(&mut self, n: usize, at_ms: u64) {
         self.entries[n].started_ms = at_ms;
         let mut phase = |bound: usize| at_ms + self.rng.below(bound) as u64;
-        let interval = table::heartbeat_interval(self.entries.len()).as_millis() as usize;
+        let interval = interval::heartbeat(self.entries.len()).as_millis() as usize;
         let (poll, exchange) = (phase(POLL_MS as usize), phase(50));
         let (heartbeat, read) = (phase(interval), phase(READ_INTERVAL_MS as usize));
         self.at(poll, Event::Poll(n));
@@ -260,9 +261,9 @@
                 };
                 let entry = &self.entries[n];
                 let targets = if is_complete {
-                    spread::exchange_target(&entry.near, &entry.known, &mut self.rng)
+                    target::exchange(&entry.near, &entry.known, &mut self.rng)
                 } else {
-                    spread::targets(&entry.known, 2, &mut self.rng)
+                    target::sample(&entry.known, 2, &mut self.rng)
                 };
                 for target in targets {
                     self.send(n, index(target), update.clone());
@@ -309,7 +310,7 @@
 
     fn forward(&mut self, n: usize, update: &Update) {
         let entry = &self.entries[n];
-        for target in spread::forward_targets(&entry.near, &entry.known, &mut self.rng) {
+        for target in target::forward(&entry.near, &entry.known, &mut self.rng) {
             self.send(n, index(target), update.clone());
         }
     }
@@ -368,7 +369,7 @@
             let mut reply = self.update(n, Vec::new());
             if update.holding.configuration == 0 {
                 let known = &self.entries[n].known;
-                reply.addresses = spread::targets(known, 8, &mut self.rng).to_vec();
+                reply.addresses = target::sample(known, 8, &mut self.rng).to_vec();
             }
             self.send(n, update.from, reply);
         }
@@ -458,7 +459,7 @@
     }
 
     fn send_heartbeats(&mut self, n: usize) {
-        let interval = table::heartbeat_interval(self.entries.len()).as_millis() as u64;
+        let interval = interval::heartbeat(self.entries.len()).as_millis() as u64;
         self.at(self.now_ms + interval, Event::Heartbeat(n));
         // Those of entries that don't read the store change nothing here.
         if n >= standby::WATCHER_COUNT {
@@ -672,7 +673,7 @@
             let mut model = Model::new(Design::Updates, case.entries, seed);
             for n in 0..case.entries {
                 // Three addresses are known at the start.
-                let seeds = spread::targets(&model.entries[n].known, 3, &mut model.rng);
+                let seeds = target::sample(&model.entries[n].known, 3, &mut model.rng);
                 model.entries[n].known = seeds.to_vec();
                 model.entries[n].near.clear();
                 let at = 1 + model.rng.below(300) as u64;
--- a/tests/standby.rs
+++ b/tests/standby.rs
@@ -6,7 +6,7 @@
 use std::{net, time};
 
 use chivebend::decide::{random, standby};
-use chivebend::direct::peer::{message, table};
+use chivebend::direct::peer::{interval, message, table};
 
 /// Maximum calls per second that the store gets during and after a failure, first reads aside.
 const MAX_CALLS_PER_S: usize = 10;
@@ -57,7 +57,7 @@
     let entry = |n: usize| Entry {
         peers: table::Table::new(address(n), 100, "z", Vec::new()),
         standby: standby::Standby::default(),
-        heartbeat_due_ms: rng.below(table::heartbeat_interval(count).as_millis() as usize) as u64,
+        heartbeat_due_ms: rng.below(interval::heartbeat(count).as_millis() as usize) as u64,
         due_ms: [0, 0].map(|_: u64| rng.below(POLL_INTERVAL_MS as usize) as u64),
         failures: [0; TOPICS],
         last_success_ms: [0; TOPICS],
@@ -144,7 +144,7 @@
                     self.broadcast(at_ms, n);
                 }
                 if self.entries[n].heartbeat_due_ms == at_ms {
-                    let interval = table::heartbeat_interval(self.entries.len() - 1);
+                    let interval = interval::heartbeat(self.entries.len() - 1);
                     self.entries[n].heartbeat_due_ms += interval.as_millis() as u64;
                 }
                 for topic in 0..TOPICS {
