--- a/src/decide/spread/start.rs
+++ b/src/decide/spread/start.rs
@@ -8,10 +8,10 @@
 use crate::decide::random;
 
 /// Delay before an entry that has started reads the store, within which running peers answer it.
-const START_DELAY: time::Duration = time::Duration::from_millis(200);
+const START_DELAY: time::Duration = time::Duration::from_millis(60);
 
 /// Interval at which an entry that waits for others decides whether to read the store.
-const START_SLOT: time::Duration = time::Duration::from_millis(100);
+const START_SLOT: time::Duration = time::Duration::from_millis(60);
 
 /// Mean number of entries that begin to read in one slot, if all start at once.
 const STARTERS_PER_SLOT: f64 = 2.0;
