Bound the readings that an entry forwards, and tell a small fleet from a large one at a start

With a wait of 60 ms most weak entries started to read the store, since they knew only their three seeds by then, and each reader's readings were forwarded by all: datagrams grew as entries times readers. Beyond eight readers an evicted reading counted as new again and was forwarded without end.

Change: an entry forwards one new reading in 0.3 s, and those of readers with a lower address; a reading older than all that are remembered isn't new. An entry waits 60 ms only if a peer has answered and it knows at most four; otherwise 0.2 s and slots of 0.1 s as before.

--- a/src/decide/spread/mod.rs
+++ b/src/decide/spread/mod.rs
@@ -51,6 +51,10 @@
 /// Time without any datagram after which an entry counts as cut off from its peers: six exchanges.
 const ISOLATION_TIME: time::Duration = time::Duration::from_millis(1_500);
 
+/// Minimum time between two readings that an entry forwards, if the later one is of no reader that
+/// comes first. Without it the datagrams of all entries would grow with the number of readers.
+const FORWARD_INTERVAL: time::Duration = time::Duration::from_millis(300);
+
 /// Maximum number of readers and holders remembered.
 const MAX_REMEMBERED: usize = 8;
 
@@ -119,6 +123,8 @@
 pub struct Spread {
     // The newest reading of each reader.
     readings: SmallVec<[Reading; 4]>,
+    // The last reading that was forwarded: when the store answered, and whom.
+    forwarded: Option<(time::Duration, net::Ipv4Addr)>,
     // Peers that hold newer data than this entry.
     holders: SmallVec<[Holder; MAX_REMEMBERED]>,
     avoided: SmallVec<[(net::Ipv4Addr, time::Duration); 4]>,
@@ -190,34 +196,48 @@
         self.on_reading(reading, holding);
     }
 
-    /// Records a reading, beside what this entry holds; returns whether it is new here, so that it
-    /// has to be forwarded.
+    /// Records a reading, beside what this entry holds; returns whether it has to be forwarded.
     pub fn on_reading(&mut self, reading: Reading, own: Holding) -> bool {
         let theirs = reading.holding;
         self.compare(own.list, theirs.list, theirs.position);
-        let known = self
-            .readings
-            .iter()
-            .position(|r| r.reader == reading.reader);
-        let Some(known) = known else {
-            if self.readings.len() >= MAX_REMEMBERED {
-                let oldest = self.readings.iter().enumerate().min_by_key(|(_, r)| r.at);
-                let oldest = oldest.map_or(0, |(at, _)| at);
-                self.readings.swap_remove(oldest);
+        self.record(reading) && self.is_forwarded(&reading)
+    }
+
+    // Records a reading; returns whether it is new here.
+    fn record(&mut self, reading: Reading) -> bool {
+        let mut readings = self.readings.iter_mut();
+        if let Some(known) = readings.find(|r| r.reader == reading.reader) {
+            let is_newer = if known.incarnation == reading.incarnation {
+                reading.sequence > known.sequence
+            } else {
+                reading.at > known.at
+            };
+            if is_newer {
+                *known = reading;
             }
-            self.readings.push(reading);
-            return true;
-        };
-        let known = &mut self.readings[known];
-        let is_newer = if known.incarnation == reading.incarnation {
-            reading.sequence > known.sequence
-        } else {
-            reading.at > known.at
-        };
-        if is_newer {
-            *known = reading;
+            return is_newer;
+        }
+        if self.readings.len() >= MAX_REMEMBERED {
+            let oldest = self.readings.iter().enumerate().min_by_key(|(_, r)| r.at);
+            let Some((oldest, _)) = oldest.filter(|(_, r)| r.at < reading.at) else {
+                return false;
+            };
+            self.readings.swap_remove(oldest);
+        }
+        self.readings.push(reading);
+        true
+    }
+
+    // Returns whether a new reading is forwarded: one after each interval, and those of readers that
+    // come before the one whose reading was forwarded last.
+    fn is_forwarded(&mut self, reading: &Reading) -> bool {
+        let is_due = self.forwarded.is_none_or(|(at, reader)| {
+            reading.at >= at + FORWARD_INTERVAL || (reading.at >= at && reading.reader < reader)
+        });
+        if is_due {
+            self.forwarded = Some((reading.at, reading.reader));
         }
-        is_newer
+        is_due
     }
 
     /// Records what a peer, in this entry's zone or not, holds, beside what this entry holds.
@@ -377,7 +397,8 @@
         peers: usize,
         rng: &mut random::Random,
     ) -> bool {
-        self.start.reads(since_start, peers, rng)
+        let has_heard = self.heard_at.is_some();
+        self.start.reads(since_start, peers, has_heard, rng)
     }
 
     /// Returns whether a transfer to a peer is accepted, see [`transfer::Window::accept`].
--- a/tests/neighbours.rs
+++ b/tests/neighbours.rs
@@ -245,6 +245,28 @@
     }
 }
 
+// Both watchers of one zone would be cut off together.
+#[test]
+fn second_watcher_is_in_another_zone_than_the_first() {
+    let zone = |last: u8| if last < 4 { "a" } else { "b" };
+    for own in 1..=6_u8 {
+        let mut peers = table::Table::new(support::address(own), 0, zone(own), Vec::new());
+        for other in (1..=6_u8).filter(|other| *other != own) {
+            let heartbeat = message::Heartbeat {
+                zone: table::zone(zone(other)),
+                ..heartbeat(1)
+            };
+            let address = support::address(other);
+            peers.on_heartbeat(support::ms(0), other.into(), address, &heartbeat);
+        }
+        assert_eq!(peers.is_watcher(), own == 1 || own == 4, "entry {own}");
+        // The others follow in order of address.
+        let rank = peers.standby_view(support::ms(0), &[]).rank;
+        let expected = [0, 2, 3, 1, 4, 5];
+        assert_eq!(rank, expected[usize::from(own) - 1], "entry {own}");
+    }
+}
+
 #[test]
 fn busy_entries_leave_rotation_while_half_of_their_zone_stays() {
     let mut peers = table::Table::new(support::address(5), 0, "z", Vec::new());
--- a/tests/spread_load.rs
+++ b/tests/spread_load.rs
@@ -694,6 +694,29 @@
     }
 }
 
+// Load pattern: entries that don't know of each other, or that a partition separated, read the store
+// all at once. What each entry sends must not grow with their number.
+#[test]
+fn many_readers_cost_no_more_datagrams_than_two() {
+    let bytes = |readers: usize| {
+        let mut model = Model::running(Design::Updates, 360, 9);
+        model.run(6_000);
+        model.change_stored(|_| {});
+        for entry in &mut model.entries[..readers] {
+            entry.distrusts_until_ms = 16_000;
+        }
+        model.run(16_000);
+        let (middle, most) = model.sent_bytes();
+        println!("{readers} readers: {middle} and {most} bytes");
+        middle as f64
+    };
+    // Two readers give 2.2 readings a second. Of more, 3.3 are forwarded and those of readers that
+    // come first, and each reader announces its own.
+    let two = bytes(2);
+    assert!(bytes(40) <= 3.0 * two);
+    assert!(bytes(360) <= 3.0 * two);
+}
+
 #[test]
 fn an_entry_that_starts_among_running_ones_makes_no_call() {
     let mut model = Model::running(Design::Updates, 360, 5);
