Encode the complete list once for all entries that have none

The work grows as entries times backend servers. Each answer was also decoded twice, once into values, once into list entries.

Change: the roster keeps the encoded list until its digest changes; an answer is decoded entry by entry only if it can't be decoded as a whole.

--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, time};
 
+use bytes::Bytes;
 use xxhash_rust::xxh3;
 
 use super::{listing, parts};
@@ -24,6 +25,9 @@
     is_complete: bool,
     // Digests of the list as a single part, by version, updated with each change.
     digests: [u64; 2],
+    // The complete list as it is sent to peers that have none, with its digest: encoding thousands
+    // of entries for each of them takes a weak processor longer than they wait.
+    encoded: Option<(u64, Bytes)>,
 }
 
 /// Effect of an update.
@@ -81,6 +85,19 @@
         }
     }
 
+    /// Returns the complete list in the form that `encode` gives it, which is kept until the list
+    /// changes.
+    pub fn encoded(&mut self, encode: impl FnOnce(&Self) -> Option<Bytes>) -> Option<Bytes> {
+        let digest = self.digest(parts::Version::Second);
+        let kept = self.encoded.as_ref().filter(|(of, _)| *of == digest);
+        if let Some((_, bytes)) = kept {
+            return Some(bytes.clone());
+        }
+        let bytes = encode(self)?;
+        self.encoded = Some((digest, bytes.clone()));
+        Some(bytes)
+    }
+
     /// Removes a list entry without a trace, since another instance has its address now.
     pub fn forget(&mut self, id: &str) {
         self.take(id);
--- a/src/direct/transfer.rs
+++ b/src/direct/transfer.rs
@@ -131,18 +131,25 @@
 ) -> Option<Bytes> {
     let body = Limited::new(body, MAX_REQUEST_BYTES).collect().await;
     let digests = body.ok().and_then(|body| parts::decode(&body.to_bytes()));
-    let roster = entry.roster.borrow();
+    let mut roster = entry.roster.borrow_mut();
     if !roster.is_complete() {
         return None;
     }
-    let json = match digests {
+    // Serialization can't fail, since the entries were deserialized before.
+    match digests.as_deref() {
+        // An entry without a list.
+        Some(digests @ [0]) => roster.encoded(|roster| {
+            let all = Answer::from(roster.differing_parts(version, digests));
+            serde_json::to_vec(&all).ok().map(Bytes::from)
+        }),
         Some(digests) => {
-            serde_json::to_vec(&Answer::from(roster.differing_parts(version, &digests)))
+            let differing = Answer::from(roster.differing_parts(version, digests));
+            serde_json::to_vec(&differing).ok().map(Bytes::from)
         }
-        None => serde_json::to_vec(&roster.servers().collect::<Vec<_>>()),
-    };
-    // Serialization can't fail, since the entries were deserialized before.
-    json.ok().map(Bytes::from)
+        None => serde_json::to_vec(&roster.servers().collect::<Vec<_>>())
+            .ok()
+            .map(Bytes::from),
+    }
 }
 
 /// Fetches the configuration that a peer has in force, as its adapter received it.
@@ -244,6 +251,11 @@
         let list = decode_list(body)?;
         return Ok((listing::Update::FromPeer(list.servers), list.unreadable));
     }
+    // Only an answer with unreadable entries is decoded entry by entry, which takes twice as long.
+    if let Ok(answer) = serde_json::from_slice::<Answer<listing::Server>>(body) {
+        let parts = listing::Parts::from(answer);
+        return Ok((listing::Update::PartsFromPeer(parts), Vec::new()));
+    }
     let answer: Answer<serde_json::Value> = serde_json::from_slice(body)?;
     let list = split_unreadable(answer.listed);
     let parts = listing::Parts {
@@ -272,6 +284,16 @@
     }
 }
 
+impl From<Answer<listing::Server>> for listing::Parts {
+    fn from(answer: Answer<listing::Server>) -> Self {
+        Self {
+            count: answer.of,
+            indices: answer.parts,
+            servers: answer.listed,
+        }
+    }
+}
+
 /// A list of backend servers as a peer sent it.
 #[derive(Debug)]
 pub struct List {
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -84,6 +84,30 @@
     assert!(matches!(effect, roster::Effect::Reported(_)));
 }
 
+// Load pattern: hundreds of entries that started at once ask few for thousands of list entries.
+#[test]
+fn complete_list_is_encoded_once_until_it_changes() {
+    let mut roster = roster::Roster::default();
+    let now = support::ms(0);
+    roster.apply(
+        now,
+        listing::Update::All(vec![support::server("a", 5, false)]),
+    );
+    let mut encoded = 0;
+    let mut encode = |roster: &mut roster::Roster| {
+        let list = roster.encoded(|roster| {
+            encoded += 1;
+            Some(format!("{}", roster.servers().count()).into())
+        });
+        list.expect("a list")
+    };
+    assert_eq!(encode(&mut roster), "1");
+    assert_eq!(encode(&mut roster), "1");
+    roster.apply(now, listing::Update::Listed(support::server("b", 1, false)));
+    assert_eq!(encode(&mut roster), "2");
+    assert_eq!(encoded, 2);
+}
+
 #[test]
 fn changes_to_an_incomplete_list_wait_for_the_list() {
     let entry = support::entry(1);
