--- a/src/decide/drain.rs
+++ b/src/decide/drain.rs
@@ -4,7 +4,7 @@
 //! flaps. A ticket sent to it then waits in vain. The first report that it leaves, from any source,
 //! therefore stops new tickets at once, and only the lasting agreement of all sources resumes them.
 //! A process that exits on a signal cuts requests off, and one that waits forever blocks a rollout.
-//! A shutdown therefore goes through phases with a time limit, and every request cut off is
+//! A shutdown therefore goes through phases with a deadline, and every request cut off is
 //! reported.
 
 use std::time;
@@ -103,7 +103,7 @@
     Sidecar,
 }
 
-/// Time limits of a shutdown.
+/// Deadlines of a shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Time for which an entry serves new requests while it reports that it is not ready. The
--- a/src/metric.rs
+++ b/src/metric.rs
@@ -27,7 +27,7 @@
 /// resets the set.
 const MAX_CUSTOMER_SERIES: usize = 128;
 
-/// Histogram buckets for times, in seconds. They are denser around the latency targets, 1.3 s to
+/// Histogram buckets for times, in seconds. They are denser around the latency objectives, 1.3 s to
 /// the first token and 65 ms between tokens, and a factor of two to three apart elsewhere.
 const TIME_BUCKETS_SECONDS: &[f64] = &[
     0.001, 0.003, 0.01, 0.03, 0.065, 0.1, 0.3, 0.65, 1.3, 3.0, 10.0, 30.0, 100.0,
--- a/tests/retry_load.rs
+++ b/tests/retry_load.rs
@@ -58,3 +58,18 @@
         assert!(retried > failed / 3, "{entries} entries: {retried}");
     }
 }
+
+#[test]
+fn most_failed_requests_are_retried_at_any_size_of_the_fleet() {
+    for entries in [4, 68, 357, 1_000] {
+        for seed in 1..=4 {
+            let (failed, retried) = retries(entries, FAILED_SHARE, seed);
+            println!("{entries} entries, seed {seed}: {retried} of {failed}");
+            let least = 0.6 * f64::from(failed);
+            assert!(
+                f64::from(retried) >= least,
+                "{entries}: {retried} of {failed}"
+            );
+        }
+    }
+}
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -448,7 +448,7 @@
             ],
         },
         Shutdown {
-            name: "the process exits at the time limit",
+            name: "the process exits at the deadline",
             role: Role::Sidecar,
             steps: &[
                 (
--- a/tests/spread_load.rs
+++ b/tests/spread_load.rs
@@ -710,11 +710,9 @@
         println!("{readers} readers: {middle} and {most} bytes");
         middle as f64
     };
-    // Two readers give 2.2 readings a second. Of more, 3.3 are forwarded and those of readers that
-    // come first, and each reader announces its own.
     let two = bytes(2);
-    assert!(bytes(40) <= 3.0 * two);
-    assert!(bytes(360) <= 3.0 * two);
+    assert!(bytes(40) <= 2.5 * two);
+    assert!(bytes(360) <= 2.5 * two);
 }
 
 #[test]
