Probe random peers, so that a fleet of any size knows within two seconds who is gone

Cause: an entry counted as gone after four missing heartbeats, whose interval grows with the fleet: 12 s at 357 entries, 48 s at 1,440. All-to-all heartbeats can't come faster, since each entry hears 120 a second already. Change: decide/probe.rs (SWIM): three probes in 250 ms to random peers, one of them the exchange that is sent anyway; three other peers probe a silent one; a suspicion spreads to all and is refuted by the peer or by an entry that has heard it since; after 1 s it is gone. An entry taken for gone comes back with its load when it is heard. Only where four heartbeats take longer than 1.5 s, which is above 45 entries; smaller fleets are as before. Peers of an earlier version aren't probed and expire by their heartbeats. First tried, all in the model: records that were recognised by their time circulated without end, since each hop moves it (245 datagrams a second); they carry a number now.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub mod pause;
 pub mod place;
 pub mod prefill;
+pub mod probe;
 pub mod quarantine;
 pub mod queue;
 pub mod random;
--- a/src/direct/peer/addresses.rs
+++ b/src/direct/peer/addresses.rs
@@ -3,8 +3,8 @@
 use std::collections::{self, hash_map};
 use std::{net, time};
 
-/// Time without a heartbeat after which an address is no longer sent heartbeats, unless it is a
-/// seed.
+/// Time after its first mention, or after its entry is gone, in which an address is still sent
+/// datagrams. Seeds always are.
 const ADDRESS_RETENTION: time::Duration = time::Duration::from_secs(15);
 
 /// Seeds, and addresses that were heard or mentioned recently.
@@ -12,7 +12,7 @@
 pub struct Addresses {
     own: Option<net::Ipv4Addr>,
     seeds: Vec<net::Ipv4Addr>,
-    // Time of the last heartbeat from an address, or of its first mention.
+    // Time of the last heartbeat from an address or of its entry's end, or of its first mention.
     last_heard: collections::HashMap<net::Ipv4Addr, time::Duration>,
     // All of them, in order, without this entry's own.
     all: Vec<net::Ipv4Addr>,
@@ -53,11 +53,12 @@
         }
     }
 
-    /// Forgets addresses that have not been heard for a while, but for the seeds.
-    pub fn expire(&mut self, now: time::Duration) {
+    /// Forgets addresses that have not been heard for a while, but for the seeds and those of live
+    /// entries.
+    pub fn expire(&mut self, now: time::Duration, is_alive: impl Fn(&net::Ipv4Addr) -> bool) {
         let known = self.last_heard.len();
         self.last_heard
-            .retain(|_, heard| now < *heard + ADDRESS_RETENTION);
+            .retain(|address, heard| now < *heard + ADDRESS_RETENTION || is_alive(address));
         if self.last_heard.len() < known {
             let (heard, seeds) = (&self.last_heard, &self.seeds);
             self.all
--- a/src/direct/peer/interval.rs
+++ b/src/direct/peer/interval.rs
@@ -2,6 +2,15 @@
 
 use std::time;
 
+/// Time without a heartbeat after which an entry is removed: its load, service and shares no longer
+/// count. In a large fleet, where heartbeats are seconds apart, the timeout is
+/// `MIN_MISSED_HEARTBEATS` intervals, and probes notice earlier that an entry is gone.
+pub const PEER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+
+/// Minimum number of consecutive missed heartbeats before an entry is removed: if one datagram in
+/// 40 is lost, four in a row are lost once in 2.5 million.
+const MIN_MISSED_HEARTBEATS: u32 = 4;
+
 /// Time between two heartbeats in a small fleet. Backend servers read 4,000 prompt tokens in this
 /// time, a third of what may be sent to them ahead.
 pub const MIN_HEARTBEAT: time::Duration = time::Duration::from_millis(80);
@@ -15,3 +24,14 @@
     let slow = time::Duration::from_secs(1) * others as u32 / MAX_HEARTBEATS_RECEIVED_PER_S;
     MIN_HEARTBEAT.max(slow)
 }
+
+/// Returns the time without a heartbeat after which a peer is removed, in a fleet with this number
+/// of other entries.
+pub fn peer_timeout(others: usize) -> time::Duration {
+    PEER_TIMEOUT.max(heartbeat(others) * MIN_MISSED_HEARTBEATS)
+}
+
+/// Returns whether heartbeats are too far apart to notice in time that a peer is gone.
+pub fn needs_probes(others: usize) -> bool {
+    heartbeat(others) * MIN_MISSED_HEARTBEATS > PEER_TIMEOUT
+}
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -1,9 +1,11 @@
 //! Messages of the datagrams between entries (protobuf).
 
+use std::{net, time};
+
 use smallvec::SmallVec;
 
 use super::{case_message, update};
-use crate::decide::{evacuation, place, quarantine};
+use crate::decide::{evacuation, place, probe, quarantine};
 
 /// Resolution of service in heartbeats, in cost units: a fraction of a short request's cost, at
 /// which most values take two bytes.
@@ -46,6 +48,67 @@
     /// What the sender holds of the data in the platform's store.
     #[prost(message, optional, tag = "11")]
     pub update: Option<update::Update>,
+    /// A request for a datagram in reply, which shows that the recipient is alive.
+    #[prost(message, optional, tag = "12")]
+    pub probe: Option<Probe>,
+    /// What the sender knows of processes that didn't answer, or were suspected of it.
+    #[prost(message, repeated, tag = "13")]
+    pub liveness: Vec<Liveness>,
+}
+
+/// A request for a datagram in reply.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Probe {
+    /// IPv4 address of the entry that the recipient probes for the sender; 0 to reply itself.
+    #[prost(fixed32, tag = "1")]
+    pub target: u32,
+}
+
+/// See [`probe::Record`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Liveness {
+    /// IPv4 address of the entry.
+    #[prost(fixed32, tag = "1")]
+    pub address: u32,
+    /// Incarnation of the entry.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// True if it didn't answer a probe.
+    #[prost(bool, tag = "3")]
+    pub is_suspect: bool,
+    /// Milliseconds since the probe was sent, or since the entry was heard.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+    /// Number of the suspicion.
+    #[prost(fixed32, tag = "5")]
+    pub suspicion: u32,
+}
+
+impl Liveness {
+    /// Creates the message that is sent at `now`.
+    pub fn new(now: time::Duration, record: &probe::Record) -> Self {
+        let age = now.saturating_sub(record.at);
+        Self {
+            address: record.process.address.to_bits(),
+            incarnation: record.process.incarnation,
+            is_suspect: record.is_suspect,
+            suspicion: record.suspicion,
+            age_ms: age.as_millis().min(u32::MAX.into()) as u32,
+        }
+    }
+
+    /// Returns the record for a message that was received at `now`.
+    pub fn received(&self, now: time::Duration) -> probe::Record {
+        probe::Record {
+            process: probe::Process {
+                address: net::Ipv4Addr::from_bits(self.address),
+                incarnation: self.incarnation,
+            },
+            is_suspect: self.is_suspect,
+            suspicion: self.suspicion,
+            at: now.saturating_sub(time::Duration::from_millis(self.age_ms.into())),
+        }
+    }
 }
 
 /// State of a backend server's process after an inspection.
@@ -198,6 +261,9 @@
     /// True if the sender spreads what it reads from the store by [`Datagram::update`].
     #[prost(bool, tag = "27")]
     pub sends_updates: bool,
+    /// True if the sender answers [`Datagram::probe`].
+    #[prost(bool, tag = "28")]
+    pub answers_probes: bool,
 }
 
 /// Load that one entry placed on a backend server.
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -17,6 +17,7 @@
 pub mod message;
 pub mod outbox;
 pub mod placement;
+pub mod probe;
 pub mod table;
 pub mod update;
 
@@ -27,7 +28,7 @@
 use smallvec::SmallVec;
 
 use super::{parts, state};
-use crate::decide::{evacuation, spread};
+use crate::decide::{self, evacuation, spread};
 use crate::key;
 
 /// Maximum size of a datagram in bytes; a heartbeat about 100 backend servers and 100 customers
@@ -67,7 +68,8 @@
             // The network's error for an earlier datagram; the next heartbeat tries again.
             Ok(Err(err)) => log::debug!(event = "datagram_failed", error:% = err; ""),
             Err(_elapsed) if next_exchange <= next_heartbeat => {
-                entry.exchange();
+                let asked = entry.exchange();
+                probe::run_round(&entry, link, &asked);
                 next_exchange = tokio::time::Instant::now() + entry.exchange_interval();
             }
             Err(_elapsed) => {
@@ -227,12 +229,23 @@
         answer_age_ms: Some(saturating_millis(entry.answer_age())),
         known_age_ms: Some(saturating_millis(entry.known_age())),
         sends_updates: true,
+        answers_probes: true,
     }
 }
 
 fn on_datagram(entry: &rc::Rc<state::Entry>, datagram: &message::Datagram) {
     let address = net::Ipv4Addr::from_bits(datagram.address);
     entry.spread.borrow_mut().on_heard(entry.now());
+    let incarnation = datagram.sender;
+    let sender = decide::probe::Process {
+        address,
+        incarnation,
+    };
+    probe::on_heard(entry, sender);
+    if let Some(request) = datagram.probe {
+        probe::on_probe(entry, address, request);
+    }
+    probe::on_liveness(entry, &datagram.liveness);
     if let Some(update) = &datagram.update {
         entry.on_update(address, update);
     }
@@ -315,7 +328,16 @@
 /// Removes entries whose heartbeats have stopped.
 pub fn expire(entry: &state::Entry) {
     let before = entry.peers.borrow().entry_count();
-    let gone = entry.peers.borrow_mut().expire(entry.now());
+    let now = entry.now();
+    let mut gone = entry.peers.borrow_mut().expire(now);
+    let silent = entry
+        .probes
+        .borrow_mut()
+        .take_gone(now, entry.extra_timeout());
+    let silent = silent.into_iter().map(|p| (p.address, p.incarnation));
+    let mut peers = entry.peers.borrow_mut();
+    gone.extend(silent.filter(|(address, sender)| peers.remove(now, *address, *sender)));
+    drop(peers);
     for (address, sender) in &gone {
         forget(entry, *address, *sender);
     }
--- a/src/direct/peer/table/mod.rs
+++ b/src/direct/peer/table/mod.rs
@@ -10,15 +10,6 @@
 use super::{addresses, interval, loads, message};
 use crate::decide::{place, random, rotation};
 
-/// Time without a heartbeat after which an entry is removed: its load, service and shares no longer
-/// count. In a large fleet, where heartbeats are seconds apart, the timeout is
-/// `MIN_MISSED_HEARTBEATS` intervals.
-pub const PEER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
-
-/// Minimum number of consecutive missed heartbeats before an entry is removed: if one datagram in
-/// 40 is lost, four in a row are lost once in 2.5 million.
-const MIN_MISSED_HEARTBEATS: u32 = 4;
-
 /// Time for which no placement requests are sent to an entry that didn't reply. A paused process or
 /// a lossy link becomes apparent within it, and callers don't wait for further attempts.
 const UNRESPONSIVE_PAUSE: time::Duration = time::Duration::from_millis(500);
@@ -40,6 +31,7 @@
 }
 
 #[derive(Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "a peer's reported state")]
 struct Peer {
     incarnation: u64,
     sequence: u64,
@@ -69,6 +61,7 @@
     evacuations_digest: u64,
     // True if it spreads what it reads from the store by updates.
     sends_updates: bool,
+    answers_probes: bool,
     unresponsive_until: time::Duration,
     // True if it didn't reply to the last placement request.
     is_unresponsive: bool,
@@ -96,8 +89,8 @@
     alive: collections::BTreeMap<net::Ipv4Addr, Peer>,
     // Addresses to send datagrams to.
     addresses: addresses::Addresses,
-    // Zone and time of removal of entries whose heartbeats stopped before they announced leaving.
-    missing: collections::HashMap<net::Ipv4Addr, (u64, time::Duration)>,
+    // Entries that were removed before they announced leaving, and when.
+    missing: collections::HashMap<net::Ipv4Addr, (Peer, time::Duration)>,
     // Addresses of live peers in this entry's zone. Kept because each update that is forwarded needs
     // them.
     near: Vec<net::Ipv4Addr>,
@@ -184,6 +177,7 @@
             era: heartbeat.era,
             evacuations_digest: heartbeat.evacuations_digest,
             sends_updates: heartbeat.sends_updates,
+            answers_probes: heartbeat.answers_probes,
             unresponsive_until,
             is_unresponsive,
         };
@@ -208,31 +202,65 @@
 
     /// Removes entries whose heartbeats have stopped; returns their addresses and incarnations.
     pub fn expire(&mut self, now: time::Duration) -> Vec<(net::Ipv4Addr, u64)> {
-        self.addresses.expire(now);
-        let timeout =
-            PEER_TIMEOUT.max(interval::heartbeat(self.alive.len()) * MIN_MISSED_HEARTBEATS);
+        let alive = &self.alive;
+        self.addresses
+            .expire(now, |address| alive.contains_key(address));
+        self.missing
+            .retain(|_, (_, since)| now < *since + MISSING_RETENTION);
+        let timeout = interval::peer_timeout(self.alive.len());
         let silent = |(address, p): (&net::Ipv4Addr, &Peer)| {
             (now >= p.heard_at + timeout).then_some((*address, p.incarnation))
         };
         let gone: Vec<_> = self.alive.iter().filter_map(silent).collect();
-        self.missing
-            .retain(|_, (_, since)| now < *since + MISSING_RETENTION);
-        for (address, _) in &gone {
-            let Some(peer) = self.alive.remove(address) else {
-                continue;
-            };
-            self.loads.replace(*address, &peer.loads, &[]);
-            if !peer.leaving {
-                self.missing.insert(*address, (peer.zone, now));
-            }
-        }
-        if !gone.is_empty() {
-            self.update_strong();
-            self.near.retain(|near| self.alive.contains_key(near));
+        for (address, incarnation) in &gone {
+            self.remove(now, *address, *incarnation);
         }
         gone
     }
 
+    /// Removes an entry that is gone; returns whether this incarnation was known.
+    pub fn remove(
+        &mut self,
+        now: time::Duration,
+        address: net::Ipv4Addr,
+        incarnation: u64,
+    ) -> bool {
+        let known = self.alive.get(&address);
+        if known.is_none_or(|p| p.incarnation != incarnation) {
+            return false;
+        }
+        let Some(peer) = self.alive.remove(&address) else {
+            return false;
+        };
+        self.loads.replace(address, &peer.loads, &[]);
+        self.near.retain(|near| *near != address);
+        self.addresses.on_heard(now, address);
+        if !peer.leaving {
+            self.missing.insert(address, (peer, now));
+        }
+        self.update_strong();
+        true
+    }
+
+    /// Adds an entry again that was removed and is alive.
+    pub fn restore(&mut self, now: time::Duration, address: net::Ipv4Addr, incarnation: u64) {
+        let removed = self.missing.get(&address);
+        if removed.is_none_or(|(p, _)| p.incarnation != incarnation) {
+            return;
+        }
+        let Some((mut peer, _)) = self.missing.remove(&address) else {
+            return;
+        };
+        peer.heard_at = now;
+        self.addresses.on_heard(now, address);
+        self.loads.replace(address, &[], &peer.loads);
+        if peer.zone == self.zone {
+            addresses::insert(&mut self.near, address);
+        }
+        self.alive.insert(address, peer);
+        self.update_strong();
+    }
+
     /// Notes that an entry didn't reply to a placement request; returns whether it was responsive
     /// before.
     pub fn mark_unresponsive(&mut self, now: time::Duration, address: net::Ipv4Addr) -> bool {
@@ -261,7 +289,7 @@
         let near_missing = self
             .missing
             .iter()
-            .filter(|(_, (zone, _))| *zone == self.zone);
+            .filter(|(_, (p, _))| p.zone == self.zone);
         let missing = near_missing.map(|(a, _)| rotation::Member {
             address: a.to_bits(),
             is_gone: true,
@@ -367,6 +395,12 @@
         peer.is_some_and(|peer| peer.zone == self.zone)
     }
 
+    /// Returns whether a peer is known to answer probes.
+    pub fn answers_probes(&self, address: net::Ipv4Addr) -> bool {
+        let peer = self.alive.get(&address);
+        peer.is_some_and(|peer| peer.answers_probes)
+    }
+
     /// Returns the addresses of peers that don't send updates.
     pub fn addresses_without_updates(&self) -> Vec<net::Ipv4Addr> {
         let alive = self.alive.iter().filter(|(_, p)| !p.sends_updates);
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -107,8 +107,8 @@
         spread.exchange_interval(self.now(), peers, self.is_complete())
     }
 
-    /// Exchanges state with a random peer; without data, with several.
-    pub fn exchange(&self) {
+    /// Exchanges state with a random peer; without data, with several. Returns the peers.
+    pub fn exchange(&self) -> target::Targets {
         let targets = {
             let (peers, mut rng) = (self.peers.borrow(), self.rng.borrow_mut());
             let all = peers.send_addresses();
@@ -123,12 +123,20 @@
             ..self.update()
         };
         self.send_update_to(&targets, update);
+        targets
     }
 
     fn send_update_to(&self, targets: &[net::Ipv4Addr], update: update::Update) {
         let Some(link) = &self.link else { return };
+        let now = self.now();
+        let records = self
+            .probes
+            .borrow_mut()
+            .records(now, &mut self.rng.borrow_mut());
+        let liveness = records.iter().map(|r| message::Liveness::new(now, r));
         let datagram = message::Datagram {
             update: Some(update),
+            liveness: liveness.collect(),
             ..link.envelope(self.incarnation)
         };
         let bytes = datagram.encode_to_vec();
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -12,7 +12,7 @@
 use super::pool::backend;
 use super::{callers, configuration, dialect, logger, losses, meter, roster, waiting};
 use crate::decide::{
-    health, overload, place, quarantine, random, retry, rotation, spread, standby,
+    health, overload, place, probe, quarantine, random, retry, rotation, spread, standby,
 };
 use crate::key;
 
@@ -122,6 +122,8 @@
     pub incarnation: u64,
     /// Peers of this entry.
     pub peers: cell::RefCell<table::Table>,
+    /// Probes of peers that show whether they are alive.
+    pub probes: cell::RefCell<probe::Table>,
     /// Datagram socket to the peers.
     pub link: Option<link::Link>,
     /// Pending requests for slots that peers decide about.
@@ -212,6 +214,7 @@
             hashes: cell::RefCell::default(),
             incarnation: seed,
             peers: cell::RefCell::new(peers),
+            probes: cell::RefCell::default(),
             link,
             placement_requests: placement::PendingRequests::default(),
             leases: lease::Table::default(),
--- a/tests/neighbours.rs
+++ b/tests/neighbours.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use chivebend::decide::{overload, rotation, spread};
-use chivebend::direct::peer::{message, table};
+use chivebend::direct::peer::{interval, message, table};
 use chivebend::direct::{listing, parts};
 
 fn heartbeat(sequence: u64) -> message::Heartbeat {
@@ -31,7 +31,7 @@
     assert_eq!(on_heartbeat(3, 3, 11, 1), Some(None));
     assert_eq!(peers.entry_count(), 3);
     assert_eq!(
-        peers.expire(support::ms(2) + table::PEER_TIMEOUT),
+        peers.expire(support::ms(2) + interval::PEER_TIMEOUT),
         [(support::address(10), 2)]
     );
     assert_eq!(peers.entry_count(), 2);
@@ -317,7 +317,7 @@
     };
     let leaves = |peers: &table::Table, now| peers.out_of_rotation_reason(now, busy).is_some();
     assert!(leaves(&peers, support::ms(0)), "one of five");
-    let now = table::PEER_TIMEOUT;
+    let now = interval::PEER_TIMEOUT;
     for last in 4..=5 {
         let heartbeat = message::Heartbeat {
             zone: table::zone("z"),
@@ -448,7 +448,7 @@
     assert_eq!(reported, (vec![7], (4, Some(5.0)), (1, None)));
     let reported = on_heartbeat(2, 2, &[(8, 2, None)]);
     assert_eq!(reported, (vec![7, 8], (1, None), (2, None)));
-    peers.expire(table::PEER_TIMEOUT);
+    peers.expire(interval::PEER_TIMEOUT);
     assert_eq!(peers.take_changed().len(), 2);
     assert_eq!(
         peers.remote_load(7).in_flight + peers.remote_load(8).in_flight,
@@ -484,3 +484,31 @@
     assert_eq!(newest(Some(7), 1_100), Some(2), "that one is no watcher");
     assert_eq!(newest(Some(1), 2_500), None, "none is fresh");
 }
+
+#[test]
+fn an_entry_that_was_taken_for_gone_counts_again_with_its_load() {
+    let address = support::address(2);
+    let mut peers = table::Table::new(support::address(1), 90, "a", Vec::new());
+    let heartbeat = message::Heartbeat {
+        loads: vec![message::Load {
+            server: 5,
+            running: 3,
+            ..message::Load::default()
+        }],
+        zone: table::zone("a"),
+        ..heartbeat(1)
+    };
+    peers.on_heartbeat(support::ms(0), 7, address, &heartbeat);
+    assert!(!peers.remove(support::ms(1), address, 8), "an earlier run");
+    assert!(peers.remove(support::ms(1), address, 7));
+    assert_eq!((peers.entry_count(), peers.missing_entries()), (1, 1));
+    assert_eq!(peers.remote_load(5).in_flight, 0);
+    assert!(peers.near_addresses().is_empty());
+    peers.restore(support::ms(2_000), address, 8);
+    assert_eq!(peers.entry_count(), 1, "another run");
+    peers.restore(support::ms(2_000), address, 7);
+    assert_eq!((peers.entry_count(), peers.missing_entries()), (2, 0));
+    assert_eq!(peers.remote_load(5).in_flight, 3);
+    assert_eq!(peers.near_addresses(), [address]);
+    assert!(peers.expire(support::ms(2_500)).is_empty(), "heard again");
+}
