Send fewer heartbeats to the peers that don't act on them

Cause: heartbeats from each entry to all others are most of a middle entry's processor time in a large fleet. In a fleet of 357 with 60 strong entries and six zones, two of three pairs neither share a zone, where entries take load over from each other, nor include an entry that decides for the fleet. Since probes show who is alive, such a pair needs no heartbeat to count each other. Change: from one second between heartbeats on (120 entries), those pairs get every fourth, and each one that carries cases, leaving backend servers or inspections. Peers of an earlier version and unknown ones get all.

--- a/src/direct/peer/interval.rs
+++ b/src/direct/peer/interval.rs
@@ -19,6 +19,12 @@
 /// often, so that their cost in processor time doesn't grow with the fleet.
 const MAX_HEARTBEATS_RECEIVED_PER_S: u32 = 120;
 
+/// Interval from which heartbeats are sent less often to the peers that don't act on them.
+const SPARSE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Number of intervals between two heartbeats to such a peer.
+pub const SPARSE_FACTOR: u32 = 4;
+
 /// Returns the time between heartbeats in a fleet with this number of other entries.
 pub fn heartbeat(others: usize) -> time::Duration {
     let slow = time::Duration::from_secs(1) * others as u32 / MAX_HEARTBEATS_RECEIVED_PER_S;
@@ -26,12 +32,22 @@
 }
 
 /// Returns the time without a heartbeat after which a peer is removed, in a fleet with this number
-/// of other entries.
-pub fn peer_timeout(others: usize) -> time::Duration {
-    PEER_TIMEOUT.max(heartbeat(others) * MIN_MISSED_HEARTBEATS)
+/// of other entries. `gets_all` is true for a peer that sends one at each interval.
+pub fn peer_timeout(others: usize, gets_all: bool) -> time::Duration {
+    let factor = if gets_all || !is_sparse(others) {
+        1
+    } else {
+        SPARSE_FACTOR
+    };
+    PEER_TIMEOUT.max(heartbeat(others) * factor * MIN_MISSED_HEARTBEATS)
 }
 
 /// Returns whether heartbeats are too far apart to notice in time that a peer is gone.
 pub fn needs_probes(others: usize) -> bool {
     heartbeat(others) * MIN_MISSED_HEARTBEATS > PEER_TIMEOUT
 }
+
+/// Returns whether peers that don't act on heartbeats get fewer of them.
+pub fn is_sparse(others: usize) -> bool {
+    heartbeat(others) >= SPARSE_INTERVAL
+}
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -114,9 +114,12 @@
     }
 }
 
-// Sends a heartbeat to every other entry and returns their number. The common part is encoded once;
-// the part for a single recipient is appended, since protobuf decoders merge repeated occurrences
-// of a message's fields.
+// Sends a heartbeat to every other entry that needs one and returns the number of other entries. In
+// a large fleet most pairs of entries neither share a zone nor include one that decides for the
+// fleet. They act on little of each other's heartbeats, and probes show that both are alive.
+//
+// The common part is encoded once; the part for a single recipient is appended, since protobuf
+// decoders merge repeated occurrences of a message's fields.
 fn send_heartbeats(entry: &state::Entry, link: &link::Link, sequence: u64) -> usize {
     let heartbeat = heartbeat_message(entry, sequence);
     let entries = heartbeat.entries;
@@ -130,9 +133,19 @@
         inspections: entry.inspections.take(MAX_CHANGES_PER_HEARTBEAT),
         ..link.envelope(entry.incarnation)
     };
+    let has_items =
+        !common.cases.is_empty() || !common.leaving.is_empty() || !common.inspections.is_empty();
     let common = common.encode_to_vec();
-    let addresses = entry.peers.borrow().send_addresses().to_vec();
+    let peers = entry.peers.borrow();
+    let addresses = peers.send_addresses().to_vec();
+    let to_all = has_items
+        || !interval::is_sparse(addresses.len())
+        || sequence.is_multiple_of(interval::SPARSE_FACTOR.into());
+    drop(peers);
     for address in &addresses {
+        if !to_all && !entry.peers.borrow().gets_all_heartbeats(*address) {
+            continue;
+        }
         let mut bytes = common.clone();
         let specific = message::Datagram {
             heartbeat: membership_update(entry, *address, entries),
--- a/src/direct/peer/table/mod.rs
+++ b/src/direct/peer/table/mod.rs
@@ -207,8 +207,10 @@
             .expire(now, |address| alive.contains_key(address));
         self.missing
             .retain(|_, (_, since)| now < *since + MISSING_RETENTION);
-        let timeout = interval::peer_timeout(self.alive.len());
+        let others = self.alive.len();
+        let timeouts = [false, true].map(|all| interval::peer_timeout(others, all));
         let silent = |(address, p): (&net::Ipv4Addr, &Peer)| {
+            let timeout = timeouts[usize::from(self.gets_all_heartbeats(*address))];
             (now >= p.heard_at + timeout).then_some((*address, p.incarnation))
         };
         let gone: Vec<_> = self.alive.iter().filter_map(silent).collect();
@@ -401,6 +403,21 @@
         peer.is_some_and(|peer| peer.answers_probes)
     }
 
+    /// Returns whether a peer gets this entry's heartbeats at each interval, and this entry those of
+    /// the peer: if one of both decides for the whole fleet, if they share a zone, in which they
+    /// take load over from each other, or if the peer notices by heartbeats alone that an entry is
+    /// gone.
+    pub fn gets_all_heartbeats(&self, address: net::Ipv4Addr) -> bool {
+        let Some(peer) = self.alive.get(&address) else {
+            return true;
+        };
+        let is_strong = |address| self.strong.binary_search(&address).is_ok();
+        !peer.answers_probes
+            || peer.zone == self.zone
+            || is_strong(address)
+            || self.own.is_some_and(is_strong)
+    }
+
     /// Returns the addresses of peers that don't send updates.
     pub fn addresses_without_updates(&self) -> Vec<net::Ipv4Addr> {
         let alive = self.alive.iter().filter(|(_, p)| !p.sends_updates);
--- a/tests/neighbours.rs
+++ b/tests/neighbours.rs
@@ -485,6 +485,73 @@
     assert_eq!(newest(Some(1), 2_500), None, "none is fresh");
 }
 
+#[test]
+fn heartbeats_go_less_often_to_peers_that_do_not_act_on_them() {
+    struct Case {
+        name: &'static str,
+        own_millicores: u32,
+        millicores: u32,
+        zone: &'static str,
+        answers_probes: bool,
+        gets_all: bool,
+    }
+    let weak = Case {
+        name: "another zone",
+        own_millicores: 90,
+        millicores: 90,
+        zone: "b",
+        answers_probes: true,
+        gets_all: false,
+    };
+    let cases = [
+        Case {
+            name: "its own zone",
+            zone: "a",
+            gets_all: true,
+            ..weak
+        },
+        Case {
+            name: "a deciding entry",
+            millicores: 1_000,
+            gets_all: true,
+            ..weak
+        },
+        Case {
+            name: "a peer of a deciding entry",
+            own_millicores: 1_000,
+            gets_all: true,
+            ..weak
+        },
+        Case {
+            name: "an earlier version, which knows by heartbeats who is alive",
+            answers_probes: false,
+            gets_all: true,
+            ..weak
+        },
+        weak,
+    ];
+    for case in cases {
+        let own = support::address(1);
+        let mut peers = table::Table::new(own, case.own_millicores, "a", Vec::new());
+        let known = [
+            (2, 1_000, "c", true),
+            (3, case.millicores, case.zone, case.answers_probes),
+        ];
+        for (last, millicores, zone, answers_probes) in known {
+            let heartbeat = message::Heartbeat {
+                millicores,
+                zone: table::zone(zone),
+                answers_probes,
+                ..heartbeat(1)
+            };
+            peers.on_heartbeat(support::ms(0), 1, support::address(last), &heartbeat);
+        }
+        let gets_all = peers.gets_all_heartbeats(support::address(3));
+        assert_eq!(gets_all, case.gets_all, "{}", case.name);
+        assert!(peers.gets_all_heartbeats(support::address(9)), "unknown");
+    }
+}
+
 #[test]
 fn an_entry_that_was_taken_for_gone_counts_again_with_its_load() {
     let address = support::address(2);
@@ -512,3 +579,23 @@
     assert_eq!(peers.near_addresses(), [address]);
     assert!(peers.expire(support::ms(2_500)).is_empty(), "heard again");
 }
+
+// In a fleet of 360, weak entries of different zones send each other every fourth heartbeat.
+#[test]
+fn a_peer_that_sends_every_fourth_heartbeat_stays() {
+    let at = |n: u16| std::net::Ipv4Addr::new(10, 0, (n / 200) as u8, (n % 200) as u8);
+    let mut peers = table::Table::new(at(0), 90, "a", Vec::new());
+    for n in 1..360_u16 {
+        let heartbeat = message::Heartbeat {
+            millicores: if n < 60 { 1_000 } else { 90 },
+            zone: table::zone("b"),
+            answers_probes: true,
+            ..heartbeat(1)
+        };
+        peers.on_heartbeat(support::ms(0), n.into(), at(n), &heartbeat);
+    }
+    let gone = peers.expire(support::ms(13_000));
+    assert_eq!(gone.len(), 59, "those that send each");
+    assert_eq!(peers.entry_count(), 301);
+    assert_eq!(peers.expire(support::ms(48_000)).len(), 300);
+}
