Forward the readings of the first readers only

Cause: with hundreds of readers, each entry announced every reading of its own, and forwarded a chain of readings in each interval: any reader's after 0.3 s, then those of ever lower addresses. 57 of the 75 datagrams' rounds in ten seconds were such chains (trace of one entry of the model). many_readers_cost_no_more_datagrams_than_two was red for it. Change: the readings of a later reader are forwarded only 1 s after the last one of an earlier, longer than the interval of 0.9 s between two of its readings, unless they have a newer configuration; an own reading without news goes by the same rule. 0.6 s, tried first, changed nothing: the chain began 0.8 s after the first reader's reading.

--- a/src/decide/spread/mod.rs
+++ b/src/decide/spread/mod.rs
@@ -51,9 +51,10 @@
 /// Time without any datagram after which an entry counts as cut off from its peers: six exchanges.
 const ISOLATION_TIME: time::Duration = time::Duration::from_millis(1_500);
 
-/// Minimum time between two readings that an entry forwards, if the later one is of no reader that
-/// comes first. Without it the datagrams of all entries would grow with the number of readers.
-const FORWARD_INTERVAL: time::Duration = time::Duration::from_millis(300);
+/// Time after a forwarded reading in which those of later readers aren't forwarded, unless they have
+/// a newer configuration. Without it the datagrams of all entries would grow with the number of
+/// readers. It is longer than a reader's interval, so that the first of them is not replaced.
+const READER_PRECEDENCE: time::Duration = time::Duration::from_secs(1);
 
 /// Maximum number of readers and holders remembered.
 const MAX_REMEMBERED: usize = 8;
@@ -123,8 +124,8 @@
 pub struct Spread {
     // The newest reading of each reader.
     readings: SmallVec<[Reading; 4]>,
-    // The last reading that was forwarded: when the store answered, and whom.
-    forwarded: Option<(time::Duration, net::Ipv4Addr)>,
+    // The last reading that was forwarded.
+    forwarded: Option<Reading>,
     // Peers that hold newer data than this entry.
     holders: SmallVec<[Holder; MAX_REMEMBERED]>,
     avoided: SmallVec<[(net::Ipv4Addr, time::Duration); 4]>,
@@ -134,6 +135,8 @@
     confirmed: evacuation::Position,
     // When the store last answered this entry.
     own_answer_at: Option<time::Duration>,
+    // Digest of the list and version of the configuration that it read last.
+    own_data: Option<(u64, u64)>,
     // Position of the newest changes that were applied one by one.
     changed_at: evacuation::Position,
     // Own digest and a peer's digest of lists that stay different after a transfer, with the time
@@ -175,14 +178,15 @@
         self.changed_at = self.changed_at.max(position);
     }
 
-    /// Adds a reading of this entry.
+    /// Adds a reading of this entry; returns whether peers have to learn of it: if it is different
+    /// from the last one, or would be forwarded as a peer's.
     pub fn add_own_reading(
         &mut self,
         reader: net::Ipv4Addr,
         incarnation: u64,
         holding: Holding,
         at: time::Duration,
-    ) {
+    ) -> bool {
         self.sequence += 1;
         self.own_answer_at = Some(at);
         let reading = Reading {
@@ -193,7 +197,9 @@
             at,
             hops: 0,
         };
-        self.on_reading(reading, holding);
+        let data = (holding.list, holding.configuration);
+        let is_changed = self.own_data.replace(data) != Some(data);
+        self.on_reading(reading, holding) || is_changed
     }
 
     /// Records a reading, beside what this entry holds; returns whether it has to be forwarded.
@@ -228,14 +234,17 @@
         true
     }
 
-    // Returns whether a new reading is forwarded: one after each interval, and those of readers that
-    // come before the one whose reading was forwarded last.
+    // Returns whether a new reading is forwarded. Readers precede each other by their addresses, so
+    // that all entries forward those of the same few.
     fn is_forwarded(&mut self, reading: &Reading) -> bool {
-        let is_due = self.forwarded.is_none_or(|(at, reader)| {
-            reading.at >= at + FORWARD_INTERVAL || (reading.at >= at && reading.reader < reader)
+        let is_due = self.forwarded.is_none_or(|last| {
+            let is_earlier_reader = reading.at >= last.at && reading.reader <= last.reader;
+            is_earlier_reader
+                || reading.at >= last.at + READER_PRECEDENCE
+                || reading.holding.configuration > last.holding.configuration
         });
         if is_due {
-            self.forwarded = Some((reading.at, reading.reader));
+            self.forwarded = Some(*reading);
         }
         is_due
     }
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -70,10 +70,13 @@
             holding.position = evacuation::Position::default();
         }
         let reader = self.settings.borrow().address;
-        self.spread
+        let is_news = self
+            .spread
             .borrow_mut()
             .add_own_reading(reader, self.incarnation, holding, at);
-        self.announce(changes);
+        if is_news || !changes.is_empty() {
+            self.announce(changes);
+        }
     }
 
     /// Sends this entry's state and these changes to a few random peers.
--- a/tests/spread_load.rs
+++ b/tests/spread_load.rs
@@ -450,9 +450,9 @@
         self.entries[n].spread.advance(position);
         let holding = self.holding(n);
         let spread = &mut self.entries[n].spread;
-        spread.add_own_reading(address(n), 1, holding, now);
+        let is_news = spread.add_own_reading(address(n), 1, holding, now);
         self.note(n);
-        if self.design == Design::Updates {
+        if self.design == Design::Updates && (is_news || !changes.is_empty()) {
             let update = self.update(n, changes);
             self.forward(n, &update);
         }
