--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -331,16 +331,14 @@
     entry.on_departing(&heartbeat.departing_servers);
     entry.on_held_digest(address, heartbeat.quarantined_digest);
     apply_remote_loads(entry, link);
-    log_entries(entry, before);
     // Peers that send updates notify by these.
     if !heartbeat.sends_updates && entry.relies_on_peers() {
         entry.peer_change.notify_one();
     }
 }
 
-/// Removes entries whose heartbeats have stopped.
+/// Removes entries that are gone.
 pub fn expire(entry: &state::Entry) {
-    let before = entry.peers.borrow().entry_count();
     let now = entry.now();
     let mut gone = entry.peers.borrow_mut().expire(now);
     let silent = entry
@@ -356,8 +354,8 @@
     }
     if let (false, Some(link)) = (gone.is_empty(), &entry.link) {
         apply_remote_loads(entry, link);
-        log_entries(entry, before);
     }
+    log_entries(entry);
 }
 
 fn forget(entry: &state::Entry, address: net::Ipv4Addr, sender: u64) {
@@ -368,15 +366,17 @@
     entry.placement_requests.on_entry_lost(address);
 }
 
-fn log_entries(entry: &state::Entry, before: usize) {
-    let after = entry.peers.borrow().entry_count();
-    if before != after {
-        entry
-            .log
-            .line("entries")
-            .with("before", before)
-            .with("now", after);
-    }
+// Logs the number of entries if it has changed. When a fleet starts, this is one line per refresh
+// instead of one per entry, at each entry.
+fn log_entries(entry: &state::Entry) {
+    let Some((before, after)) = entry.peers.borrow_mut().take_count_change() else {
+        return;
+    };
+    entry
+        .log
+        .line("entries")
+        .with("before", before)
+        .with("now", after);
 }
 
 // Passes the load reported by other entries to the placement decision, and places queued requests
--- a/src/direct/peer/probe.rs
+++ b/src/direct/peer/probe.rs
@@ -187,10 +187,6 @@
 
 // Counts a process as a peer again that was gone.
 fn restore(entry: &state::Entry, process: probe::Process) {
-    let before = entry.peers.borrow().entry_count();
-    entry
-        .peers
-        .borrow_mut()
-        .restore(entry.now(), process.address, process.incarnation);
-    super::log_entries(entry, before);
+    let mut peers = entry.peers.borrow_mut();
+    peers.restore(entry.now(), process.address, process.incarnation);
 }
--- a/src/direct/peer/table/mod.rs
+++ b/src/direct/peer/table/mod.rs
@@ -100,6 +100,8 @@
     strong: Vec<net::Ipv4Addr>,
     // Position of the second watcher among them.
     second_watcher: usize,
+    // Number of other entries at the last [`Table::take_count_change`].
+    reported_peers: usize,
 }
 
 /// Returns the hash of an availability zone's name, as sent in heartbeats.
@@ -353,6 +355,14 @@
         1 + self.alive.values().filter(|p| !p.leaving).count()
     }
 
+    /// Returns the number of entries that accept requests at the last call and now, if it has
+    /// changed.
+    pub fn take_count_change(&mut self) -> Option<(usize, usize)> {
+        let peers = self.entry_count() - 1;
+        let before = std::mem::replace(&mut self.reported_peers, peers);
+        (before != peers).then_some((1 + before, 1 + peers))
+    }
+
     /// Returns a digest of the addresses of all live entries, this one included.
     pub fn membership_digest(&self) -> u64 {
         let all = self.alive.keys().copied().chain(self.own);
