Tie what peers sent to the era of the store that they read

Cause: an entry that has only heard of the list from its peers, and reads the store for the first time after it was restored from an older copy, knew no era. Ruled out: forwarding of readings, since the older code fails too. Change: without an era of its own a follower takes that of the position up to which the list was found to agree with the store; an answer of a later era then counts as a restore, and tombstones hold. Conclusion: what is known of the store is tied to the era that it was read in, whoever read it.

--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -43,6 +43,13 @@
         self.store_era.get()
     }
 
+    /// Returns the era of the store that the list of backend servers was found to agree with, at this
+    /// entry or at the peers that it was fetched from, if the store counts eras.
+    pub fn list_era(&self) -> Option<u64> {
+        let era = self.spread.borrow().confirmed_position().era;
+        (era > 0).then_some(era)
+    }
+
     /// Returns the time since the store delivered current data for this topic; the maximum if it
     /// never did.
     pub fn topic_age(&self, topic: spread::Topic) -> time::Duration {
