Compress what entries fetch from each other

The entry that reads it compresses, the others forward what they received. Requests say accept-encoding, so earlier versions get and send the plain form. Malformed, truncated or oversized data is refused before it is used.

--- a/src/direct/configuration.rs
+++ b/src/direct/configuration.rs
@@ -2,9 +2,9 @@
 
 use std::{collections, rc, time};
 
-use bytes::Bytes;
 use smallvec::SmallVec;
 
+use super::content;
 use crate::code;
 
 /// One version of the configuration, in full.
@@ -23,7 +23,7 @@
     /// Limits on callers.
     pub limits: Limits,
     /// The configuration as the adapter received it, for peers.
-    pub source: Bytes,
+    pub source: content::Content,
 }
 
 /// How a request may be retried.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -22,6 +22,7 @@
 pub mod callers;
 pub mod configuration;
 pub mod conn;
+pub mod content;
 pub mod dialect;
 pub mod evacuation;
 pub mod forward;
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use xxhash_rust::xxh3;
 
-use super::{listing, parts};
+use super::{content, listing, parts};
 
 /// Maximum number of removed backend servers that are remembered: days of replacements in a fleet
 /// of 910.
@@ -27,7 +27,7 @@
     digests: [u64; 2],
     // The complete list as it is sent to peers that have none, with its digest: encoding thousands
     // of entries for each of them takes a weak processor longer than they wait.
-    encoded: Option<(u64, Bytes)>,
+    encoded: Option<(u64, content::Content)>,
 }
 
 /// Effect of an update.
@@ -87,15 +87,18 @@
 
     /// Returns the complete list in the form that `encode` gives it, which is kept until the list
     /// changes.
-    pub fn encoded(&mut self, encode: impl FnOnce(&Self) -> Option<Bytes>) -> Option<Bytes> {
+    pub fn encoded(
+        &mut self,
+        encode: impl FnOnce(&Self) -> Option<Bytes>,
+    ) -> Option<content::Content> {
         let digest = self.digest(parts::Version::Second);
         let kept = self.encoded.as_ref().filter(|(of, _)| *of == digest);
-        if let Some((_, bytes)) = kept {
-            return Some(bytes.clone());
+        if let Some((_, content)) = kept {
+            return Some(content.clone());
         }
-        let bytes = encode(self)?;
-        self.encoded = Some((digest, bytes.clone()));
-        Some(bytes)
+        let content = content::Content::from(encode(self)?);
+        self.encoded = Some((digest, content.clone()));
+        Some(content)
     }
 
     /// Removes a list entry without a trace, since another instance has its address now.
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -70,10 +70,10 @@
             holding.position = evacuation::Position::default();
         }
         let reader = self.settings.borrow().address;
-        let is_news = self
-            .spread
-            .borrow_mut()
-            .add_own_reading(reader, self.incarnation, holding, at);
+        let is_news =
+            self.spread
+                .borrow_mut()
+                .add_own_reading(reader, self.incarnation, holding, at);
         if is_news || !changes.is_empty() {
             self.announce(changes);
         }
--- a/src/direct/transfer.rs
+++ b/src/direct/transfer.rs
@@ -16,7 +16,7 @@
 use tokio::{net as tokio_net, task};
 
 use super::peer::{case, case_message, message};
-use super::{conn, evacuation, listing, parts, state};
+use super::{conn, content, evacuation, listing, parts, state};
 use crate::code;
 use crate::decide;
 
@@ -48,6 +48,9 @@
 /// megabyte.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Size of a response in bytes from which it is compressed: smaller ones fit into few packets.
+const MIN_COMPRESSED_BYTES: usize = 4 * 1024;
+
 /// Why a transfer from a peer failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -102,23 +105,39 @@
         *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
         return response;
     }
+    let accepts = req.headers().get(http::header::ACCEPT_ENCODING);
+    let accepts_compressed = accepts.is_some_and(|value| value == content::ENCODING);
     let content = match req.uri().path() {
         CONFIGURATION => entry
             .configuration()
             .map(|configuration| configuration.source.clone()),
         BACKENDS => list_answer(entry, parts::Version::First, req.into_body()).await,
         LIST => list_answer(entry, parts::Version::Second, req.into_body()).await,
-        CASES => Some(case::encode_all(entry).into()),
+        CASES => Some(Bytes::from(case::encode_all(entry)).into()),
         EVACUATIONS => {
             let evacuations = entry.zones.records();
-            Some(message::Evacuations { evacuations }.encode_to_vec().into())
+            let records = message::Evacuations { evacuations }.encode_to_vec();
+            Some(Bytes::from(records).into())
         }
         _ => None,
     };
-    let mut response = http::Response::new(Full::new(content.clone().unwrap_or_default()));
-    if content.is_none_or(|content| content.is_empty()) {
-        *response.status_mut() = http::StatusCode::NOT_FOUND;
+    if let Some(content) = content.filter(|content| !content.plain().is_empty()) {
+        return content_response(&content, accepts_compressed);
+    }
+    let mut response = http::Response::new(Full::default());
+    *response.status_mut() = http::StatusCode::NOT_FOUND;
+    response
+}
+
+fn content_response(content: &content::Content, compressed: bool) -> http::Response<Full<Bytes>> {
+    if !compressed || content.plain().len() < MIN_COMPRESSED_BYTES {
+        return http::Response::new(Full::new(content.plain().clone()));
     }
+    let mut response = http::Response::new(Full::new(content.compressed().clone()));
+    let encoding = http::HeaderValue::from_static(content::ENCODING);
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_ENCODING, encoding);
     response
 }
 
@@ -128,7 +147,7 @@
     entry: &state::Entry,
     version: parts::Version,
     body: Incoming,
-) -> Option<Bytes> {
+) -> Option<content::Content> {
     let body = Limited::new(body, MAX_REQUEST_BYTES).collect().await;
     let digests = body.ok().and_then(|body| parts::decode(&body.to_bytes()));
     let mut roster = entry.roster.borrow_mut();
@@ -144,11 +163,13 @@
         }),
         Some(digests) => {
             let differing = Answer::from(roster.differing_parts(version, digests));
-            serde_json::to_vec(&differing).ok().map(Bytes::from)
+            serde_json::to_vec(&differing)
+                .ok()
+                .map(|list| Bytes::from(list).into())
         }
         None => serde_json::to_vec(&roster.servers().collect::<Vec<_>>())
             .ok()
-            .map(Bytes::from),
+            .map(|list| Bytes::from(list).into()),
     }
 }
 
@@ -156,7 +177,7 @@
 pub async fn fetch_configuration(
     address: net::SocketAddr,
     extra_timeout: time::Duration,
-) -> Result<Bytes, Error> {
+) -> Result<content::Content, Error> {
     let path = format!("{CONFIGURATION}?{REFUSABLE}");
     fetch(address, &path, Bytes::new(), extra_timeout).await
 }
@@ -189,7 +210,7 @@
 ) -> Option<M> {
     let body = fetch(address, path, Bytes::new(), entry.extra_timeout()).await;
     let body = body.ok()?;
-    match M::decode(body) {
+    match M::decode(body.plain().clone()) {
         Ok(message) => Some(message),
         Err(err) => {
             log_malformed(entry, address, &err);
@@ -228,7 +249,7 @@
         parts::Version::Second => format!("{LIST}?{REFUSABLE}"),
     };
     let body = fetch(address, &path, digests.into(), entry.extra_timeout()).await?;
-    match decode_answer(&body) {
+    match decode_answer(body.plain()) {
         Ok((update, unreadable)) => {
             for err in &unreadable {
                 log_malformed(entry, address, err);
@@ -328,11 +349,12 @@
     path: &str,
     body: Bytes,
     extra_timeout: time::Duration,
-) -> Result<Bytes, Error> {
+) -> Result<content::Content, Error> {
     let call = async {
         let mut conn = conn::open(address).await.map_err(Error::Connect)?;
         let req = http::Request::get(path)
             .header(http::header::HOST, address.to_string())
+            .header(http::header::ACCEPT_ENCODING, content::ENCODING)
             .body(Full::new(body))
             .map_err(|_invalid| Error::Malformed)?;
         let response = conn.send(req).await.map_err(|_lost| Error::Broken)?;
@@ -341,11 +363,17 @@
             http::StatusCode::SERVICE_UNAVAILABLE => return Err(Error::Refused),
             _ => return Err(Error::NotFound),
         }
+        let encoding = response.headers().get(http::header::CONTENT_ENCODING);
+        let is_compressed = encoding.is_some_and(|value| value == content::ENCODING);
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
             .collect()
             .await;
-        body.map(http_body_util::Collected::to_bytes)
-            .map_err(|_broken| Error::Broken)
+        let body = body.map_err(|_broken| Error::Broken)?.to_bytes();
+        if is_compressed {
+            content::Content::decompress(body, MAX_RESPONSE_BYTES).ok_or(Error::Malformed)
+        } else {
+            Ok(body.into())
+        }
     };
     tokio::time::timeout(TIMEOUT + extra_timeout, call)
         .await
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -99,7 +99,7 @@
             encoded += 1;
             Some(format!("{}", roster.servers().count()).into())
         });
-        list.expect("a list")
+        list.expect("a list").plain().clone()
     };
     assert_eq!(encode(&mut roster), "1");
     assert_eq!(encode(&mut roster), "1");
