--- a/src/decide/probe.rs
+++ b/src/decide/probe.rs
@@ -40,15 +40,16 @@
 /// Time for which a record is repeated with the exchanges, for the few peers that it didn't reach.
 const REPEAT_TIME: time::Duration = time::Duration::from_secs(2);
 
-/// Number of peers from which those are forgotten that weren't heard for [`PEER_RETENTION`].
+/// Time after [`REPEAT_TIME`] in which a record that arrives again isn't new.
+const RECOGNITION_TIME: time::Duration = time::Duration::from_secs(8);
+
+/// Number of known peers from which on silent ones are forgotten.
 const MAX_PEERS: usize = 4_096;
 
-/// Time without a datagram after which a peer may be forgotten, far above the time between two.
+/// Time without a datagram after which a peer is silent in this sense, far above the time between
+/// two of them.
 const PEER_RETENTION: time::Duration = time::Duration::from_secs(600);
 
-/// Time after that in which a record that arrives again isn't new.
-const RECOGNITION_TIME: time::Duration = time::Duration::from_secs(8);
-
 /// Maximum number of records remembered: a tenth of the largest fleet, suspected by several entries
 /// each.
 const MAX_KNOWN: usize = 512;
@@ -129,7 +130,7 @@
     until: time::Duration,
 }
 
-// A record that was new here, and until when it is repeated and recognised.
+// A record that was new here, and until when it is repeated.
 #[derive(Clone, Copy, Debug)]
 struct Known {
     record: Record,
@@ -146,8 +147,9 @@
     known: SmallVec<[Known; 4]>,
     // Addresses of suspected peers that aren't gone.
     suspected: SmallVec<[net::Ipv4Addr; 4]>,
-    // Number of records forwarded since the last round, and those that the next one forwards.
+    // Number of records forwarded since the last round.
     forwarded: usize,
+    // Records that the next round forwards.
     deferred: SmallVec<[Record; 4]>,
 }
 
@@ -317,7 +319,7 @@
         (self.forwarded <= MAX_FORWARDED).then_some(forwarded)
     }
 
-    // Returns what is new of a record.
+    // Applies a record; returns what to forward if it is new.
     fn learn(&mut self, now: time::Duration, own: Process, record: Record) -> Option<Record> {
         let known = self.known.iter().find(|known| {
             known.record.suspicion == record.suspicion && known.record.process == record.process
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -136,12 +136,10 @@
     let has_items =
         !common.cases.is_empty() || !common.leaving.is_empty() || !common.inspections.is_empty();
     let common = common.encode_to_vec();
-    let peers = entry.peers.borrow();
-    let addresses = peers.send_addresses().to_vec();
+    let addresses = entry.peers.borrow().send_addresses().to_vec();
     let to_all = has_items
         || !interval::is_sparse(addresses.len())
         || sequence.is_multiple_of(interval::SPARSE_FACTOR.into());
-    drop(peers);
     for address in &addresses {
         if !to_all && !entry.peers.borrow().gets_all_heartbeats(*address) {
             continue;
