Forward the complete list in the form in which it was received

Change: an entry whose list has the digest that the sender announced keeps the response and forwards it as it is.

--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -101,6 +101,14 @@
         Some(content)
     }
 
+    /// Keeps the complete list in the form in which a peer sent it, if this entry's list has the
+    /// same digest, so that it is forwarded without being encoded again.
+    pub fn keep_encoded(&mut self, digest: u64, content: content::Content) {
+        if self.is_complete && self.digest(parts::Version::Second) == digest {
+            self.encoded = Some((digest, content));
+        }
+    }
+
     /// Removes a list entry without a trace, since another instance has its address now.
     pub fn forget(&mut self, id: &str) {
         self.take(id);
--- a/src/direct/transfer.rs
+++ b/src/direct/transfer.rs
@@ -228,21 +228,32 @@
         .with("error", err);
 }
 
+/// A list of backend servers, or the parts of it that differ, as a peer sent it.
+#[derive(Debug)]
+pub struct FetchedList {
+    /// The list.
+    pub update: listing::Update,
+    /// The response, if it holds the complete list and all of it could be read.
+    pub complete: Option<content::Content>,
+}
+
 /// Fetches the parts of a peer's list of backend servers that differ from this entry's, by digests
 /// of this version.
 pub async fn fetch_backends(
     entry: &state::Entry,
     address: net::SocketAddr,
     version: parts::Version,
-) -> Result<listing::Update, Error> {
-    let digests = {
+) -> Result<FetchedList, Error> {
+    let (digests, lacks_list) = {
         let roster = entry.roster.borrow();
-        let count = if roster.is_complete() {
-            roster.servers().count()
-        } else {
+        let lacks_list = !roster.is_complete();
+        let count = if lacks_list {
             0
+        } else {
+            roster.servers().count()
         };
-        parts::encode(&roster.part_digests(version, parts::count(count)))
+        let digests = roster.part_digests(version, parts::count(count));
+        (parts::encode(&digests), lacks_list)
     };
     let path = match version {
         parts::Version::First => BACKENDS.to_owned(),
@@ -254,7 +265,9 @@
             for err in &unreadable {
                 log_malformed(entry, address, err);
             }
-            Ok(update)
+            let is_complete = lacks_list && unreadable.is_empty();
+            let complete = is_complete.then_some(body);
+            Ok(FetchedList { update, complete })
         }
         Err(err) => {
             log_malformed(entry, address, &err);
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -6,7 +6,7 @@
 use chivebend::decide::spread::{self, target};
 use chivebend::decide::{evacuation, random};
 use chivebend::direct::peer::{message, update};
-use chivebend::direct::{listing, parts, roster, state};
+use chivebend::direct::{content, listing, parts, roster, state};
 use prost::Message as _;
 
 fn position(offset: u64) -> evacuation::Position {
@@ -108,6 +108,29 @@
     assert_eq!(encoded, 2);
 }
 
+// Load pattern: as above, at entries so slow that encoding the list takes longer than peers wait.
+#[test]
+fn complete_list_of_a_peer_is_forwarded_as_it_was_received() {
+    let mut roster = roster::Roster::default();
+    let now = support::ms(0);
+    let servers = vec![support::server("a", 5, false)];
+    let received = content::Content::from(bytes::Bytes::from_static(b"as received"));
+    roster.keep_encoded(0, received.clone());
+    roster.apply(now, listing::Update::FromPeer(servers));
+    let digest = roster.digest(parts::Version::Second);
+    roster.keep_encoded(digest + 1, received.clone());
+    let other = roster.encoded(|_| Some(bytes::Bytes::from_static(b"own")));
+    assert_eq!(other.expect("a list").plain(), "own", "another list's form");
+    roster.keep_encoded(digest, received);
+    let mut encode = |roster: &mut roster::Roster| {
+        let list = roster.encoded(|_| Some(bytes::Bytes::from_static(b"own")));
+        list.expect("a list").plain().clone()
+    };
+    assert_eq!(encode(&mut roster), "as received");
+    roster.apply(now, listing::Update::Listed(support::server("b", 1, false)));
+    assert_eq!(encode(&mut roster), "own", "the list has changed");
+}
+
 #[test]
 fn changes_to_an_incomplete_list_wait_for_the_list() {
     let entry = support::entry(1);
