Share the queue of events between the models in virtual time

Cause: tests/spread_load.rs and tests/probe_load.rs had the same queue. Change: tests/support/events.rs; no behaviour.

--- a/tests/spread_load.rs
+++ b/tests/spread_load.rs
@@ -7,7 +7,10 @@
 #[path = "support/direct.rs"]
 mod support;
 
-use std::{cmp, collections, net, time};
+#[path = "support/events.rs"]
+mod events;
+
+use std::{net, time};
 
 use chivebend::decide::spread::{self, target};
 use chivebend::decide::{evacuation, random, standby};
@@ -96,31 +99,11 @@
     knew_ms: Option<u64>,
 }
 
-struct Queued(u64, u64, Event);
-
-impl PartialEq for Queued {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-impl Eq for Queued {}
-impl PartialOrd for Queued {
-    fn partial_cmp(&self, other: &Self) -> Option<cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Queued {
-    fn cmp(&self, other: &Self) -> cmp::Ordering {
-        (other.0, other.1).cmp(&(self.0, self.1))
-    }
-}
-
 struct Model {
     design: Design,
     entries: Vec<Entry>,
-    queue: collections::BinaryHeap<Queued>,
+    queue: events::Queue<Event>,
     now_ms: u64,
-    number: u64,
     rng: random::Random,
     // Share of datagrams that are lost.
     loss: f64,
@@ -180,9 +163,8 @@
         Self {
             design,
             entries: (0..count).map(entry).collect(),
-            queue: collections::BinaryHeap::new(),
+            queue: events::Queue::default(),
             now_ms: 0,
-            number: 0,
             rng: random::Random::new(seed),
             loss: 0.01,
             stored: State {
@@ -221,15 +203,11 @@
     }
 
     fn at(&mut self, at_ms: u64, event: Event) {
-        self.number += 1;
-        self.queue.push(Queued(at_ms, self.number, event));
+        self.queue.add(at_ms, event);
     }
 
     fn run(&mut self, until_ms: u64) {
-        while self.queue.peek().is_some_and(|next| next.0 < until_ms) {
-            let Some(Queued(at_ms, _, event)) = self.queue.pop() else {
-                return;
-            };
+        while let Some((at_ms, event)) = self.queue.next_before(until_ms) {
             self.now_ms = at_ms;
             self.on_event(event);
         }
