--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -122,7 +122,7 @@
     let other = roster.encoded(|_| Some(bytes::Bytes::from_static(b"own")));
     assert_eq!(other.expect("a list").plain(), "own", "another list's form");
     roster.keep_encoded(digest, received);
-    let mut encode = |roster: &mut roster::Roster| {
+    let encode = |roster: &mut roster::Roster| {
         let list = roster.encoded(|_| Some(bytes::Bytes::from_static(b"own")));
         list.expect("a list").plain().clone()
     };
