Remember a backend server that a complete read lacks

Cause: an entry whose first read of the store is a complete one replaced the list that peers had sent, and kept no trace of list entries that were gone from it. When the store came back from an older copy, that entry used such a backend server again. Change: Roster::replace leaves a tombstone as other removals do. Result: list_entry_that_a_complete_read_lacks_stays_out_of_a_restored_list failed before and passes.

--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -81,7 +81,7 @@
                 let is_included = |id: &str| parts.indices.contains(&parts::index(id, parts.count));
                 self.merge(now, parts.servers, is_included)
             }
-            listing::Update::All(servers) => self.replace(servers),
+            listing::Update::All(servers) => self.replace(now, servers),
         }
     }
 
@@ -220,7 +220,7 @@
     }
 
     // Replaces the list by the store's. If few entries changed, returns these.
-    fn replace(&mut self, servers: Vec<listing::Server>) -> Effect {
+    fn replace(&mut self, now: time::Duration, servers: Vec<listing::Server>) -> Effect {
         let was_complete = std::mem::replace(&mut self.is_complete, true);
         let before = std::mem::take(&mut self.listed);
         self.digests = [0; 2];
@@ -232,9 +232,12 @@
             }
             self.put(server);
         }
-        let gone = before.into_iter();
-        let gone = gone.filter(|(id, _)| !self.listed.contains_key(id));
-        changes.extend(gone.map(|(id, server)| listing::Change::Gone(id, server.report)));
+        for (id, server) in before {
+            if !self.listed.contains_key(&id) {
+                self.deregister(now, id.clone(), server.report);
+                changes.push(listing::Change::Gone(id, server.report));
+            }
+        }
         if was_complete {
             Effect::Changed(changes)
         } else {
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -108,6 +108,22 @@
     assert_eq!(encoded, 2);
 }
 
+// A store that is restored from an older copy lists it again.
+#[test]
+fn list_entry_that_a_complete_read_lacks_stays_out_of_a_restored_list() {
+    let mut roster = roster::Roster::default();
+    let now = support::ms(0);
+    let [gone, stays] = ["a", "b"].map(|id| support::server(id, 5, false));
+    roster.apply(now, listing::Update::All(vec![gone.clone(), stays.clone()]));
+    roster.apply(now, listing::Update::All(vec![stays.clone()]));
+    roster.apply(now, listing::Update::Restored(gone.clone()));
+    roster.apply(now, listing::Update::FromPeer(vec![gone, stays]));
+    assert!(roster.get("a").is_none());
+    let newer = support::server("a", 6, false);
+    roster.apply(now, listing::Update::Restored(newer));
+    assert!(roster.get("a").is_some(), "it reports again");
+}
+
 // Load pattern: as above, at entries so slow that encoding the list takes longer than peers wait.
 #[test]
 fn complete_list_of_a_peer_is_forwarded_as_it_was_received() {
