Report customers' service to groups of deciding entries instead of to all

Cause: service and demand of customers travel on heartbeats of all to all, whose interval grows as the fleet (3 s at 357 entries, 12 s at 1,440), and pairs that got every fourth heartbeat lost what had changed in the other three. Load pattern: one customer floods the fleet, another's load rises at the same moment, whose prompts belong to a fifteenth of the engines. Whether its refused requests may go on to other homes is decided by the entry that it came through, by what that entry has heard.

Change: above 120 entries (heartbeats 1 s apart) an entry reports to one deciding entry; the deciding ones form about as many groups as each has members, tell their group their own sums and some of the others the sum of the group (decide/aggregate.rs), and their children the sum of the fleet. Reports are one to two seconds old at any size; a customer is starved below 0.7 of what is due there instead of 0.5, since requests go on elsewhere, and cease to, that much later. While one entry of an earlier version is known, all is as before.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod accept;
 pub mod admit;
+pub mod aggregate;
 pub mod drain;
 pub mod era;
 pub mod evacuation;
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -37,6 +37,7 @@
 pub use self::cold::share as cold_share;
 pub use self::job::{Job, Part, due_time, objective};
 use self::server::{Queued, Server};
+pub use self::share::MAX_OTHER_HOMES;
 pub use self::state::{Load, ServerInfo, State};
 use super::{quarantine, random, recent};
 use crate::{code, key};
@@ -119,6 +120,8 @@
     random: random::Random,
     // Part of the rate of cold backend servers that this entry uses.
     cold_share: f64,
+    // Share of its due below which a customer is starved.
+    starved_share: f64,
 }
 
 impl Fleet {
@@ -130,6 +133,7 @@
             recent_demand: recent::Table::default(),
             random: random::Random::new(seed),
             cold_share: 1.0,
+            starved_share: share::STARVED_SHARE,
         }
     }
 
--- a/src/decide/place/share.rs
+++ b/src/decide/place/share.rs
@@ -19,12 +19,17 @@
 
 /// A customer is starved if it was served less than this part of its demand, or of the service of
 /// the best served customer, whichever is less. Users consider this unfair.
-const STARVED_SHARE: f64 = 0.5;
+pub(super) const STARVED_SHARE: f64 = 0.5;
+
+/// The same where what other entries report is one to two seconds old. Requests then go to other
+/// homes, and cease to, that much later, and the customer's service ends below the share at which
+/// they start to.
+const DELAYED_STARVED_SHARE: f64 = 0.7;
 
 /// Maximum number of other homes that a starved customer's request tries, one after the other, and
 /// number of homes from which the one that reads its unread tokens soonest is chosen each time. It
 /// is small so that only a few engines read the part again.
-const MAX_OTHER_HOMES: usize = 3;
+pub const MAX_OTHER_HOMES: usize = 3;
 
 impl Fleet {
     /// Returns the recent service of all customers.
@@ -32,6 +37,16 @@
         &mut self.recent_service
     }
 
+    /// Returns the recent service of all customers.
+    pub fn service(&self) -> &recent::Table {
+        &self.recent_service
+    }
+
+    /// Returns the recent demand of all customers.
+    pub fn demand(&self) -> &recent::Table {
+        &self.recent_demand
+    }
+
     /// Returns the recent demand of all customers.
     pub fn demand_mut(&mut self) -> &mut recent::Table {
         &mut self.recent_demand
@@ -58,13 +73,23 @@
         self.served_share(now, customer) < BELOW_SHARE
     }
 
-    // Returns whether a customer is starved ([`STARVED_SHARE`]).
-    fn is_starved(&self, now: time::Duration, customer: key::Customer) -> bool {
+    /// Sets whether what other entries report is old by the time that it arrives here.
+    pub fn set_reports_delayed(&mut self, delayed: bool) {
+        self.starved_share = if delayed {
+            DELAYED_STARVED_SHARE
+        } else {
+            STARVED_SHARE
+        };
+    }
+
+    /// Returns whether a customer's requests may try other homes, since as far as this entry knows
+    /// it is served much less than its demand and than the best served customer.
+    pub fn is_starved(&self, now: time::Duration, customer: key::Customer) -> bool {
         let due = self
             .recent_demand
             .fleet_service(now, customer)
             .min(self.recent_service.max_served(now));
-        self.recent_service.fleet_service(now, customer) < STARVED_SHARE * due
+        self.recent_service.fleet_service(now, customer) < self.starved_share * due
     }
 
     /// Returns a customer's recent service by this entry.
--- a/src/decide/recent.rs
+++ b/src/decide/recent.rs
@@ -6,9 +6,14 @@
 //! time, so that two backlogged customers are served equally over any span of a few seconds, and
 //! each entry adds up what the others report.
 //!
+//! A report is about a single entry or is itself a sum over several ([`Source`]); [`aggregate`]
+//! decides who sends which.
+//!
 //! Service is counted in cost units when a request is handed over, so that ten requests handed over
 //! at the same instant don't all look like the first. All times are durations since the process
 //! started.
+//!
+//! [`aggregate`]: super::aggregate
 
 use std::{cell, collections, time};
 
@@ -44,6 +49,45 @@
     }
 }
 
+/// The entries that a report is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Source {
+    /// The sender, by its incarnation, which reports to all entries.
+    Entry(u64),
+    /// The sender, by its incarnation, which reports to this entry only.
+    Child(u64),
+    /// The sender, by its incarnation, in the same group, and its children.
+    Member(u64),
+    /// Another group, by its number, and the children of its members.
+    Group(u32),
+    /// The whole fleet except this entry, by the entry that this one reports to.
+    Parent,
+}
+
+/// The entries over which service is summed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Scope {
+    /// This entry.
+    Own,
+    /// This entry and its children.
+    Subtree,
+    /// The members of this entry's group and their children.
+    Group,
+    /// All entries.
+    Fleet,
+}
+
+impl Source {
+    // Returns the narrowest sum that includes the source.
+    fn scope(self) -> Scope {
+        match self {
+            Self::Child(_) => Scope::Subtree,
+            Self::Member(_) => Scope::Group,
+            Self::Entry(_) | Self::Group(_) | Self::Parent => Scope::Fleet,
+        }
+    }
+}
+
 /// Recent service of all customers.
 ///
 /// The sum over all entries is maintained instead of computed on demand: a decision about an engine
@@ -52,12 +96,12 @@
 #[derive(Debug, Default)]
 pub struct Table {
     own_service: SecondaryMap<key::Customer, DecayingSum>,
-    peers: collections::HashMap<u64, SecondaryMap<key::Customer, DecayingSum>>,
+    reported: collections::HashMap<Source, SecondaryMap<key::Customer, DecayingSum>>,
     // Sum over all entries.
     fleet_service: SecondaryMap<key::Customer, DecayingSum>,
     max_served: cell::Cell<CachedMax>,
-    // Customers whose service by this entry has changed since it was last reported.
-    changed: SecondaryMap<key::Customer, ()>,
+    // The sums that have changed since they were last taken, one bit for each scope.
+    changed: SecondaryMap<key::Customer, u8>,
 }
 
 /// Service of the best-served customer, and when it was computed.
@@ -85,19 +129,19 @@
         // Never takes back more than there is; otherwise service by peers would be deducted.
         let amount = amount.max(-self.own_service(now, customer));
         add(&mut self.own_service, now, customer, amount);
-        self.changed.insert(customer, ());
+        self.mark_changed(customer, Scope::Own);
         self.add_fleet_service(now, customer, amount);
     }
 
-    /// Merges a peer's report of the customers whose service there has changed. The service of all
-    /// others has decayed there as it has here.
+    /// Merges a report of the customers whose service has changed. The service of all others has
+    /// decayed there as it has here.
     pub fn merge(
         &mut self,
         now: time::Duration,
-        entry: u64,
+        source: Source,
         served: impl IntoIterator<Item = (key::Customer, f64)>,
     ) {
-        let mut table = self.peers.remove(&entry).unwrap_or_default();
+        let mut table = self.reported.remove(&source).unwrap_or_default();
         for (customer, amount) in served {
             if !(amount.is_finite() && amount >= 0.0) {
                 continue;
@@ -109,20 +153,43 @@
             let reported = reported.or_default();
             let before = reported.now(now);
             *reported = DecayingSum { amount, at: now };
+            self.mark_changed(customer, source.scope());
             self.add_fleet_service(now, customer, amount - before);
         }
-        self.peers.insert(entry, table);
+        self.reported.insert(source, table);
+    }
+
+    /// Merges the sums over the whole fleet that the parent reports. They contain this entry's own
+    /// service.
+    pub fn merge_totals(
+        &mut self,
+        now: time::Duration,
+        totals: impl IntoIterator<Item = (key::Customer, f64)>,
+    ) {
+        let others = |(customer, total): (key::Customer, f64)| {
+            (customer, (total - self.own_service(now, customer)).max(0.0))
+        };
+        let others: Vec<_> = totals.into_iter().map(others).collect();
+        self.merge(now, Source::Parent, others);
     }
 
-    /// Returns the customers whose service by this entry has changed since the last call.
-    pub fn take_changed(&mut self) -> Vec<key::Customer> {
-        let changed = self.changed.drain();
-        changed.map(|(customer, ())| customer).collect()
+    /// Returns the customers whose sum over these entries has changed since the last call.
+    pub fn take_changed(&mut self, scope: Scope) -> Vec<key::Customer> {
+        let bit = 1 << scope as u8;
+        let mut taken = Vec::new();
+        self.changed.retain(|customer, scopes| {
+            if *scopes & bit != 0 {
+                taken.push(customer);
+            }
+            *scopes &= !bit;
+            *scopes != 0
+        });
+        taken
     }
 
-    /// Removes an entry that is gone.
-    pub fn forget(&mut self, now: time::Duration, entry: u64) {
-        let Some(table) = self.peers.remove(&entry) else {
+    /// Removes a source that is gone.
+    pub fn forget(&mut self, now: time::Duration, source: Source) {
+        let Some(table) = self.reported.remove(&source) else {
             return;
         };
         for (customer, faded) in table {
@@ -130,6 +197,28 @@
         }
     }
 
+    /// Removes all sources for which `is_gone` returns true.
+    pub fn forget_all(&mut self, now: time::Duration, is_gone: impl Fn(Source) -> bool) {
+        let gone = self.reported.keys().filter(|source| is_gone(**source));
+        for source in gone.copied().collect::<Vec<_>>() {
+            self.forget(now, source);
+        }
+    }
+
+    /// Returns the service of a customer by these entries.
+    pub fn service(&self, now: time::Duration, customer: key::Customer, scope: Scope) -> f64 {
+        match scope {
+            Scope::Own => self.own_service(now, customer),
+            Scope::Fleet => self.fleet_service(now, customer),
+            Scope::Subtree | Scope::Group => {
+                let within = self.reported.iter().filter(|(s, _)| s.scope() <= scope);
+                let parts = within.filter_map(|(_, table)| table.get(customer));
+                let reported = parts.map(|part| part.now(now)).sum::<f64>();
+                self.own_service(now, customer) + reported
+            }
+        }
+    }
+
     /// Returns the service of a customer by this entry.
     pub fn own_service(&self, now: time::Duration, customer: key::Customer) -> f64 {
         self.own_service.get(customer).map_or(0.0, |f| f.now(now))
@@ -155,6 +244,14 @@
         amount
     }
 
+    fn mark_changed(&mut self, customer: key::Customer, narrowest: Scope) {
+        // All scopes from this one on.
+        let bits = u8::MAX << narrowest as u8;
+        if let Some(scopes) = self.changed.entry(customer) {
+            *scopes.or_default() |= bits;
+        }
+    }
+
     // Adds to the service by all entries.
     fn add_fleet_service(&mut self, now: time::Duration, customer: key::Customer, amount: f64) {
         add(&mut self.fleet_service, now, customer, amount);
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -18,6 +18,7 @@
 pub mod outbox;
 pub mod placement;
 pub mod probe;
+pub mod report;
 pub mod table;
 pub mod update;
 
@@ -25,10 +26,9 @@
 use std::{io, net, rc, time};
 
 use prost::Message as _;
-use smallvec::SmallVec;
 
 use super::{parts, state};
-use crate::decide::{self, evacuation, spread};
+use crate::decide::{self, evacuation, recent, spread};
 use crate::key;
 
 /// Maximum size of a datagram in bytes; a heartbeat about 100 backend servers and 100 customers
@@ -70,6 +70,7 @@
             Err(_elapsed) if next_exchange <= next_heartbeat => {
                 let asked = entry.exchange();
                 probe::run_round(&entry, link, &asked);
+                report::run_round(&entry, link);
                 next_exchange = tokio::time::Instant::now() + entry.exchange_interval();
             }
             Err(_elapsed) => {
@@ -190,8 +191,11 @@
 
 fn heartbeat_message(entry: &state::Entry, sequence: u64) -> message::Heartbeat {
     let now = entry.now();
-    let mut customers = entry.fleet.borrow_mut().service_mut().take_changed();
-    customers.extend(entry.fleet.borrow_mut().demand_mut().take_changed());
+    let customers = if entry.reports.borrow().is_active() {
+        Vec::new()
+    } else {
+        report::take_changed(entry, recent::Scope::Own)
+    };
     let fleet = entry.fleet.borrow();
     let load = |(server, hash): (key::Sidecar, u64)| {
         let load = fleet.own_load(now, server);
@@ -202,16 +206,10 @@
             least_service: load.least_service.map(|least| least as f32),
         })
     };
-    customers.sort_unstable();
-    customers.dedup();
-    let quantize = |amount: f64| (amount / message::SERVICE_RESOLUTION).round() as u32;
-    let service = customers
-        .iter()
-        .map(|c| quantize(fleet.own_service(now, *c)));
-    let demand = customers
-        .iter()
-        .map(|c| quantize(fleet.own_demand(now, *c)));
-    let (service, demand) = (service.collect(), demand.collect());
+    let service = customers.iter().map(|c| fleet.own_service(now, *c));
+    let demand = customers.iter().map(|c| fleet.own_demand(now, *c));
+    let service = service.map(message::quantize).collect();
+    let demand = demand.map(message::quantize).collect();
     message::Heartbeat {
         sequence,
         leaving: entry.is_leaving(),
@@ -241,6 +239,7 @@
         known_age_ms: Some(saturating_millis(entry.known_age())),
         sends_updates: true,
         answers_probes: true,
+        sends_reports: true,
     }
 }
 
@@ -273,6 +272,9 @@
     for progress in &datagram.progress {
         lease::on_progress(entry, datagram.sender, progress);
     }
+    if let Some(report) = &datagram.report {
+        report::on_report(entry, datagram.sender, address, report);
+    }
     if let Some(request) = &datagram.placement_request {
         lease::on_request(entry, datagram.sender, address, request);
     }
@@ -305,27 +307,7 @@
     if let Some(replaced) = replaced {
         forget(entry, address, replaced);
     }
-    let to_cost = |quantized: &u32| f64::from(*quantized) * message::SERVICE_RESOLUTION;
-    let reported = heartbeat
-        .customers
-        .iter()
-        .zip(&heartbeat.service)
-        .zip(&heartbeat.demand);
-    let known = |((hash, service), demand): ((&u64, &u32), &u32)| {
-        let customer = entry.customer_by_hash(*hash)?;
-        Some((customer, to_cost(service), to_cost(demand)))
-    };
-    let customers: SmallVec<[(key::Customer, f64, f64); 32]> = reported.filter_map(known).collect();
-    let mut fleet = entry.fleet.borrow_mut();
-    let service = customers
-        .iter()
-        .map(|(customer, service, _)| (*customer, *service));
-    fleet.service_mut().merge(now, sender, service);
-    let demand = customers
-        .iter()
-        .map(|(customer, _, demand)| (*customer, *demand));
-    fleet.demand_mut().merge(now, sender, demand);
-    drop(fleet);
+    report::on_heartbeat(entry, sender, heartbeat);
     entry.on_departing(&heartbeat.departing_servers);
     entry.on_held_digest(address, heartbeat.quarantined_digest);
     apply_remote_loads(entry, link);
@@ -357,9 +339,7 @@
 }
 
 fn forget(entry: &state::Entry, address: net::Ipv4Addr, sender: u64) {
-    let now = entry.now();
-    entry.fleet.borrow_mut().service_mut().forget(now, sender);
-    entry.fleet.borrow_mut().demand_mut().forget(now, sender);
+    report::forget(entry, sender);
     lease::forget(entry, sender);
     entry.placement_requests.on_entry_lost(address);
 }
--- a/src/direct/peer/table/mod.rs
+++ b/src/direct/peer/table/mod.rs
@@ -8,12 +8,15 @@
 use xxhash_rust::xxh3;
 
 use super::{addresses, interval, loads, message};
-use crate::decide::{place, random, rotation};
+use crate::decide::{aggregate, place, random, rotation};
 
 /// Time for which no placement requests are sent to an entry that didn't reply. A paused process or
 /// a lossy link becomes apparent within it, and callers don't wait for further attempts.
 const UNRESPONSIVE_PAUSE: time::Duration = time::Duration::from_millis(500);
 
+/// Maximum mean number of children of a decider that only entries of its own zone report to.
+const MAX_CHILDREN: usize = 20;
+
 /// Time for which an entry whose heartbeats have stopped still counts as a member of its zone. The
 /// load balancer knows it until the platform gives it up, and it chooses from all entries once
 /// fewer than half are in rotation.
@@ -62,6 +65,7 @@
     // True if it spreads what it reads from the store by updates.
     sends_updates: bool,
     answers_probes: bool,
+    sends_reports: bool,
     unresponsive_until: time::Duration,
     // True if it didn't reply to the last placement request.
     is_unresponsive: bool,
@@ -180,6 +184,7 @@
             evacuations_digest: heartbeat.evacuations_digest,
             sends_updates: heartbeat.sends_updates,
             answers_probes: heartbeat.answers_probes,
+            sends_reports: heartbeat.sends_reports,
             unresponsive_until,
             is_unresponsive,
         };
@@ -413,6 +418,30 @@
         peer.is_some_and(|peer| peer.answers_probes)
     }
 
+    /// Returns whether customers' service goes to a few peers by reports instead of to all by
+    /// heartbeats: in a large fleet in which every entry sends reports.
+    pub fn uses_reports(&self) -> bool {
+        interval::is_sparse(self.alive.len()) && self.alive.values().all(|p| p.sends_reports)
+    }
+
+    /// Returns the addresses of the entries that decide about backend servers, in ascending order;
+    /// may include this one.
+    pub fn deciders(&self) -> &[net::Ipv4Addr] {
+        &self.strong
+    }
+
+    /// Returns the decider that this entry reports to: one of its own zone, unless there are too few
+    /// of them for the zone's entries.
+    pub fn parent(&self) -> Option<net::Ipv4Addr> {
+        let own = self.own?;
+        let is_near = |address: &net::Ipv4Addr| self.near.contains(address);
+        let near: aggregate::Addresses = self.strong.iter().copied().filter(is_near).collect();
+        if near.is_empty() || near.len() * MAX_CHILDREN < self.near.len() {
+            return aggregate::parent(own, &self.strong);
+        }
+        aggregate::parent(own, &near)
+    }
+
     /// Returns whether a peer gets this entry's heartbeats at each interval, and this entry those of
     /// the peer: if one of both decides for the whole fleet, if they share a zone, in which they
     /// take load over from each other, or if the peer notices by heartbeats alone that an entry is
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -8,7 +8,7 @@
 
 use super::evacuation::zones;
 use super::leaving::table as leaving;
-use super::peer::{lease, link, message, outbox, placement, table};
+use super::peer::{lease, link, message, outbox, placement, report, table};
 use super::pool::backend;
 use super::{callers, configuration, dialect, logger, losses, meter, roster, waiting};
 use crate::decide::{
@@ -124,6 +124,8 @@
     pub peers: cell::RefCell<table::Table>,
     /// Probes of peers that show whether they are alive.
     pub probes: cell::RefCell<probe::Table>,
+    /// Reports of customers' service between entries of a large fleet.
+    pub reports: cell::RefCell<report::Reports>,
     /// Datagram socket to the peers.
     pub link: Option<link::Link>,
     /// Pending requests for slots that peers decide about.
@@ -215,6 +217,7 @@
             incarnation: seed,
             peers: cell::RefCell::new(peers),
             probes: cell::RefCell::default(),
+            reports: cell::RefCell::default(),
             link,
             placement_requests: placement::PendingRequests::default(),
             leases: lease::Table::default(),
@@ -432,13 +435,18 @@
         if let Some(key) = self.customer_keys.borrow().get(name) {
             return *key;
         }
-        let hash = xxh3::xxh3_64(name.as_bytes());
-        let key = self.customers.borrow_mut().insert(hash);
-        self.customer_hashes.borrow_mut().insert(hash, key);
+        let key = self.customer_with_hash(xxh3::xxh3_64(name.as_bytes()));
         self.customer_keys.borrow_mut().insert(name.into(), key);
         key
     }
 
+    /// Returns the key of a customer by the hash of its name, which is assigned on first use.
+    pub fn customer_with_hash(&self, hash: u64) -> key::Customer {
+        let mut hashes = self.customer_hashes.borrow_mut();
+        let assign = || self.customers.borrow_mut().insert(hash);
+        *hashes.entry(hash).or_insert_with(assign)
+    }
+
     /// Returns the customer with this hash of its name, if it is known here.
     pub fn customer_by_hash(&self, hash: u64) -> Option<key::Customer> {
         self.customer_hashes.borrow().get(&hash).copied()
--- a/tests/recent.rs
+++ b/tests/recent.rs
@@ -37,10 +37,10 @@
     let mut table = recent::Table::default();
     let customer = customer();
     table.add(ms(0), customer, 1.0);
-    table.merge(ms(0), 5, [(customer, 10.0)]);
-    table.merge(ms(0), 6, [(customer, 100.0)]);
+    table.merge(ms(0), recent::Source::Entry(5), [(customer, 10.0)]);
+    table.merge(ms(0), recent::Source::Entry(6), [(customer, 100.0)]);
     assert!((table.fleet_service(ms(0), customer) - 111.0).abs() < 1e-9);
-    table.forget(ms(0), 6);
+    table.forget(ms(0), recent::Source::Entry(6));
     assert!((table.fleet_service(ms(0), customer) - 11.0).abs() < 1e-9);
 }
 
@@ -49,7 +49,7 @@
     let mut table = recent::Table::default();
     let customer = customer();
     for amount in [f64::NAN, f64::INFINITY, -1.0] {
-        table.merge(ms(0), 5, [(customer, amount)]);
+        table.merge(ms(0), recent::Source::Entry(5), [(customer, amount)]);
         assert!(
             table.fleet_service(ms(0), customer).abs() < 1e-9,
             "{amount}"
@@ -63,14 +63,14 @@
     let mut customers = SlotMap::<key::Customer, ()>::with_key();
     let (one, two) = (customers.insert(()), customers.insert(()));
     table.add(ms(0), one, 30.0);
-    table.merge(ms(0), 5, [(one, 60.0), (two, 7.0)]);
-    table.merge(ms(1_500), 5, [(one, 20.0)]);
+    table.merge(ms(0), recent::Source::Entry(5), [(one, 60.0), (two, 7.0)]);
+    table.merge(ms(1_500), recent::Source::Entry(5), [(one, 20.0)]);
     let left = table.own_service(ms(1_500), one);
     assert!((table.fleet_service(ms(1_500), one) - left - 20.0).abs() < 1e-9);
     // The newest report doesn't have this customer, whose amount has decayed at the peer as here.
     let decayed = 7.0 * (-0.5_f64).exp();
     assert!((table.fleet_service(ms(1_500), two) - decayed).abs() < 1e-9);
-    table.forget(ms(3_000), 5);
+    table.forget(ms(3_000), recent::Source::Entry(5));
     let left = table.own_service(ms(3_000), one);
     assert!((table.fleet_service(ms(3_000), one) - left).abs() < 1e-9);
     assert!(table.fleet_service(ms(3_000), two).abs() < 1e-9);
@@ -81,9 +81,9 @@
     let mut table = recent::Table::default();
     let customer = customer();
     table.add(ms(0), customer, 900.0);
-    table.merge(ms(0), 5, [(customer, 50.0)]);
+    table.merge(ms(0), recent::Source::Entry(5), [(customer, 50.0)]);
     table.add(ms(3_000), customer, -900.0);
-    table.merge(ms(3_000), 5, [(customer, 50.0)]);
+    table.merge(ms(3_000), recent::Source::Entry(5), [(customer, 50.0)]);
     assert!((table.fleet_service(ms(3_000), customer) - 50.0).abs() < 1e-9);
 }
 
@@ -94,7 +94,7 @@
     let (one, two) = (customers.insert(()), customers.insert(()));
     assert!(table.max_served(ms(0)).abs() < 1e-9);
     table.add(ms(0), one, 30.0);
-    table.merge(ms(0), 5, [(one, 60.0), (two, 70.0)]);
+    table.merge(ms(0), recent::Source::Entry(5), [(one, 60.0), (two, 70.0)]);
     assert!((table.max_served(ms(0)) - 90.0).abs() < 1e-9);
 }
 
@@ -106,10 +106,10 @@
     let mut customers = SlotMap::<key::Customer, ()>::with_key();
     let (one, two) = (customers.insert(()), customers.insert(()));
     table.add(ms(0), one, 30.0);
-    table.merge(ms(0), 5, [(two, 70.0)]);
-    assert_eq!(table.take_changed(), [one]);
-    assert!(table.take_changed().is_empty());
+    table.merge(ms(0), recent::Source::Entry(5), [(two, 70.0)]);
+    assert_eq!(table.take_changed(recent::Scope::Own), [one]);
+    assert!(table.take_changed(recent::Scope::Own).is_empty());
     table.add(ms(10), two, 5.0);
     table.add(ms(20), one, -10.0);
-    assert_eq!(table.take_changed(), [one, two]);
+    assert_eq!(table.take_changed(recent::Scope::Own), [one, two]);
 }
--- a/tests/share_load.rs
+++ b/tests/share_load.rs
@@ -8,6 +8,9 @@
 //! request may wait, regardless of its customer's service in the fleet. The simulation shows this
 //! cause alone: nothing fails, reports are current, and the order at each engine is fair.
 
+#[path = "support/fairness.rs"]
+mod fairness;
+
 use std::{collections, time};
 
 use chivebend::decide::{place, random};
@@ -30,9 +33,6 @@
 /// Latency objective of all requests.
 const OBJECTIVE_MS: f64 = 600.0;
 
-/// Span over which customers are compared, in seconds.
-const SPAN_S: usize = 6;
-
 /// Duration of the arrivals, in seconds.
 const SIMULATED_S: usize = 20;
 
@@ -67,17 +67,7 @@
     WaitExpired(u64, place::Ticket),
 }
 
-/// Tokens of one customer in each second.
-#[derive(Clone, Default)]
-struct Account {
-    requested: [f64; SIMULATED_S + 2],
-    received: [f64; SIMULATED_S + 2],
-    // True for each second in which a request was refused or its first event came after its
-    // objective.
-    waited: [bool; SIMULATED_S + 2],
-    // Second of arrival and tokens of each request.
-    sizes: Vec<(usize, f64)>,
-}
+type Account = fairness::Account<{ SIMULATED_S + 2 }>;
 
 /// Load of a customer: requests per second between two times in seconds.
 struct Load {
@@ -276,11 +266,7 @@
         request.job.due = at(now + OBJECTIVE_MS);
         let (customer, cost) = (request.job.customer, request.job.cost as f64);
         self.fleet.demand_mut().add(at(now), customer, cost);
-        let account = &mut self.accounts[request.customer];
-        account.requested[Self::second(now)] += request.job.cost as f64;
-        account
-            .sizes
-            .push((Self::second(now), request.job.cost as f64));
+        self.accounts[request.customer].record_request(Self::second(now), cost);
         let mut next = self.fleet.choose(&request.job);
         loop {
             let server = next.expect("an engine");
@@ -348,39 +334,6 @@
             }
         }
     }
-
-    // Returns the starved customers: they had a request refused or late in each of six seconds, and
-    // got less than half of the tokens that they requested or that the most served customer got,
-    // whichever is less in each second, minus their three largest requests.
-    fn starved(&self) -> Vec<String> {
-        let mut starved = Vec::new();
-        for from in 0..=SIMULATED_S - SPAN_S {
-            let span = from..from + SPAN_S;
-            let received = |a: &Account| span.clone().map(|s| a.received[s]).sum::<f64>();
-            let by_received = |a: &&Account, b: &&Account| received(a).total_cmp(&received(b));
-            let most_served = self.accounts.iter().max_by(by_received).expect("customers");
-            for (customer, account) in self.accounts.iter().enumerate() {
-                if !span.clone().all(|s| account.waited[s]) {
-                    continue;
-                }
-                let sizes = account.sizes.iter().filter(|(s, _)| span.contains(s));
-                let mut sizes: Vec<f64> = sizes.map(|(_, tokens)| *tokens).collect();
-                sizes.sort_unstable_by(|a, b| b.total_cmp(a));
-                let owed = span
-                    .clone()
-                    .map(|s| account.requested[s].min(most_served.received[s]));
-                let owed = owed.sum::<f64>() / 2.0 - sizes.iter().take(3).sum::<f64>();
-                if received(account) < owed {
-                    starved.push(format!(
-                        "customer {customer} from {from} s: {:.0} of {owed:.0}; most served {:.0}",
-                        received(account),
-                        received(most_served)
-                    ));
-                }
-            }
-        }
-        starved
-    }
 }
 
 // Returns a small load of all customers, most of it from a few of them.
@@ -427,7 +380,7 @@
             simulation.restrict_prefixes(LATECOMER, prefix_engines);
         }
         simulation.run();
-        let starved = simulation.starved();
+        let starved = fairness::starved(&simulation.accounts, SIMULATED_S);
         println!(
             "{} seed {seed}: in time {}, late {}, refused {}, read {:.1} million; {starved:#?}",
             case.name,
