Find a request's home without ranking all backend servers

Cause: each placement ranked and sorted all engines of the service, and one of a prompt part that the engine hasn't cached sorted them twice more; per decision, in memory that also holds queues and loads. It grows as engines times their logarithm. Change: hashes of the usable servers lie together by service (decide/place/homes.rs); the home is their maximum, the few homes that a starved customer may try are selected, and the engine to fetch from is found in one pass. Choices are the same.

--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -6,6 +6,7 @@
 use clap::Parser as _;
 
 mod cost;
+mod placement;
 #[allow(
     dead_code,
     reason = "each program that includes the simulation uses only a part of it"
@@ -23,6 +24,9 @@
 /// policy.
 const FLOOD_START: time::Duration = time::Duration::from_secs(1);
 
+/// Numbers of engines for which a placement is timed.
+const PLACEMENT_ENGINES: [usize; 4] = [50, 910, 1_820, 3_640];
+
 /// Simulates the fleet in virtual time and prints figures; the last line is key=value.
 #[derive(Clone, Debug, clap::Parser)]
 struct Args {
@@ -72,6 +76,7 @@
     Overload,
     Control,
     Cost,
+    Placement,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
@@ -92,6 +97,7 @@
         Case::Overload => overload(&args),
         Case::Control => control(&args),
         Case::Cost => decision_cost(&args),
+        Case::Placement => placement_cost(&args),
     }
 }
 
@@ -415,3 +421,11 @@
     }
     println!("case=cost ns_per_decision={last:.0} growth={growth:.2}");
 }
+
+// Prints the processor time of one placement for fleets of several sizes.
+fn placement_cost(args: &Args) {
+    for engines in PLACEMENT_ENGINES {
+        let ns = placement::measure(engines, args.seed);
+        println!("engines={engines} ns_per_decision={ns:.0}");
+    }
+}
--- a/src/decide/place/fetch.rs
+++ b/src/decide/place/fetch.rs
@@ -12,9 +12,7 @@
 
 use std::time;
 
-use smallvec::SmallVec;
-
-use super::{Fleet, Job, State};
+use super::{Fleet, Job, Server, State};
 use crate::decide::random;
 use crate::key;
 
@@ -60,20 +58,22 @@
             return None;
         }
         let rank = |hash: u64| random::Random::new(part ^ hash).bits();
-        let own = rank(home.hash);
-        let others = self.servers.iter().filter(|(key, server)| {
-            *key != at && server.service == home.service && server.state != State::Unusable
-        });
-        let mut others: SmallVec<[(u64, key::Sidecar); 64]> = others
-            .map(|(key, server)| (rank(server.hash), key))
-            .collect();
-        others.sort_unstable_by(|a, b| b.cmp(a));
-        let above = others.first().filter(|(rank, _)| *rank > own);
         // Several engines may have joined together: the previous home is the first in order that
         // had joined earlier.
-        let was_home =
-            |next: key::Sidecar| self.servers[next].ready_since + MIN_JOIN_GAP < home.ready_since;
-        let below = others.iter().find(|(_, next)| was_home(*next));
-        above.or(below).map(|(_, key)| *key)
+        let was_home = |next: &Server| next.ready_since + MIN_JOIN_GAP < home.ready_since;
+        let (mut above, mut below) = (None, None);
+        for (key, server) in &self.servers {
+            if key == at || server.service != home.service || server.state == State::Unusable {
+                continue;
+            }
+            let ranked = Some((rank(server.hash), key));
+            above = above.max(ranked);
+            if was_home(server) {
+                below = below.max(ranked);
+            }
+        }
+        let own = rank(home.hash);
+        let above = above.filter(|(rank, _)| *rank > own);
+        above.or(below).map(|(_, key)| key)
     }
 }
--- a/src/decide/place/job.rs
+++ b/src/decide/place/job.rs
@@ -94,6 +94,13 @@
         self.parts.get(at).map(|part| part.chain)
     }
 
+    // Returns what decides about the request's home: its content if it is a suspect, so that all
+    // its tries meet, otherwise the shared prefix.
+    pub(super) fn home_target(&self) -> Option<u64> {
+        let content = self.suspect.map(|fingerprint| fingerprint.content);
+        content.or(self.home_part())
+    }
+
     // Returns the milliseconds until the answer is due; negative if it is late.
     pub(super) fn left_ms(&self, now: time::Duration) -> f64 {
         (self.due.as_secs_f64() - now.as_secs_f64()) * 1e3
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -24,6 +24,7 @@
 
 mod cold;
 mod fetch;
+mod homes;
 mod job;
 mod server;
 mod share;
@@ -115,6 +116,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     servers: SlotMap<key::Sidecar, Server>,
+    // Those of the servers that are ready.
+    homes: homes::Homes,
     recent_service: recent::Table,
     recent_demand: recent::Table,
     random: random::Random,
@@ -129,6 +132,7 @@
     pub fn new(seed: u64) -> Self {
         Self {
             servers: SlotMap::with_key(),
+            homes: homes::Homes::default(),
             recent_service: recent::Table::default(),
             recent_demand: recent::Table::default(),
             random: random::Random::new(seed),
@@ -139,12 +143,19 @@
 
     /// Adds a backend server and returns its key.
     pub fn add(&mut self, now: time::Duration, info: ServerInfo<'_>) -> key::Sidecar {
-        self.servers.insert(Server::new(now, info))
+        let server = Server::new(now, info);
+        let (service, hash) = (server.service, server.hash);
+        let key = self.servers.insert(server);
+        self.homes.insert(service, hash, key);
+        key
     }
 
     /// Removes a backend server and returns the requests that waited for it.
     pub fn remove(&mut self, server: key::Sidecar) -> Vec<u64> {
         let gone = self.servers.remove(server);
+        if let Some(gone) = &gone {
+            self.homes.remove(gone.service, server);
+        }
         gone.map_or_else(Vec::new, |s| {
             s.queue.into_iter().map(|w| w.request).collect()
         })
@@ -165,9 +176,13 @@
         if state == State::Ready {
             if before != State::Ready {
                 known.ready_since = now;
+                self.homes.insert(known.service, known.hash, server);
             }
             return Vec::new();
         }
+        if before == State::Ready {
+            self.homes.remove(known.service, server);
+        }
         known.queue.drain(..).map(|w| w.request).collect()
     }
 
@@ -203,11 +218,22 @@
         self.servers.iter().filter_map(waits).collect()
     }
 
+    // Returns the home of a request that has one: at an engine, and wherever a suspect request runs.
+    fn home(&self, job: &Job) -> Option<key::Sidecar> {
+        let target = job.home_target()?;
+        let home = self.homes.home(job, target)?;
+        let has_home = self.servers[home].is_engine || job.suspect.is_some();
+        has_home.then_some(home)
+    }
+
     /// Returns the backend server that a request should go to.
     pub fn choose(&mut self, job: &Job) -> Option<key::Sidecar> {
+        if let Some(home) = self.home(job) {
+            return Some(home);
+        }
         let order = self.rank_servers(job);
         let first = *order.first()?;
-        if self.servers[first].is_engine || job.suspect.is_some() {
+        if self.servers[first].is_engine {
             return Some(first);
         }
         // Takes the better of two random servers: loads are as old as the last heartbeat, so if
@@ -304,14 +330,14 @@
 
     // Returns the usable backend servers in order of preference.
     fn rank_servers(&mut self, job: &Job) -> SmallVec<[key::Sidecar; 32]> {
-        let part = job.home_part();
+        let target = job.home_target();
         let mut ranked: SmallVec<[(u64, key::Sidecar); 32]> = SmallVec::new();
         for (at, server) in &self.servers {
             if server.service != job.service || !server.is_ready() || job.excluded.contains(&at) {
                 continue;
             }
-            let rank = if let Some(part) = job.suspect.map(|f| f.content).or(part) {
-                !random::Random::new(part ^ server.hash).bits()
+            let rank = if let Some(target) = target {
+                !random::Random::new(target ^ server.hash).bits()
             } else {
                 // Least load first; ties are broken by zone, then at random.
                 let load = u64::from(server.in_flight()) + server.queue.len() as u64;
--- a/src/decide/place/share.rs
+++ b/src/decide/place/share.rs
@@ -111,7 +111,10 @@
         if job.excluded.len() > MAX_OTHER_HOMES || !self.is_starved(now, job.customer) {
             return None;
         }
-        let order = self.rank_servers(job);
+        let order = match job.home_target() {
+            Some(target) => self.homes.first(job, target, MAX_OTHER_HOMES),
+            None => self.rank_servers(job).into_iter().collect(),
+        };
         let read_ms = |at: &key::Sidecar| {
             let server = &self.servers[*at];
             server.prefill.prefill_ms(server.unread_tokens())
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -3,7 +3,7 @@
 
 use std::time;
 
-use chivebend::decide::place;
+use chivebend::decide::{place, random};
 use chivebend::{code, key};
 use slotmap::SlotMap;
 use smallvec::SmallVec;
@@ -385,6 +385,42 @@
     }
 }
 
+// Guards against an index of usable servers that misses a change of their state.
+#[test]
+fn homes_depend_on_the_usable_servers_only() {
+    let mut rng = random::Random::new(3);
+    let mut fixture = fixture(12, 1, true);
+    for _ in 0..200 {
+        let server = fixture.servers[rng.below(12)];
+        let states = [
+            place::State::Ready,
+            place::State::Draining,
+            place::State::Unusable,
+        ];
+        let state = states[rng.below(3)];
+        fixture.fleet.set_state(ms(0), server, state);
+        if rng.below(20) == 0 {
+            fixture.fleet.remove(fixture.servers[rng.below(12)]);
+        }
+        let mut job = job(fixture.customers[0], rng.bits(), 43, 1_000, 0);
+        let mut order = Vec::new();
+        while let Some(home) = fixture.fleet.choose(&job) {
+            order.push(home);
+            job.excluded.push(home);
+        }
+        let is_ready = |at: &&key::Sidecar| {
+            let verdict = fixture.fleet.place_at(ms(0), 0, &job, **at);
+            !matches!(
+                verdict,
+                place::Verdict::Refuse(code::Code::NoBackendServer, _)
+            )
+        };
+        let ready: Vec<_> = fixture.servers.clone();
+        let ready = ready.iter().filter(is_ready).count();
+        assert_eq!(order.len(), ready);
+    }
+}
+
 #[test]
 fn due_time_follows_the_shortest_objective_and_the_urgency_and_starts_again_on_a_second_placement()
 {
