Log a list of backend servers in one line

Cause: an entry that starts logs a line for each backend server of its first list; over the fleet these are entries times backend servers. Change: more than 64 changes of the list at once are one line, backends_listed, with how many are new and gone.

--- a/src/direct/backends.rs
+++ b/src/direct/backends.rs
@@ -10,6 +10,10 @@
 use crate::decide::place;
 use crate::key;
 
+/// Maximum number of changes of a list that are logged one by one. A larger change, as at each start
+/// of an entry, is one line, since their number is that of entries times that of backend servers.
+const MAX_LOGGED_CHANGES: usize = 64;
+
 impl state::Entry {
     /// Returns the digest of the list of backend servers, which is the same for entries with the
     /// same list.
@@ -83,12 +87,24 @@
             let gone = keys.keys().filter(|id| roster.get(id).is_none());
             gone.cloned().collect()
         };
+        let listed: Vec<listing::Server> = self.roster.borrow().servers().cloned().collect();
+        let new = {
+            let keys = self.keys.borrow();
+            let new = listed
+                .iter()
+                .filter(|server| !keys.contains_key(&server.id));
+            new.count()
+        };
+        let is_logged = gone.len() + new <= MAX_LOGGED_CHANGES;
+        if !is_logged {
+            let line = self.log.line("backends_listed").with("new", new);
+            line.with("gone", gone.len()).with("all", listed.len());
+        }
         for id in gone {
-            self.remove(&id);
+            self.remove(&id, is_logged);
         }
-        let listed: Vec<listing::Server> = self.roster.borrow().servers().cloned().collect();
         for server in listed {
-            self.add_or_update(&configuration, server);
+            self.add_or_update(&configuration, server, is_logged);
         }
         self.update_states();
     }
@@ -101,14 +117,19 @@
         for change in changes {
             let server = self.roster.borrow().get(change.id()).cloned();
             match server {
-                Some(server) => self.add_or_update(&configuration, server),
-                None => self.remove(change.id()),
+                Some(server) => self.add_or_update(&configuration, server, true),
+                None => self.remove(change.id(), true),
             }
         }
         self.update_states();
     }
 
-    fn add_or_update(&self, configuration: &configuration::Configuration, server: listing::Server) {
+    fn add_or_update(
+        &self,
+        configuration: &configuration::Configuration,
+        server: listing::Server,
+        is_logged: bool,
+    ) {
         let earlier = self.remove_earlier(&server);
         let known = self.keys.borrow().get(&server.id).copied();
         if let Some(key) = known {
@@ -140,15 +161,9 @@
             },
         );
         self.health.borrow_mut().add(self.now(), key);
-        self.log
-            .line("backend_new")
-            .with("backend", &server.id)
-            .with("address", server.address)
-            .with("service", &server.service)
-            .with(
-                "leaving",
-                server.leaving || self.backends_leaving.contains(server.process_hash()),
-            );
+        if is_logged {
+            self.log_new(&server);
+        }
         self.keys.borrow_mut().insert(server.id.clone(), key);
         self.apply_cold_report(configuration, key, &server);
         let backend = backend::Backend {
@@ -170,6 +185,16 @@
         self.backends.borrow_mut().insert(key, backend);
     }
 
+    fn log_new(&self, server: &listing::Server) {
+        let is_leaving = server.leaving || self.backends_leaving.contains(server.process_hash());
+        self.log
+            .line("backend_new")
+            .with("backend", &server.id)
+            .with("address", server.address)
+            .with("service", &server.service)
+            .with("leaving", is_leaving);
+    }
+
     fn apply_cold_report(
         &self,
         configuration: &configuration::Configuration,
@@ -201,15 +226,17 @@
             .line("backend_restarted")
             .with("backend", &server.id)
             .with("report", server.report);
-        self.remove(&server.id);
+        self.remove(&server.id, true);
         Some(earlier)
     }
 
-    fn remove(&self, id: &str) {
+    fn remove(&self, id: &str, is_logged: bool) {
         let Some(key) = self.keys.borrow_mut().remove(id) else {
             return;
         };
-        self.log.line("backend_gone").with("backend", id);
+        if is_logged {
+            self.log.line("backend_gone").with("backend", id);
+        }
         let backend = self.backends.borrow_mut().remove(key);
         if let Some(backend) = backend {
             self.hashes.borrow_mut().remove(&backend.hash);
@@ -228,7 +255,7 @@
             .map(|b| b.server.id.clone());
         if let Some(id) = id {
             self.roster.borrow_mut().forget(&id);
-            self.remove(&id);
+            self.remove(&id, true);
         }
     }
 
