Send heartbeats between deciding entries and others less often

Cause: heartbeats of all entries to the deciding ones, and of these to all, were two thirds of what a weak entry received and nearly all that a deciding one did, 120 a second; since reports carry customers' service, little in them is acted on. Change: in a fleet with reports, entries of different zones of which not both decide get every fourth. Deciding ones get each heartbeat of an entry while it has put load on backend servers itself, and one after; an entry that knows less than nine tenths of the fleet gets each, so that it learns soon who decides; one that shuts down tells all with each. Repeats of progress, which rode on them, go in a datagram of their own.

--- a/src/direct/peer/link.rs
+++ b/src/direct/peer/link.rs
@@ -23,6 +23,8 @@
     pub(super) own: net::SocketAddrV4,
     // When a late timer last read the datagrams that had arrived.
     pub(super) last_catch_up: cell::Cell<time::Duration>,
+    // True if the last heartbeat had load in it.
+    pub(super) reported_load: cell::Cell<bool>,
     // When the queues of all backend servers were last checked for requests that can be placed.
     pub(super) last_full_pump: cell::Cell<time::Duration>,
 }
@@ -56,6 +58,7 @@
         socket: tokio_net::UdpSocket::bind(addresses.own).await?,
         own: addresses.own,
         last_catch_up: cell::Cell::default(),
+        reported_load: cell::Cell::default(),
         last_full_pump: cell::Cell::default(),
     })
 }
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -116,14 +116,17 @@
 }
 
 // Sends a heartbeat to every other entry that needs one and returns the number of other entries. In
-// a large fleet most pairs of entries neither share a zone nor include one that decides for the
-// fleet. They act on little of each other's heartbeats, and probes show that both are alive.
+// a large fleet most pairs of entries act on little of each other's heartbeats, and probes show that
+// both are alive.
 //
 // The common part is encoded once; the part for a single recipient is appended, since protobuf
 // decoders merge repeated occurrences of a message's fields.
 fn send_heartbeats(entry: &state::Entry, link: &link::Link, sequence: u64) -> usize {
     let heartbeat = heartbeat_message(entry, sequence);
     let entries = heartbeat.entries;
+    let has_load = !heartbeat.loads.is_empty();
+    // One more without load shows that it has ended.
+    let reports_load = link.reported_load.replace(has_load) || has_load;
     let common = message::Datagram {
         heartbeat: Some(heartbeat),
         cases: case::take_unsent(entry),
@@ -139,16 +142,19 @@
     let common = common.encode_to_vec();
     let addresses = entry.peers.borrow().send_addresses().to_vec();
     let to_all = has_items
+        || entry.is_leaving()
         || !interval::is_sparse(addresses.len())
         || sequence.is_multiple_of(interval::SPARSE_FACTOR.into());
     for address in &addresses {
-        if !to_all && !entry.peers.borrow().gets_all_heartbeats(*address) {
+        let progress = entry.placement_requests.progress_to_repeat(*address);
+        if !to_all && !needs_heartbeat(&entry.peers.borrow(), *address, reports_load) {
+            send_progress(entry, link, *address, progress);
             continue;
         }
         let mut bytes = common.clone();
         let specific = message::Datagram {
             heartbeat: membership_update(entry, *address, entries),
-            progress: entry.placement_requests.progress_to_repeat(*address),
+            progress,
             evacuations: entry.evacuations_for(*address),
             ..message::Datagram::default()
         };
@@ -158,6 +164,30 @@
     addresses.len()
 }
 
+// Returns whether a peer of a large fleet gets each heartbeat. Those that decide do while this entry
+// has put load on backend servers itself.
+fn needs_heartbeat(peers: &table::Table, address: net::Ipv4Addr, reports_load: bool) -> bool {
+    peers.exchanges_all_heartbeats(address)
+        || peers.is_starting(address)
+        || reports_load && peers.deciders().binary_search(&address).is_ok()
+}
+
+fn send_progress(
+    entry: &state::Entry,
+    link: &link::Link,
+    to: net::Ipv4Addr,
+    progress: Vec<message::Progress>,
+) {
+    if progress.is_empty() {
+        return;
+    }
+    let datagram = message::Datagram {
+        progress,
+        ..link.envelope(entry.incarnation)
+    };
+    link.send(to, &datagram);
+}
+
 // Returns addresses for an entry whose membership digest differs from this entry's: a random run of
 // the known addresses, since the heartbeats of all entries together soon cover the list. A few
 // entries send the complete list to one that has just started.
--- a/src/direct/peer/table/mod.rs
+++ b/src/direct/peer/table/mod.rs
@@ -14,6 +14,9 @@
 /// a lossy link becomes apparent within it, and callers don't wait for further attempts.
 const UNRESPONSIVE_PAUSE: time::Duration = time::Duration::from_millis(500);
 
+/// Percentage of the entries from which on an entry knows enough of them.
+const KNOWN_PERCENT: usize = 90;
+
 /// Maximum mean number of children of a decider that only entries of its own zone report to.
 const MAX_CHILDREN: usize = 20;
 
@@ -104,6 +107,9 @@
     strong: Vec<net::Ipv4Addr>,
     // Position of the second watcher among them.
     second_watcher: usize,
+    // Number of entries that accept requests, this one included.
+    accepting: usize,
+    uses_reports: bool,
     // Number of other entries at the last [`Table::take_count_change`].
     reported_peers: usize,
 }
@@ -158,6 +164,7 @@
             p.leaving == heartbeat.leaving
                 && p.millicores == heartbeat.millicores
                 && p.zone == heartbeat.zone
+                && p.sends_reports == heartbeat.sends_reports
         };
         let is_unchanged = known.is_some_and(same);
         let has_zone = known.is_some_and(|p| p.zone == heartbeat.zone);
@@ -217,7 +224,7 @@
         let others = self.alive.len();
         let timeouts = [false, true].map(|all| interval::peer_timeout(others, all));
         let silent = |(address, p): (&net::Ipv4Addr, &Peer)| {
-            let timeout = timeouts[usize::from(self.gets_all_heartbeats(*address))];
+            let timeout = timeouts[usize::from(self.exchanges_all_heartbeats(*address))];
             (now >= p.heard_at + timeout).then_some((*address, p.incarnation))
         };
         let gone: Vec<_> = self.alive.iter().filter_map(silent).collect();
@@ -325,6 +332,9 @@
         let mut all: Vec<_> = accepting.map(|(a, p)| (*a, p.millicores)).collect();
         all.extend(self.own.map(|own| (own, self.millicores)));
         all.sort_unstable();
+        self.accepting = all.len();
+        let sends_reports = self.alive.values().all(|p| p.sends_reports);
+        self.uses_reports = sends_reports && interval::is_sparse(self.alive.len());
         let max = all.iter().map(|(_, m)| *m).max().unwrap_or(0);
         all.retain(|(_, m)| rotation::is_strong(*m, max));
         self.strong = all.into_iter().map(|(a, _)| a).collect();
@@ -421,7 +431,7 @@
     /// Returns whether customers' service goes to a few peers by reports instead of to all by
     /// heartbeats: in a large fleet in which every entry sends reports.
     pub fn uses_reports(&self) -> bool {
-        interval::is_sparse(self.alive.len()) && self.alive.values().all(|p| p.sends_reports)
+        self.uses_reports
     }
 
     /// Returns the addresses of the entries that decide about backend servers, in ascending order;
@@ -442,19 +452,29 @@
         aggregate::parent(own, &near)
     }
 
-    /// Returns whether a peer gets this entry's heartbeats at each interval, and this entry those of
-    /// the peer: if one of both decides for the whole fleet, if they share a zone, in which they
-    /// take load over from each other, or if the peer notices by heartbeats alone that an entry is
-    /// gone.
-    pub fn gets_all_heartbeats(&self, address: net::Ipv4Addr) -> bool {
+    /// Returns whether this entry and a peer send each other a heartbeat at each interval: if they
+    /// share a zone, in which they take load over from each other, if both decide, since each places
+    /// load on engines that the other may decide about next, or if the peer notices by heartbeats
+    /// alone that an entry is gone. Without reports, it is enough that one of both decides.
+    pub fn exchanges_all_heartbeats(&self, address: net::Ipv4Addr) -> bool {
         let Some(peer) = self.alive.get(&address) else {
             return true;
         };
-        let is_strong = |address| self.strong.binary_search(&address).is_ok();
-        !peer.answers_probes
-            || peer.zone == self.zone
-            || is_strong(address)
-            || self.own.is_some_and(is_strong)
+        let is_decider = |address| self.strong.binary_search(&address).is_ok();
+        let (one, other) = (is_decider(address), self.own.is_some_and(is_decider));
+        let any_decides = if self.uses_reports {
+            one && other
+        } else {
+            one || other
+        };
+        !peer.answers_probes || peer.zone == self.zone || any_decides
+    }
+
+    /// Returns whether a peer knows much fewer entries than this one, as after its start. It learns
+    /// by their heartbeats who decides.
+    pub fn is_starting(&self, address: net::Ipv4Addr) -> bool {
+        let peer = self.alive.get(&address);
+        peer.is_none_or(|p| (p.entry_count as usize) < self.accepting * KNOWN_PERCENT / 100)
     }
 
     /// Returns the addresses of peers that don't send updates.
--- a/tests/neighbours.rs
+++ b/tests/neighbours.rs
@@ -546,9 +546,68 @@
             };
             peers.on_heartbeat(support::ms(0), 1, support::address(last), &heartbeat);
         }
-        let gets_all = peers.gets_all_heartbeats(support::address(3));
+        let gets_all = peers.exchanges_all_heartbeats(support::address(3));
         assert_eq!(gets_all, case.gets_all, "{}", case.name);
-        assert!(peers.gets_all_heartbeats(support::address(9)), "unknown");
+        assert!(
+            peers.exchanges_all_heartbeats(support::address(9)),
+            "unknown"
+        );
+    }
+}
+
+// Load pattern: some hundred entries of which a sixth decide. Heartbeats of all to the deciding ones
+// were most of what these received.
+#[test]
+fn in_a_fleet_with_reports_heartbeats_go_to_the_zone_and_between_deciders() {
+    struct Case {
+        own_millicores: u32,
+        millicores: u32,
+        zone: &'static str,
+        gets_all: bool,
+    }
+    let cases = [
+        (90, 90, "a", true),
+        (90, 90, "b", false),
+        (90, 1_000, "b", false),
+        (1_000, 90, "b", false),
+        (1_000, 1_000, "b", true),
+    ]
+    .map(|(own_millicores, millicores, zone, gets_all)| Case {
+        own_millicores,
+        millicores,
+        zone,
+        gets_all,
+    });
+    for case in cases {
+        let own = support::address(1);
+        let mut peers = table::Table::new(own, case.own_millicores, "a", Vec::new());
+        for last in 2..=130 {
+            let (millicores, zone) = match last {
+                2 => (1_000, "c"),
+                3 => (case.millicores, case.zone),
+                _ => (90, "d"),
+            };
+            let heartbeat = message::Heartbeat {
+                millicores,
+                zone: table::zone(zone),
+                answers_probes: true,
+                sends_reports: true,
+                entry_count: 130,
+                ..heartbeat(1)
+            };
+            peers.on_heartbeat(support::ms(0), 1, support::address(last), &heartbeat);
+        }
+        assert!(peers.uses_reports());
+        let gets_all = peers.exchanges_all_heartbeats(support::address(3));
+        let (own, other) = (case.own_millicores, case.millicores);
+        assert_eq!(gets_all, case.gets_all, "{own} {other} {}", case.zone);
+        assert!(!peers.is_starting(support::address(3)));
+        let few = message::Heartbeat {
+            entry_count: 20,
+            ..heartbeat(2)
+        };
+        peers.on_heartbeat(support::ms(1), 2, support::address(4), &few);
+        assert!(peers.is_starting(support::address(4)), "it knows 20");
     }
 }
 
