--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -19,6 +19,7 @@
 pub mod placement;
 pub mod probe;
 pub mod report;
+pub mod report_message;
 pub mod table;
 pub mod update;
 
@@ -238,8 +239,8 @@
     };
     let service = customers.iter().map(|c| fleet.own_service(now, *c));
     let demand = customers.iter().map(|c| fleet.own_demand(now, *c));
-    let service = service.map(message::quantize).collect();
-    let demand = demand.map(message::quantize).collect();
+    let service = service.map(report_message::quantize).collect();
+    let demand = demand.map(report_message::quantize).collect();
     message::Heartbeat {
         sequence,
         leaving: entry.is_leaving(),
--- a/src/direct/peer/report.rs
+++ b/src/direct/peer/report.rs
@@ -8,7 +8,7 @@
 use prost::Message as _;
 use smallvec::{SmallVec, smallvec};
 
-use super::{link, message, table};
+use super::{link, message, report_message, table};
 use crate::decide::{aggregate, recent};
 use crate::direct::state;
 use crate::key;
@@ -44,7 +44,7 @@
     /// Addresses of the entries.
     pub to: aggregate::Addresses,
     /// The report.
-    pub report: message::Report,
+    pub report: report_message::Report,
 }
 
 // The scope of a report that is due, and the entries that get it.
@@ -93,22 +93,22 @@
         now: time::Duration,
         sender: u64,
         from: net::Ipv4Addr,
-        report: &message::Report,
+        report: &report_message::Report,
     ) -> Option<recent::Source> {
         match (report.scope(), &self.role) {
-            (message::Scope::Own, Role::Decider(_)) => {
+            (report_message::Scope::Own, Role::Decider(_)) => {
                 self.children.insert(sender, (from, now));
                 Some(recent::Source::Child(sender))
             }
-            (message::Scope::Subtree, Role::Decider(place)) => {
+            (report_message::Scope::Subtree, Role::Decider(place)) => {
                 let is_member = (place.groups, place.group) == (report.groups, report.group);
                 is_member.then_some(recent::Source::Member(sender))
             }
-            (message::Scope::Group, Role::Decider(place)) => {
+            (report_message::Scope::Group, Role::Decider(place)) => {
                 let is_other = place.groups == report.groups && place.group != report.group;
                 is_other.then_some(recent::Source::Group(report.group))
             }
-            (message::Scope::Fleet, Role::Child(parent)) if *parent == from => {
+            (report_message::Scope::Fleet, Role::Child(parent)) if *parent == from => {
                 self.parent_heard_at = Some(now);
                 Some(recent::Source::Parent)
             }
@@ -234,7 +234,7 @@
 
 // Returns the report of this scope, in parts if there are many customers. An empty one shows that
 // this entry is alive and has nothing more to say.
-fn report_messages(entry: &state::Entry, scope: recent::Scope) -> Vec<message::Report> {
+fn report_messages(entry: &state::Entry, scope: recent::Scope) -> Vec<report_message::Report> {
     let customers = take_changed(entry, scope);
     if customers.is_empty() {
         return vec![report_message(entry, scope, &[])];
@@ -249,7 +249,7 @@
     entry: &state::Entry,
     scope: recent::Scope,
     customers: &[key::Customer],
-) -> message::Report {
+) -> report_message::Report {
     let (now, fleet) = (entry.now(), entry.fleet.borrow());
     let service = customers
         .iter()
@@ -261,18 +261,23 @@
         Role::Decider(place) => (place.groups, place.group),
         Role::None | Role::Child(_) => (0, 0),
     };
-    message::Report {
-        scope: message::Scope::from(scope).into(),
+    report_message::Report {
+        scope: report_message::Scope::from(scope).into(),
         groups,
         group,
         customers: entry.hash_customers(customers),
-        service: service.map(message::quantize).collect(),
-        demand: demand.map(message::quantize).collect(),
+        service: service.map(report_message::quantize).collect(),
+        demand: demand.map(report_message::quantize).collect(),
     }
 }
 
 /// Applies a report.
-pub fn on_report(entry: &state::Entry, sender: u64, from: net::Ipv4Addr, report: &message::Report) {
+pub fn on_report(
+    entry: &state::Entry,
+    sender: u64,
+    from: net::Ipv4Addr,
+    report: &report_message::Report,
+) {
     let now = entry.now();
     let source = entry
         .reports
@@ -281,7 +286,7 @@
     let Some(source) = source else {
         return entry.meter.count("reports", "ignored");
     };
-    let amounts = message::amounts(&report.customers, &report.service, &report.demand);
+    let amounts = report_message::amounts(&report.customers, &report.service, &report.demand);
     // Customers that are unknown here are part of the sums that this entry reports.
     let known =
         amounts.map(|(hash, service, demand)| (entry.customer_with_hash(hash), service, demand));
@@ -294,7 +299,8 @@
     if entry.reports.borrow().has_parent(entry.now()) {
         return;
     }
-    let amounts = message::amounts(&heartbeat.customers, &heartbeat.service, &heartbeat.demand);
+    let amounts =
+        report_message::amounts(&heartbeat.customers, &heartbeat.service, &heartbeat.demand);
     let known = amounts.filter_map(|(hash, service, demand)| {
         Some((entry.customer_by_hash(hash)?, service, demand))
     });
