Ignore reports with a scope of a later version, and merge no empty lists

A report with a scope that this version doesn't know would have counted as the sender's own; an empty list of customers made an empty table for each peer. Found by reading the change once more; nothing was measured for them alone.

--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -4,7 +4,8 @@
 //! requests ([`placement`]). In addition every entry sends a heartbeat ([`message::Heartbeat`]) to
 //! all others. The loss of one heartbeat does little harm: the next repeats everything except
 //! customers whose recent service and demand have not changed since, and the values known of those
-//! decay within seconds. If the deciding entry doesn't reply, the requesting entry decides itself,
+//! decay within seconds. In a large fleet most pairs get fewer heartbeats, and customers' service
+//! goes by [`report`]. If the deciding entry doesn't reply, the requesting entry decides itself,
 //! by the load in the heartbeats.
 
 pub mod addresses;
--- a/src/direct/peer/report.rs
+++ b/src/direct/peer/report.rs
@@ -16,10 +16,10 @@
 /// Maximum number of customers in a report; 6 KB.
 const MAX_CUSTOMERS: usize = 512;
 
-/// Part that an entry has in the exchange of sums.
+// Part that an entry has in the exchange of sums.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 enum Role {
-    /// Heartbeats carry customers' service.
+    // Heartbeats carry customers' service.
     #[default]
     None,
     Decider(aggregate::Place),
@@ -95,7 +95,9 @@
         from: net::Ipv4Addr,
         report: &report_message::Report,
     ) -> Option<recent::Source> {
-        match (report.scope(), &self.role) {
+        // A later version may have further scopes.
+        let scope = report_message::Scope::try_from(report.scope).ok()?;
+        match (scope, &self.role) {
             (report_message::Scope::Own, Role::Decider(_)) => {
                 self.children.insert(sender, (from, now));
                 Some(recent::Source::Child(sender))
@@ -296,7 +298,7 @@
 /// Applies the service and demand of customers that a heartbeat carries.
 pub fn on_heartbeat(entry: &state::Entry, sender: u64, heartbeat: &message::Heartbeat) {
     // The parent's sums contain them.
-    if entry.reports.borrow().has_parent(entry.now()) {
+    if heartbeat.customers.is_empty() || entry.reports.borrow().has_parent(entry.now()) {
         return;
     }
     let amounts =
