--- a/src/decide/aggregate.rs
+++ b/src/decide/aggregate.rs
@@ -33,9 +33,9 @@
 /// Addresses of entries.
 pub type Addresses = SmallVec<[net::Ipv4Addr; 16]>;
 
-/// A decider's place among the deciders.
+/// A decider's position among the deciders.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Place {
+pub struct Position {
     /// Number of groups.
     pub groups: u32,
     /// Number of the decider's own group.
@@ -58,9 +58,9 @@
     random::Random::new(address.to_bits().into()).below(groups as usize) as u32
 }
 
-/// Returns the place of this decider. `deciders` are the addresses of all deciders, this one
+/// Returns the position of this decider. `deciders` are the addresses of all deciders, this one
 /// included, in ascending order.
-pub fn place(own: net::Ipv4Addr, deciders: &[net::Ipv4Addr]) -> Place {
+pub fn position(own: net::Ipv4Addr, deciders: &[net::Ipv4Addr]) -> Position {
     let groups = group_count(deciders.len());
     let group = group_of(own, groups);
     let mut sizes: SmallVec<[usize; 32]> = SmallVec::from_elem(0, groups as usize);
@@ -79,7 +79,7 @@
     let members = others.clone().filter(|(_, g, _)| *g == group);
     // Each member of another group is served by exactly one member of this one.
     let counterparts = others.filter(|(_, g, at)| *g != group && at % size == rank);
-    Place {
+    Position {
         groups,
         group,
         members: members.map(|(address, ..)| *address).collect(),
--- a/src/direct/peer/report.rs
+++ b/src/direct/peer/report.rs
@@ -22,7 +22,7 @@
     // Heartbeats carry customers' service.
     #[default]
     None,
-    Decider(aggregate::Place),
+    Decider(aggregate::Position),
     Child(net::Ipv4Addr),
 }
 
@@ -30,14 +30,20 @@
 #[derive(Debug, Default)]
 pub struct Reports {
     role: Role,
-    // The entries that report to this one: address and last report, by incarnation.
-    children: collections::HashMap<u64, (net::Ipv4Addr, time::Duration)>,
+    // The entries that report to this one, by incarnation.
+    children: collections::HashMap<u64, Child>,
     // When the parent last reported.
-    parent_heard_at: Option<time::Duration>,
+    parent_reported_at: Option<time::Duration>,
     next_round: time::Duration,
     next_children_round: time::Duration,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Child {
+    address: net::Ipv4Addr,
+    reported_at: time::Duration,
+}
+
 /// A report to be sent to some entries.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -56,7 +62,7 @@
             return Self::None;
         }
         if peers.deciders().binary_search(&own).is_ok() {
-            return Self::Decider(aggregate::place(own, peers.deciders()));
+            return Self::Decider(aggregate::position(own, peers.deciders()));
         }
         peers.parent().map_or(Self::None, Self::Child)
     }
@@ -82,7 +88,7 @@
         let is_child = matches!(self.role, Role::Child(_));
         is_child
             && self
-                .parent_heard_at
+                .parent_reported_at
                 .is_some_and(|at| now < at + aggregate::REPORT_TIMEOUT)
     }
 
@@ -99,19 +105,23 @@
         let scope = report_message::Scope::try_from(report.scope).ok()?;
         match (scope, &self.role) {
             (report_message::Scope::Own, Role::Decider(_)) => {
-                self.children.insert(sender, (from, now));
+                let child = Child {
+                    address: from,
+                    reported_at: now,
+                };
+                self.children.insert(sender, child);
                 Some(recent::Source::Child(sender))
             }
-            (report_message::Scope::Subtree, Role::Decider(place)) => {
-                let is_member = (place.groups, place.group) == (report.groups, report.group);
+            (report_message::Scope::Subtree, Role::Decider(position)) => {
+                let is_member = (position.groups, position.group) == (report.groups, report.group);
                 is_member.then_some(recent::Source::Member(sender))
             }
-            (report_message::Scope::Group, Role::Decider(place)) => {
-                let is_other = place.groups == report.groups && place.group != report.group;
+            (report_message::Scope::Group, Role::Decider(position)) => {
+                let is_other = position.groups == report.groups && position.group != report.group;
                 is_other.then_some(recent::Source::Group(report.group))
             }
             (report_message::Scope::Fleet, Role::Child(parent)) if *parent == from => {
-                self.parent_heard_at = Some(now);
+                self.parent_reported_at = Some(now);
                 Some(recent::Source::Parent)
             }
             _ => None,
@@ -120,12 +130,11 @@
 
     // Returns the incarnations of children that have been silent.
     fn take_silent(&mut self, now: time::Duration) -> Vec<u64> {
-        let is_silent = |heard_at: time::Duration| now >= heard_at + aggregate::REPORT_TIMEOUT;
+        let is_silent = |child: &Child| now >= child.reported_at + aggregate::REPORT_TIMEOUT;
         let children = self.children.iter();
-        let silent = children.filter(|(_, (_, heard_at))| is_silent(*heard_at));
+        let silent = children.filter(|(_, child)| is_silent(child));
         let silent: Vec<u64> = silent.map(|(sender, _)| *sender).collect();
-        self.children
-            .retain(|_, (_, heard_at)| !is_silent(*heard_at));
+        self.children.retain(|_, child| !is_silent(child));
         silent
     }
 
@@ -142,17 +151,17 @@
                 self.next_round = now.max(self.next_round + aggregate::CHILD_INTERVAL);
                 due.push((recent::Scope::Own, smallvec![*parent]));
             }
-            Role::Decider(place) => {
+            Role::Decider(position) => {
                 self.next_round = now.max(self.next_round + aggregate::DECIDER_INTERVAL);
-                due.push((recent::Scope::Subtree, place.members.clone()));
+                due.push((recent::Scope::Subtree, position.members.clone()));
                 if is_leaving {
                     return due;
                 }
-                due.push((recent::Scope::Group, place.counterparts.clone()));
+                due.push((recent::Scope::Group, position.counterparts.clone()));
                 if now >= self.next_children_round {
                     let next = self.next_children_round + aggregate::CHILD_INTERVAL;
                     self.next_children_round = now.max(next);
-                    let children = self.children.values().map(|(child, _)| *child);
+                    let children = self.children.values().map(|child| child.address);
                     due.push((recent::Scope::Fleet, children.collect()));
                 }
             }
@@ -260,7 +269,7 @@
         .iter()
         .map(|c| fleet.demand().service(now, *c, scope));
     let (groups, group) = match &entry.reports.borrow().role {
-        Role::Decider(place) => (place.groups, place.group),
+        Role::Decider(position) => (position.groups, position.group),
         Role::None | Role::Child(_) => (0, 0),
     };
     report_message::Report {
--- a/tests/aggregate.rs
+++ b/tests/aggregate.rs
@@ -18,24 +18,28 @@
 fn each_decider_gets_the_sum_of_each_group_once() {
     for count in [1, 2, 3, 5, 20, 60, 61, 120, 240, 500] {
         let deciders: Vec<_> = (0..count).map(address).collect();
-        let places: Vec<_> = deciders
+        let positions: Vec<_> = deciders
             .iter()
-            .map(|own| aggregate::place(*own, &deciders))
+            .map(|own| aggregate::position(*own, &deciders))
             .collect();
         let mut groups = vec![collections::BTreeSet::new(); count];
-        for (own, place) in deciders.iter().zip(&places) {
-            assert!(!place.members.contains(own));
-            let receivers = place.counterparts.iter();
+        for (own, position) in deciders.iter().zip(&positions) {
+            assert!(!position.members.contains(own));
+            let receivers = position.counterparts.iter();
             for at in receivers.filter_map(|to| deciders.binary_search(to).ok()) {
-                assert_ne!(places[at].group, place.group);
-                assert!(groups[at].insert(place.group), "{count} deciders");
+                assert_ne!(positions[at].group, position.group);
+                assert!(groups[at].insert(position.group), "{count} deciders");
             }
         }
-        let used: collections::BTreeSet<_> = places.iter().map(|p| p.group).collect();
-        for (known, place) in groups.iter().zip(&places) {
+        let used: collections::BTreeSet<_> = positions.iter().map(|p| p.group).collect();
+        for (known, position) in groups.iter().zip(&positions) {
             assert_eq!(known.len(), used.len() - 1, "{count} deciders");
-            let members = places.iter().filter(|p| p.group == place.group).count() - 1;
-            assert_eq!(place.members.len(), members, "{count} deciders");
+            let members = positions
+                .iter()
+                .filter(|p| p.group == position.group)
+                .count()
+                - 1;
+            assert_eq!(position.members.len(), members, "{count} deciders");
         }
     }
 }
@@ -44,8 +48,10 @@
 fn the_number_of_partners_grows_with_the_square_root_of_the_deciders() {
     let busiest = |count: usize| {
         let deciders: Vec<_> = (0..count).map(address).collect();
-        let places = deciders.iter().map(|own| aggregate::place(*own, &deciders));
-        let partners = places.map(|p| p.members.len() + p.counterparts.len());
+        let positions = deciders
+            .iter()
+            .map(|own| aggregate::position(*own, &deciders));
+        let partners = positions.map(|p| p.members.len() + p.counterparts.len());
         partners.max().expect("deciders") as f64
     };
     assert!(busiest(240) / busiest(60) < 2.5);
--- a/tests/aggregate_load.rs
+++ b/tests/aggregate_load.rs
@@ -116,7 +116,7 @@
     // Requests per second of each customer, and the prefixes of its prompts.
     rates: Vec<f64>,
     prefixes: Vec<Vec<u64>>,
-    places: Vec<aggregate::Place>,
+    positions: Vec<aggregate::Position>,
     children: Vec<Vec<usize>>,
     queue: events::Queue<Event>,
     rng: random::Random,
@@ -183,9 +183,9 @@
             customers: (0..CUSTOMERS).map(|_| keys.insert(())).collect(),
             rates,
             prefixes: Vec::new(),
-            places: addresses
+            positions: addresses
                 .iter()
-                .map(|own| aggregate::place(*own, &addresses))
+                .map(|own| aggregate::position(*own, &addresses))
                 .collect(),
             children,
             queue: events::Queue::default(),
@@ -421,12 +421,12 @@
             let to = [index(parent)];
             self.send(n, &to, recent::Scope::Own, recent::Source::Child(source));
         } else {
-            let place = self.places[n].clone();
-            let members: Vec<_> = place.members.iter().copied().map(index).collect();
+            let position = self.positions[n].clone();
+            let members: Vec<_> = position.members.iter().copied().map(index).collect();
             let source = recent::Source::Member(source);
             self.send(n, &members, recent::Scope::Subtree, source);
-            let others: Vec<_> = place.counterparts.iter().copied().map(index).collect();
-            let source = recent::Source::Group(place.group);
+            let others: Vec<_> = position.counterparts.iter().copied().map(index).collect();
+            let source = recent::Source::Group(position.group);
             self.send(n, &others, recent::Scope::Group, source);
             let interval = aggregate::CHILD_INTERVAL.as_millis() as u64;
             if self.now_ms % interval < self.interval_ms(n) {
