--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -82,6 +82,7 @@
                 self.tried.push(server);
             }
             let had_run = std::mem::replace(&mut self.may_have_run, true);
+            entry.record_sent(server);
             match conn.send(req).await {
                 Ok(response) => {
                     self.record_headers(server, &response);
--- a/src/direct/backends.rs
+++ b/src/direct/backends.rs
@@ -6,7 +6,7 @@
 
 use super::peer::lease;
 use super::pool::backend;
-use super::{configuration, listing, parts, peer, roster, state};
+use super::{configuration, listing, logger, parts, peer, roster, state};
 use crate::decide::place;
 use crate::key;
 
@@ -135,10 +135,12 @@
         if let Some(key) = known {
             if let Some(backend) = self.backends.borrow_mut().get_mut(key) {
                 if backend.server.leaving != server.leaving {
-                    self.log
-                        .line("backend_leaving")
+                    let line = self.log.line("backend_leaving");
+                    let line = line
                         .with("backend", &server.id)
-                        .with("leaving", server.leaving);
+                        .with("leaving", server.leaving)
+                        .with("report", server.report);
+                    drop(self.with_idle_time(line, backend));
                 }
                 backend.reported(server.report);
                 backend.server = server.clone();
@@ -172,6 +174,7 @@
             paused_until: time::Duration::ZERO,
             is_unverified: earlier.is_some() && service.reports_cold(),
             is_being_asked: false,
+            last_sent: None,
             process: server.process_hash(),
             server,
             idle: Vec::new(),
@@ -234,11 +237,12 @@
         let Some(key) = self.keys.borrow_mut().remove(id) else {
             return;
         };
-        if is_logged {
-            self.log.line("backend_gone").with("backend", id);
-        }
         let backend = self.backends.borrow_mut().remove(key);
         if let Some(backend) = backend {
+            if is_logged {
+                let line = self.log.line("backend_gone").with("backend", id);
+                drop(self.with_idle_time(line, &backend));
+            }
             self.hashes.borrow_mut().remove(&backend.hash);
         }
         self.health.borrow_mut().remove(key);
@@ -246,6 +250,18 @@
         self.place_again(waiting);
     }
 
+    // Adds the time since this entry last sent a request to a backend server, if it ever did.
+    fn with_idle_time<'a>(
+        &self,
+        line: logger::Line<'a>,
+        backend: &backend::Backend,
+    ) -> logger::Line<'a> {
+        match backend.last_sent {
+            Some(sent) => line.ms("idle_ms", self.now().saturating_sub(sent)),
+            None => line,
+        }
+    }
+
     /// Removes a backend server whose address belongs to another instance now.
     pub fn on_replaced(&self, server: key::Sidecar) {
         let id = self
--- a/src/direct/pool/backend.rs
+++ b/src/direct/pool/backend.rs
@@ -21,6 +21,8 @@
     pub(in crate::direct) is_unverified: bool,
     /// True while it is being asked.
     pub(in crate::direct) is_being_asked: bool,
+    /// When this entry last sent it a request.
+    pub(in crate::direct) last_sent: Option<time::Duration>,
     /// Hash of its process, see [`listing::Server::process_hash`].
     pub process: u64,
 }
--- a/src/direct/pool/mod.rs
+++ b/src/direct/pool/mod.rs
@@ -79,6 +79,14 @@
         idle.pop()
     }
 
+    /// Records that a request is sent to a backend server now.
+    pub(super) fn record_sent(&self, server: key::Sidecar) {
+        let now = self.now();
+        if let Some(backend) = self.backends.borrow_mut().get_mut(server) {
+            backend.last_sent = Some(now);
+        }
+    }
+
     /// Returns a connection to the pool after a complete response.
     pub fn return_connection(&self, server: key::Sidecar, mut conn: conn::Conn) {
         conn.last_used = self.now();
