Delay removals only after an outage that can have expired list entries

Callers: requests went on to a backend server for 2 to 4 s after the store had confirmed that it was gone. It shows where a backend server never says that it drains, so that its removal is the only sign.

Cause: an entry whose call for the list failed once took that for an outage of the store. It held back every removal until 2.1 s after its next answer, and then to its next read. One call without an answer (a lost packet, a slow process, a connection that went silent) was enough, though list entries outlive two missed heartbeats, 2.4 s, and though peers had answers all the while. When both watchers were in that state, nobody knew of the removal; entries that take turns to read didn't step in, since the watchers' readings were fresh.

Change: an outage is a span of two heartbeats or more in which a call of this entry failed and no entry had an answer, as far as readings tell. Others may rely on an entry's readings by the same rule, in place of a second one (1.4 s without an answer at this entry alone).

Conclusion: a failed call by itself delays nothing; after real outages removals wait as before.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -15,6 +15,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod member;
+pub mod outage;
 pub mod outcome;
 pub mod overload;
 pub mod pause;
--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -182,6 +182,22 @@
         let mut standby = self.standby.get();
         standby.on_answer(topic as usize);
         self.standby.set(standby);
+        if topic == spread::Topic::Backends {
+            self.on_list_answer(self.now());
+        }
+    }
+
+    /// Records that the store answered a call for the list, of this entry or a peer, at time `at`.
+    pub(super) fn on_list_answer(&self, at: time::Duration) {
+        let mut outages = self.outages.get();
+        outages.on_answer(at, self.settings.borrow().min_outage);
+        self.outages.set(outages);
+    }
+
+    /// Returns when the last outage of the store ended in which list entries may have expired;
+    /// `None` if there was none.
+    pub fn outage_end(&self) -> Option<time::Duration> {
+        self.outages.get().ended_at()
     }
 
     /// Records that a call to the store for this topic failed.
@@ -191,6 +207,9 @@
         let mut standby = self.standby.get();
         standby.on_failure(now, entries, topic as usize);
         self.standby.set(standby);
+        let mut outages = self.outages.get();
+        outages.on_failure();
+        self.outages.set(outages);
     }
 
     /// Returns the topics for which peers have newer data, and which peer to ask for each.
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -167,6 +167,9 @@
         let changed_at = update.changed_at.unwrap_or_default().into();
         let changes = self.apply_changes(peer, update, changed_at);
         let reading = update.reading.as_ref().map(|r| r.received(now));
+        if let Some(reading) = &reading {
+            self.on_list_answer(reading.at);
+        }
         let own = self.holding();
         let is_near = self.peers.borrow().is_near(peer);
         let mut spread = self.spread.borrow_mut();
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -12,7 +12,7 @@
 use super::pool::backend;
 use super::{callers, configuration, dialect, logger, losses, meter, roster, waiting};
 use crate::decide::{
-    health, overload, place, probe, quarantine, random, retry, rotation, spread, standby,
+    health, outage, overload, place, probe, quarantine, random, retry, rotation, spread, standby,
 };
 use crate::key;
 
@@ -57,6 +57,9 @@
     pub millicores: u32,
     /// Time from the termination signal to the kill.
     pub grace: time::Duration,
+    /// Length of the shortest outage of the store in which list entries of running backend servers
+    /// expire.
+    pub min_outage: time::Duration,
 }
 
 /// State of a direct entry.
@@ -90,6 +93,7 @@
     pub(super) store_seen: cell::Cell<[Option<time::Duration>; 2]>,
     // When the store last responded, by topic, even if its data could not be used yet.
     pub(super) store_answered: cell::Cell<[Option<time::Duration>; 2]>,
+    pub(super) outages: cell::Cell<outage::Outages>,
     // The list of backend servers that a peer sent last.
     pub(super) last_peer_list: cell::Cell<Option<table::FetchedList>>,
     // State that decides whether this entry reads the store while the watchers get no response.
@@ -199,6 +203,7 @@
             store_era: cell::Cell::default(),
             store_seen: cell::Cell::default(),
             store_answered: cell::Cell::default(),
+            outages: cell::Cell::default(),
             last_peer_list: cell::Cell::default(),
             standby: cell::Cell::default(),
             read_reason: cell::Cell::default(),
--- a/tests/spread_load.rs
+++ b/tests/spread_load.rs
@@ -10,15 +10,24 @@
 #[path = "support/events.rs"]
 mod events;
 
-use std::{net, time};
+use std::{net, ops, time};
 
 use chivebend::decide::spread::{self, target};
-use chivebend::decide::{evacuation, random, standby};
+use chivebend::decide::{evacuation, outage, random, standby};
 use chivebend::direct::peer::{interval, message, table};
 
 /// Interval between two reads of the store by one entry.
 const READ_INTERVAL_MS: u64 = 900;
 
+/// Timeout of a call to the store, and delay before the next one.
+const ANSWER_TIMEOUT_MS: u64 = 700;
+const RETRY_MS: u64 = 100;
+
+/// Length of the shortest outage in which list entries expire, and time after an outage within which
+/// they are written again.
+const MIN_OUTAGE_MS: u64 = 2_400;
+const REMOVAL_DELAY_MS: u64 = 2_100;
+
 /// Interval at which an entry checks what it has to read or fetch.
 const POLL_MS: u64 = 50;
 
@@ -65,6 +74,8 @@
     Exchange(usize),
     Heartbeat(usize),
     Read(usize),
+    // A call to the store has timed out.
+    Timeout(usize),
     Arrival(usize, Update),
     HeartbeatArrival(usize, usize, message::Heartbeat),
     // A transfer to an entry is complete, refused or timed out.
@@ -89,6 +100,9 @@
     state: State,
     started_ms: u64,
     can_read: bool,
+    // Its calls to the store that begin at these times aren't answered.
+    unanswered_ms: ops::Range<u64>,
+    outages: outage::Outages,
     reads: bool,
     is_fetching: bool,
     distrusts_until_ms: u64,
@@ -152,6 +166,8 @@
             state: State::default(),
             started_ms: 0,
             can_read: true,
+            unanswered_ms: 0..0,
+            outages: outage::Outages::default(),
             reads: false,
             is_fetching: false,
             distrusts_until_ms: 0,
@@ -248,6 +264,10 @@
             }
             Event::Heartbeat(n) => self.send_heartbeats(n),
             Event::Read(n) => self.read(n),
+            Event::Timeout(n) => {
+                self.at(self.now_ms + RETRY_MS, Event::Read(n));
+                self.on_call_failed(n);
+            }
             Event::Arrival(n, update) => {
                 self.on_update(n, &update);
                 self.fetch(n);
@@ -334,6 +354,11 @@
             ..reading
         });
         let is_new = reading.is_some_and(|reading| spread.on_reading(reading, own));
+        if let Some(reading) = reading {
+            let outages = &mut self.entries[n].outages;
+            outages.on_answer(reading.at, support::ms(MIN_OUTAGE_MS));
+        }
+        let spread = &mut self.entries[n].spread;
         spread.on_holding(now, (address(update.from), is_near), update.holding, own);
         let has_to_forward = target::has_to_forward(self.entries[n].known.len());
         if has_to_forward && (is_new || !new.is_empty()) {
@@ -411,22 +436,34 @@
         }
         // The list and the configuration.
         self.calls += 2;
+        if self.entries[n].unanswered_ms.contains(&self.now_ms) {
+            self.at(self.now_ms + ANSWER_TIMEOUT_MS, Event::Timeout(n));
+            return;
+        }
         self.at(self.now_ms + READ_INTERVAL_MS, Event::Read(n));
         if !self.entries[n].can_read {
-            let (now, count) = (self.now(), self.entries.len());
-            self.entries[n].standby.on_failure(now, count, 0);
+            self.on_call_failed(n);
             return;
         }
-        let before = std::mem::replace(&mut self.entries[n].state, self.stored);
-        let changes = (0..64).filter(|c| (before.changes ^ self.stored.changes) & (1 << c) != 0);
+        let (now, entry) = (self.now(), &mut self.entries[n]);
+        entry.outages.on_answer(now, support::ms(MIN_OUTAGE_MS));
+        let outage_end = entry.outages.ended_at();
+        let is_delayed = outage_end.is_some_and(|end| now < end + support::ms(REMOVAL_DELAY_MS));
+        let before = entry.state;
+        if !is_delayed {
+            entry.state = self.stored;
+            entry.spread.advance(evacuation::Position {
+                era: 0,
+                offset: self.now_ms + 1,
+            });
+        }
+        let difference = before.changes ^ entry.state.changes;
+        let changes = (0..64).filter(|c| difference & (1 << c) != 0);
         let changes: Vec<u32> = changes.filter(|_| before.is_complete).collect();
-        let position = evacuation::Position {
-            era: 0,
-            offset: self.now_ms + 1,
-        };
-        let now = self.now();
-        self.entries[n].spread.advance(position);
-        let holding = self.holding(n);
+        let mut holding = self.holding(n);
+        if is_delayed {
+            holding.position = evacuation::Position::default();
+        }
         let spread = &mut self.entries[n].spread;
         let is_news = spread.add_own_reading(address(n), 1, holding, now);
         self.note(n);
@@ -436,6 +473,13 @@
         }
     }
 
+    fn on_call_failed(&mut self, n: usize) {
+        let (now, count) = (self.now(), self.entries.len());
+        let entry = &mut self.entries[n];
+        entry.standby.on_failure(now, count, 0);
+        entry.outages.on_failure();
+    }
+
     fn send_heartbeats(&mut self, n: usize) {
         let interval = interval::heartbeat(self.entries.len()).as_millis() as u64;
         self.at(self.now_ms + interval, Event::Heartbeat(n));
@@ -728,3 +772,26 @@
         assert!(model.calls <= 120, "{count} entries: {}", model.calls);
     }
 }
+
+// Guards against taking calls that the watchers lost for an outage of the store: nobody learned of
+// a backend server that was removed within the next two seconds.
+#[test]
+fn all_entries_learn_of_removals_in_time_after_calls_without_an_answer() {
+    for (count, seeds) in [(4, 100), (30, 60), (360, 5), (1_440, 2)] {
+        for seed in 1..=seeds {
+            let mut model = Model::running(Design::Updates, count, seed);
+            let removed_ms = 6_000;
+            model.run(removed_ms - 2_500);
+            for watcher in 0..standby::WATCHER_COUNT {
+                let until_ms = removed_ms - 1_500 + model.rng.below(2_000) as u64;
+                model.entries[watcher].unanswered_ms = until_ms - READ_INTERVAL_MS..until_ms;
+            }
+            model.run(removed_ms);
+            model.change_stored(|stored| stored.changes = 0b111);
+            model.run(removed_ms + 6_000);
+            let took = model.all_knew_ms().saturating_sub(removed_ms);
+            println!("{count} entries, seed {seed}: {took} ms");
+            assert!(took <= 2_000, "{count} entries, seed {seed}: {took} ms");
+        }
+    }
+}
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -75,6 +75,7 @@
         sockets: 100,
         millicores: 0,
         grace: ms(1_000),
+        min_outage: ms(2_400),
     }
 }
 
