Look at what watchers' heartbeats name before a request is sent

Callers: a request that was placed, and then waited for a connection, could reach a backend server that a watcher's heartbeat had named as leaving meanwhile.

Cause: the last check before a request is sent asked the list, the answers and the zones, but not the heartbeats, which placement goes by as well. At an entry that is behind, the heartbeat comes seconds before the list.

Change: both go by the same. A request that finds its backend server leaving is placed anew; nothing was sent, so that any kind of request may be.

Evidence: request_that_was_placed_before_its_server_was_named_as_leaving_is_not_sent, failed before.

--- a/src/direct/leaving/mod.rs
+++ b/src/direct/leaving/mod.rs
@@ -72,12 +72,14 @@
         backend.server.leaving || self.backends_leaving.contains(backend.process)
     }
 
-    /// Returns whether a backend server may be sent a request now; this may have changed since the
-    /// slot was granted.
+    /// Returns whether a backend server may be sent a request now, by all that placement goes by;
+    /// this may have changed since the slot was granted.
     pub fn accepts_requests(&self, server: key::Sidecar) -> bool {
         let (now, backends) = (self.now(), self.backends.borrow());
         let is_open = |b: &backend::Backend| {
-            !self.is_backend_leaving(b) && !self.zones.is_evacuated(&b.server)
+            !self.is_backend_leaving(b)
+                && !self.is_named_leaving(now, b.hash)
+                && !self.zones.is_evacuated(&b.server)
         };
         let takes = |b: &backend::Backend| is_open(b) && b.is_available(now);
         backends.get(server).is_some_and(takes)
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -52,6 +52,22 @@
     assert_eq!(watcher.departing().len(), 1);
 }
 
+// Guards against sending a request that was placed before a watcher's heartbeat named its backend
+// server as leaving: the last check before sending knew less than placement.
+#[test]
+fn request_that_was_placed_before_its_server_was_named_as_leaving_is_not_sent() {
+    let (watcher, other) = (support::entry(1), support::entry(2));
+    for entry in [&watcher, &other] {
+        entry.apply_update(listing::Update::All(vec![support::server("a", 5, false)]));
+    }
+    let server = other.server_by_hash(xxhash_rust::xxh3::xxh3_64(b"a"));
+    let server = server.expect("it is listed");
+    assert!(other.accepts_requests(server));
+    watcher.apply_update(listing::Update::Listed(support::server("a", 6, true)));
+    other.on_departing(&watcher.departing());
+    assert!(!other.accepts_requests(server));
+}
+
 fn started(id: &str, start: u64, number: u64) -> listing::Server {
     listing::Server {
         report: support::report(start, number),
