Keep what peers reported when a complete read of the store is older

Callers: at an entry that turned from its peers to the store, a backend server that was known to leave, or to be gone, could get requests again for one read interval.

Cause: a complete read replaced the list without comparing reports. An entry that reads the store after it relied on its peers reads completely; what peers send while its call is under way, or before a slow process comes to the answer, is newer than the read, and is sent only once. Merging a peer's list compares, a single record does, the complete read didn't.

Change: of two reports the newer one wins, and a removal that peers have told stands against a list entry that isn't newer.

Evidence: complete_read_brings_back_nothing_older_than_what_peers_reported, failed before (both list entries came back). A single record of the store isn't held against removals: a list entry that is written again unchanged would stay out for good.

--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -219,14 +219,20 @@
         Effect::Replaced
     }
 
-    // Replaces the list by the store's. If few entries changed, returns these.
+    // Replaces the list by the store's, except for what peers reported after the store was read. If
+    // few entries changed, returns these.
     fn replace(&mut self, now: time::Duration, servers: Vec<listing::Server>) -> Effect {
         let was_complete = std::mem::replace(&mut self.is_complete, true);
         let before = std::mem::take(&mut self.listed);
         self.digests = [0; 2];
         let mut changes = Vec::new();
-        for server in servers {
-            let known = before.get(&server.id);
+        for read in servers {
+            let known = before.get(&read.id);
+            if known.is_none() && self.is_outdated(&read) {
+                continue;
+            }
+            let newer = known.filter(|known| known.report > read.report);
+            let server = newer.cloned().unwrap_or(read);
             if known.is_none_or(|known| !known.is_same_payload(&server)) {
                 changes.push(listing::Change::Listed(server.clone()));
             }
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -68,6 +68,41 @@
     assert!(!other.accepts_requests(server));
 }
 
+// Guards against a complete read of the store that undoes what peers have reported since it began:
+// a backend server that was known to leave or to be gone got requests again.
+#[test]
+fn complete_read_brings_back_nothing_older_than_what_peers_reported() {
+    let entry = support::entry(1);
+    let before = vec![
+        support::server("leaves", 5, false),
+        support::server("gone", 5, false),
+    ];
+    let listed = || {
+        let servers = entry.servers().expect("a list").into_iter();
+        let mut listed: Vec<_> = servers
+            .map(|s| (s.id, s.report.number, s.leaving))
+            .collect();
+        listed.sort();
+        listed
+    };
+    entry.apply_update(listing::Update::FromPeer(before.clone()));
+    entry.apply_update(listing::Update::Listed(support::server("leaves", 6, true)));
+    let gone = listing::Update::GoneAt("gone".into(), support::report(0, 5));
+    entry.apply_update(gone);
+    entry.apply_update(listing::Update::All(before));
+    assert_eq!(listed(), [("leaves".to_owned(), 6, true)]);
+    // What was reported since is taken.
+    entry.apply_update(listing::Update::All(vec![
+        support::server("leaves", 7, false),
+        support::server("gone", 6, false),
+    ]));
+    let returned = [
+        ("gone".to_owned(), 6, false),
+        ("leaves".to_owned(), 7, false),
+    ];
+    assert_eq!(listed(), returned);
+}
+
 fn started(id: &str, start: u64, number: u64) -> listing::Server {
     listing::Server {
         report: support::report(start, number),
