--- a/src/decide/outage.rs
+++ b/src/decide/outage.rs
@@ -13,8 +13,9 @@
 pub struct Outages {
     // When the store last answered any entry.
     answered_at: time::Duration,
-    // True if a call of this entry has failed since.
+    // True if a call of this entry has failed since: without a call, silence shows nothing.
     has_failed: bool,
+    // When the last outage ended.
     ended_at: Option<time::Duration>,
 }
 
