Take a start of the fleet for its first only if the store has no record of an earlier one

Cause: `bootstrap` of the settings stood for "no stream began before". A process that starts again may read the same file.

Change: the settings only claim the first start. Updates carry the time since; entries that ran then and claim the same take part. Others send records and ask, as after any restart.

Tests: models construct histories with the confirmed first start that they had.

--- a/src/decide/binding/history.rs
+++ b/src/decide/binding/history.rs
@@ -30,25 +30,52 @@
     }
 }
 
+/// Whether the fleet started for the first time with this process, so that no stream began before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FirstStart {
+    /// It didn't, or that can't be known.
+    #[default]
+    No,
+    /// The settings say so, which the store has to confirm: a process that starts again may read the
+    /// settings of the first start.
+    Claimed,
+    /// It was confirmed at this time, after this process started.
+    Confirmed(time::Duration),
+}
+
 /// Versions that were listed for each service since the process started.
 #[derive(Debug, Default)]
 pub struct History {
-    // True if the fleet started with this process, so that no stream began before.
-    is_first_start: bool,
+    first_start: FirstStart,
     services: collections::HashMap<u64, SmallVec<[Listed; 2]>>,
     singles: collections::HashMap<u64, Single>,
 }
 
 impl History {
-    /// Returns a history without versions. `is_first_start` is true if no entry ran before this
-    /// process started.
-    pub fn new(is_first_start: bool) -> Self {
+    /// Returns a history without versions.
+    pub fn new(first_start: FirstStart) -> Self {
         Self {
-            is_first_start,
+            first_start,
             ..Self::default()
         }
     }
 
+    /// Returns whether the fleet started for the first time with this process.
+    pub fn first_start(&self) -> FirstStart {
+        self.first_start
+    }
+
+    /// Records that the fleet's first start was confirmed at time `at`, here or at a peer. Returns
+    /// whether this process takes part in it: it was running, and its settings say so. `at` is `None`
+    /// if that was before it started.
+    pub fn confirm_first_start(&mut self, at: Option<time::Duration>) -> bool {
+        let is_confirmed = self.first_start == FirstStart::Claimed && at.is_some();
+        if let Some(at) = at.filter(|_| is_confirmed) {
+            self.first_start = FirstStart::Confirmed(at);
+        }
+        is_confirmed
+    }
+
     /// Records a listed backend server.
     pub fn add(&mut self, service: &str, version: Version) {
         let listed = self.services.entry(service_hash(service)).or_default();
@@ -92,7 +119,7 @@
     /// Returns whether this process has run for so long, or runs in a fleet that is so young, that it
     /// knows all versions that were listed within `lifetime`.
     pub fn has_watched(&self, now: time::Duration, lifetime: time::Duration) -> bool {
-        self.is_first_start || now >= lifetime
+        matches!(self.first_start, FirstStart::Confirmed(_)) || now >= lifetime
     }
 
     /// Returns the versions that were listed within `lifetime`.
--- a/src/decide/binding/mod.rs
+++ b/src/decide/binding/mod.rs
@@ -11,6 +11,7 @@
 //! version needs no records: every entry that has watched the list for as long as a stream can last
 //! knows that there was no other. The platform's store keeps that for the time after all entries were
 //! killed at once, with a write only when a service gets a second version or is left with one.
+//! It also tells the first start of a fleet from later ones.
 //!
 //! Times are durations since the process started.
 
@@ -26,9 +27,9 @@
 mod stored;
 mod table;
 
-pub use history::{History, View};
+pub use history::{FirstStart, History, View};
 pub use registry::{Registry, is_current};
-pub use stored::{Change, Stored};
+pub use stored::{Change, Stored, may_be_first_start};
 pub use table::Table;
 
 /// Number of entries that a record is sent to.
--- a/src/decide/binding/registry.rs
+++ b/src/decide/binding/registry.rs
@@ -4,7 +4,8 @@
 use std::{collections, time};
 
 use super::{
-    History, List, Record, Replies, Reply, Resolution, Service, Stored, Stream, Table, View,
+    FirstStart, History, List, RETENTION, Record, Replies, Reply, Resolution, Service, Stored,
+    Stream, Table, View,
 };
 
 /// Age of the newest reading of the store up to which the list counts as current: two readings that
@@ -64,16 +65,26 @@
 }
 
 impl Registry {
-    /// Returns an entry's state at its start. `is_first_start` is true if no entry ran before.
-    pub fn new(is_first_start: bool) -> Self {
+    /// Returns an entry's state at its start.
+    pub fn new(first_start: FirstStart) -> Self {
         Self {
             table: Table::default(),
-            history: History::new(is_first_start),
+            history: History::new(first_start),
             stored: Stored::default(),
             unsent: collections::VecDeque::new(),
         }
     }
 
+    /// Returns the time since the fleet's first start was confirmed, for as long as peers can use it.
+    pub fn first_start_age(&self, now: time::Duration) -> Option<time::Duration> {
+        match self.history.first_start() {
+            FirstStart::Confirmed(at) => {
+                Some(now.saturating_sub(at)).filter(|age| *age < RETENTION)
+            }
+            FirstStart::No | FirstStart::Claimed => None,
+        }
+    }
+
     fn view(&self, now: time::Duration, service: Service) -> View {
         self.history.view(now, service.hash, service.lifetime)
     }
--- a/src/decide/binding/stored.rs
+++ b/src/decide/binding/stored.rs
@@ -7,6 +7,13 @@
 /// Maximum number of changes that [`Stored::due`] returns.
 const MAX_DUE: usize = 16;
 
+/// Returns whether a fleet may start for the first time with a store of this era, if it counts them,
+/// whose records of versions end at this offset. A store that was ever restored from an older copy may
+/// have lost what an earlier fleet wrote.
+pub fn may_be_first_start(era: Option<u64>, end: u64) -> bool {
+    end == 0 && era.unwrap_or_default() == 0
+}
+
 /// What the store holds, as far as this entry knows.
 #[derive(Debug, Default)]
 pub struct Stored {
--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -4,7 +4,7 @@
 use std::{rc, time};
 
 use super::peer::binding as exchange;
-use super::{forward, refusal, slot, state};
+use super::{evacuation, forward, refusal, slot, state};
 use crate::code;
 use crate::decide::binding;
 use crate::key;
@@ -91,6 +91,38 @@
         stored.restore(self.now(), records, history);
     }
 
+    /// Returns whether nothing has confirmed yet that the fleet starts for the first time, as the
+    /// settings say.
+    pub fn awaits_first_start(&self) -> bool {
+        self.bindings.borrow().history.first_start() == binding::FirstStart::Claimed
+    }
+
+    /// Records that the fleet's first start was confirmed at time `at`, by the store or a peer; `None`
+    /// if that was before this process started.
+    pub fn on_first_start(&self, at: Option<time::Duration>, source: evacuation::Source) {
+        let mut bindings = self.bindings.borrow_mut();
+        if bindings.history.confirm_first_start(at) {
+            let line = self.log.line("first_start").with("confirmed", true);
+            drop(line.with("source", source));
+        }
+    }
+
+    /// Records that the store, in this era and with this number of records of versions, doesn't confirm
+    /// that the fleet starts for the first time.
+    pub fn on_unconfirmed_start(&self, era: Option<u64>, records: u64) {
+        let line = self.log.line("first_start").with("confirmed", false);
+        let line = line.with("source", evacuation::Source::Store);
+        let era = era.map(|era| era.to_string());
+        let line = line.with("era", era.as_deref().unwrap_or("-"));
+        drop(line.with("records", records));
+    }
+
+    // Returns the milliseconds since the first start was confirmed, for those that may take part in it.
+    pub(super) fn first_start_ms(&self) -> Option<u32> {
+        let age = self.bindings.borrow().first_start_age(self.now())?;
+        Some(age.as_millis() as u32)
+    }
+
     /// Returns the changes of versions that the store lacks, if this entry's list is current.
     pub fn due_versions(&self) -> Vec<binding::Change> {
         if !self.has_current_list() {
--- a/src/direct/peer/update.rs
+++ b/src/direct/peer/update.rs
@@ -27,6 +27,9 @@
     /// Position of the store's log up to which the changes were read.
     #[prost(message, optional, tag = "6")]
     pub changed_at: Option<Position>,
+    /// Milliseconds since the first start of the fleet was confirmed, if it was while the sender ran.
+    #[prost(uint32, optional, tag = "7")]
+    pub first_start_ms: Option<u32>,
 }
 
 /// Position in the store's log of backend servers.
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -167,6 +167,7 @@
         update::Update {
             reading: reading.map(|reading| update::Reading::new(now, reading)),
             holding: Some(holding),
+            first_start_ms: self.first_start_ms(),
             ..update::Update::default()
         }
     }
@@ -196,6 +197,10 @@
             self.list_completed.notify_waiters();
         }
         self.note_versions(peer, update);
+        if let Some(ms) = update.first_start_ms {
+            let age = time::Duration::from_millis(ms.into());
+            self.on_first_start(now.checked_sub(age), super::evacuation::Source::Peer);
+        }
         if let Some(reading) = reading.filter(|_| is_new) {
             self.meter
                 .time("update_age", now.saturating_sub(reading.at));
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -60,7 +60,7 @@
     pub millicores: u32,
     /// Time from the termination signal to the kill.
     pub grace: time::Duration,
-    /// True if no entry of the fleet ran before this process.
+    /// True if no entry of the fleet ran before this process, as far as its settings say.
     pub is_first_start: bool,
     /// Decisions that are switched on.
     pub features: feature::Features,
@@ -205,7 +205,11 @@
         link: Option<link::Link>,
     ) -> Self {
         let limit = (settings.sockets as f64 * CALLER_SOCKET_SHARE) as usize;
-        let is_first_start = settings.is_first_start;
+        let first_start = if settings.is_first_start {
+            binding::FirstStart::Claimed
+        } else {
+            binding::FirstStart::No
+        };
         let mut fleet = place::Fleet::new(seed);
         fleet.set_features(settings.features);
         let peers = table::Table::new(settings.address, settings.millicores, &settings.zone, seeds);
@@ -251,7 +255,7 @@
             leases: lease::Table::default(),
             losses: losses::Losses::default(),
             quarantine: cell::RefCell::default(),
-            bindings: cell::RefCell::new(binding::Registry::new(is_first_start)),
+            bindings: cell::RefCell::new(binding::Registry::new(first_start)),
             binding_requests: peer_binding::PendingRequests::default(),
             unsent_cases: outbox::Outbox::default(),
             unsaved_cases: cell::RefCell::default(),
--- a/tests/binding.rs
+++ b/tests/binding.rs
@@ -5,7 +5,9 @@
 
 use std::{net, time};
 
-use chivebend::decide::binding::{self, List, Record, Reply, Resolution, Stream, Version};
+use chivebend::decide::binding::{
+    self, FirstStart, List, Record, Reply, Resolution, Stream, Version,
+};
 use chivebend::decide::{place, spread};
 use chivebend::direct::peer::update;
 use chivebend::direct::{listing, parts, roster};
@@ -109,7 +111,7 @@
 #[test]
 fn history_knows_of_versions_that_are_gone() {
     let service = binding::service_hash("s");
-    let mut history = binding::History::new(true);
+    let mut history = binding::History::new(FirstStart::Confirmed(ms(0)));
     history.add("s", version("v1"));
     history.add("s", version("v1"));
     history.remove(ms(1_000), "s", version("v1"));
@@ -125,7 +127,7 @@
         history.view(ms(18_000), service, ms(8_000)).only(),
         Some(version("v2"))
     );
-    let mut restarted = binding::History::new(false);
+    let mut restarted = binding::History::new(FirstStart::No);
     restarted.add("s", version("v2"));
     assert_eq!(restarted.view(ms(7_999), service, ms(8_000)).only(), None);
     assert!(
@@ -136,6 +138,36 @@
     );
 }
 
+// Guards against a later start of the fleet that is taken for its first one, after which no version
+// that served before would count.
+#[test]
+fn a_first_start_is_confirmed_by_the_store_or_by_a_peer_that_ran_before() {
+    for (era, end, expected) in [
+        (None, 0, true),
+        (Some(0), 0, true),
+        (None, 1, false),
+        (Some(1), 0, false),
+    ] {
+        let found = binding::may_be_first_start(era, end);
+        assert_eq!(found, expected, "era {era:?}, {end} records");
+    }
+    let service = binding::service_hash("s");
+    let claimed = FirstStart::Claimed;
+    for (start, confirmed_at, expected) in [
+        (claimed, Some(ms(900)), true),
+        // Its settings are of the first start, but a peer confirmed that before this process started.
+        (claimed, None, false),
+        (FirstStart::No, Some(ms(900)), false),
+    ] {
+        let mut history = binding::History::new(start);
+        history.add("s", version("v1"));
+        assert!(!history.view(ms(900), service, ms(8_000)).is_complete);
+        assert_eq!(history.confirm_first_start(confirmed_at), expected);
+        let view = history.view(ms(1_000), service, ms(8_000));
+        assert_eq!(view.is_complete, expected, "{start:?}, {confirmed_at:?}");
+    }
+}
+
 struct Case {
     name: &'static str,
     // Versions that this entry listed, and whether it has watched for long.
--- a/tests/binding_load.rs
+++ b/tests/binding_load.rs
@@ -132,7 +132,7 @@
     fn new(case: &Case, seed: u64) -> Self {
         let mut rng = Random::new(seed);
         let entry = |at: usize| Entry {
-            bindings: binding::Registry::new(true),
+            bindings: binding::Registry::new(binding::FirstStart::Confirmed(ms(0))),
             killed_at: None,
             is_cut: case.cut_divisor.is_some_and(|d| at < case.entries / d),
             first_read_ms: rng.below(READ_INTERVAL_MS as usize) as u64,
@@ -515,7 +515,7 @@
     for entries in [4, 30, 360, 1_440_usize] {
         let (now, v1, mut rng) = (ms(200), version("v1"), Random::new(1));
         let start = |_| {
-            let mut bindings = binding::Registry::new(false);
+            let mut bindings = binding::Registry::new(binding::FirstStart::No);
             bindings.history.add(SERVICE, v1);
             bindings
         };
@@ -564,7 +564,7 @@
             version,
         }]
     };
-    let mut bindings = binding::Registry::new(true);
+    let mut bindings = binding::Registry::new(binding::FirstStart::Confirmed(ms(0)));
     let due = |bindings: &binding::Registry, at| bindings.stored.due(ms(at), &bindings.history);
     bindings.history.add(SERVICE, v1);
     assert_eq!(due(&bindings, 0), change(Some(v1)));
@@ -578,7 +578,7 @@
     assert_eq!(due(&bindings, 70_000), change(Some(v2)));
     // An entry that starts relies on the record only if it fits the list.
     for (listed, is_known) in [(vec![v2], true), (vec![v1], false), (vec![v1, v2], false)] {
-        let mut started = binding::Registry::new(false);
+        let mut started = binding::Registry::new(binding::FirstStart::No);
         for version in &listed {
             started.history.add(SERVICE, *version);
         }
