Let streams of several versions go on after all entries were killed

Cause: which version began a stream was known to entries only.

Change: while a service has several versions, each record also goes to one of a few entries, which collect records for 0.2 s and write them with one call. Their batches take turns in 64 places each. An entry that reads the store at its start reads them and sends them to the peers that would keep them; for 1.5 s after a start a stream that nobody knows waits instead of being refused. In a service of one version nothing is sent or written.

--- /dev/null
+++ b/src/decide/binding/journal.rs
@@ -0,0 +1,97 @@
+//! Records on their way to the platform's store, where they outlive all entries.
+//!
+//! A write for each stream would exceed the store's writes a second. A few entries, the writers, put
+//! the records of all others into batches, so that the calls don't grow with the number of streams.
+//! The batches of a writer take turns in a fixed number of places, which bounds what the store holds
+//! and what an entry reads at its start.
+
+use std::{collections, net};
+
+use super::{Record, Stream, rendezvous};
+
+/// Number of writers in a small fleet: with two, one may have ended.
+const MIN_WRITERS: usize = 2;
+
+/// Number of entries for one writer. With four streams a second at each entry, a writer receives some
+/// 180 records a second.
+const ENTRIES_PER_WRITER: usize = 45;
+
+/// Number that selects the writers by rendezvous hashing.
+const WRITERS_TARGET: u64 = 0x7772_6974_6572;
+
+/// Number of places of a writer's batches. With five batches a second they hold 13 s, about as long as
+/// callers wait for a stream.
+const PLACES: u32 = 64;
+
+/// Maximum number of records in a batch, about 35 bytes each.
+const MAX_BATCH: usize = 4_000;
+
+/// Maximum number of records that wait for a write.
+const MAX_UNWRITTEN: usize = 2 * MAX_BATCH;
+
+/// Returns the entries, of all that run, that write records to the store.
+pub fn writers(entries: &[net::Ipv4Addr]) -> rendezvous::Addresses {
+    let count = MIN_WRITERS.max(entries.len().div_ceil(ENTRIES_PER_WRITER));
+    rendezvous::first(WRITERS_TARGET, entries.iter().copied(), count)
+}
+
+impl Stream {
+    /// Returns the writer of this stream's record.
+    pub fn writer(self, writers: &[net::Ipv4Addr]) -> Option<net::Ipv4Addr> {
+        let at = self.id as usize % writers.len().max(1);
+        writers.get(at).copied()
+    }
+}
+
+/// A batch of records, and its place among those of its writer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// Number of the place, which an earlier batch may have had.
+    pub place: u32,
+    /// Records, oldest first.
+    pub records: Vec<Record>,
+}
+
+/// Records that this entry has to write.
+#[derive(Debug, Default)]
+pub struct Journal {
+    unwritten: collections::VecDeque<Record>,
+    batches: u32,
+}
+
+impl Journal {
+    /// Adds a record. If there are too many, the oldest is dropped.
+    pub fn add(&mut self, record: Record) {
+        if self.unwritten.len() >= MAX_UNWRITTEN {
+            self.unwritten.pop_front();
+        }
+        self.unwritten.push_back(record);
+    }
+
+    /// Returns whether no record waits.
+    pub fn is_empty(&self) -> bool {
+        self.unwritten.is_empty()
+    }
+
+    /// Returns the next batch, if there are records.
+    pub fn take(&mut self) -> Option<Batch> {
+        let count = self.unwritten.len().min(MAX_BATCH);
+        if count == 0 {
+            return None;
+        }
+        self.batches = self.batches.wrapping_add(1);
+        Some(Batch {
+            place: self.batches % PLACES,
+            records: self.unwritten.drain(..count).collect(),
+        })
+    }
+
+    /// Returns the records of a batch that couldn't be written, before all others.
+    pub fn put_back(&mut self, batch: Batch) {
+        for record in batch.records.into_iter().rev() {
+            if self.unwritten.len() < MAX_UNWRITTEN {
+                self.unwritten.push_front(record);
+            }
+        }
+    }
+}
--- a/src/decide/binding/mod.rs
+++ b/src/decide/binding/mod.rs
@@ -10,7 +10,8 @@
 //! memory and datagrams for a stream don't depend on the size of the fleet. A service with a single
 //! version needs no records: every entry that has watched the list for as long as a stream can last
 //! knows that there was no other. The platform's store keeps that for the time after all entries were
-//! killed at once, with a write only when a service gets a second version or is left with one.
+//! killed at once, with a write only when a service gets a second version or is left with one; the
+//! records of a service with several versions are written in batches.
 //! It also tells the first start of a fleet from later ones.
 //!
 //! Times are durations since the process started.
@@ -23,11 +24,13 @@
 use super::rendezvous;
 
 mod history;
+mod journal;
 mod registry;
 mod stored;
 mod table;
 
 pub use history::{FirstStart, History, View};
+pub use journal::{Batch, Journal, writers};
 pub use registry::{Registry, is_current};
 pub use stored::{Change, Stored, may_be_first_start};
 pub use table::Table;
--- a/src/decide/binding/registry.rs
+++ b/src/decide/binding/registry.rs
@@ -4,8 +4,8 @@
 use std::{collections, time};
 
 use super::{
-    FirstStart, History, List, RETENTION, Record, Replies, Reply, Resolution, Service, Stored,
-    Stream, Table, View,
+    FirstStart, History, Journal, List, RETENTION, Record, Replies, Reply, Resolution, Service,
+    Stored, Stream, Table, View,
 };
 
 /// Age of the newest reading of the store up to which the list counts as current: two readings that
@@ -34,8 +34,14 @@
     pub history: History,
     /// What the store holds of them.
     pub stored: Stored,
+    /// Records that this entry writes to the store, of its own and other entries' streams.
+    pub journal: Journal,
     // Records of this entry's streams that no peer has, oldest first.
     unsent: collections::VecDeque<Unsent>,
+    /// Records that were restored from the store, until all peers that keep them are known.
+    pub restored: Vec<Record>,
+    // Records of this entry's streams that have yet to reach a writer.
+    unwritten: Vec<Record>,
 }
 
 /// Returns whether a list of backend servers is current, by the time of the newest answer of the
@@ -71,6 +77,9 @@
             table: Table::default(),
             history: History::new(first_start),
             stored: Stored::default(),
+            journal: Journal::default(),
+            restored: Vec::new(),
+            unwritten: Vec::new(),
             unsent: collections::VecDeque::new(),
         }
     }
@@ -144,11 +153,24 @@
         is_current && has_watched && self.view(now, service).only().is_some()
     }
 
+    fn is_mixed(&self, now: time::Duration, service: Service) -> bool {
+        self.view(now, service).versions.len() > 1
+    }
+
+    /// Returns the records that have to outlive all entries, for their writers: those of streams that
+    /// have begun, or have become due, while their services had several versions.
+    pub fn take_unwritten(&mut self) -> Vec<Record> {
+        std::mem::take(&mut self.unwritten)
+    }
+
     /// Records that a stream begins. Returns whether other entries need the record at once;
     /// otherwise it is kept until they do.
     pub fn begin(&mut self, record: Record, service: Service, is_current: bool) -> bool {
         self.table.add(record);
         if !self.needs_no_record(record.at, service, is_current) {
+            if self.is_mixed(record.at, service) {
+                self.unwritten.push(record);
+            }
             return true;
         }
         if self.unsent.len() >= MAX_UNSENT {
@@ -166,20 +188,25 @@
         self.unsent
             .retain(|unsent| now < unsent.record.at + unsent.service.lifetime);
         let (mut kept, mut due) = (collections::VecDeque::new(), Vec::new());
-        let mut known = collections::HashMap::new();
+        let (mut known, mut unwritten) = (collections::HashMap::new(), Vec::new());
         // The newest streams are the most likely to break while they run.
         for unsent in std::mem::take(&mut self.unsent).into_iter().rev() {
             let service = unsent.service;
-            let needs_none = *known
-                .entry(service)
-                .or_insert_with(|| self.needs_no_record(now, service, is_current));
+            let (needs_none, is_mixed) = *known.entry(service).or_insert_with(|| {
+                let needs_none = self.needs_no_record(now, service, is_current);
+                (needs_none, self.is_mixed(now, service))
+            });
             if needs_none || due.len() >= MAX_DUE {
                 kept.push_front(unsent);
-            } else {
-                due.push(unsent.record);
+                continue;
+            }
+            due.push(unsent.record);
+            if is_mixed {
+                unwritten.push(unsent.record);
             }
         }
         self.unsent = kept;
+        self.unwritten.extend(unwritten);
         due
     }
 }
--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -3,10 +3,13 @@
 
 use std::{rc, time};
 
+use prost::Message as _;
+
 use super::peer::binding as exchange;
+use super::peer::binding_message;
 use super::{evacuation, forward, refusal, slot, state};
 use crate::code;
-use crate::decide::binding;
+use crate::decide::{binding, rendezvous};
 use crate::key;
 
 /// Time for which a list is awaited that is newer than a stream: two reads of the store, of which one
@@ -16,6 +19,13 @@
 /// Interval of checks whether such a list can still come, beside its arrival.
 const LIST_POLL: time::Duration = time::Duration::from_millis(250);
 
+/// Time after the start in which records are restored from the store and sent to those that keep them.
+/// A caller that waits for them loses less than its stream.
+const RESTORE_TIME: time::Duration = time::Duration::from_millis(1_500);
+
+/// Interval at which peers are asked again meanwhile.
+const RESTORE_POLL: time::Duration = time::Duration::from_millis(200);
+
 /// Retry-After if the version that began a stream isn't known here: another entry may know it.
 const UNKNOWN_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
 
@@ -69,8 +79,12 @@
     /// Forgets old records, and sends those to peers that have become necessary.
     pub(super) fn refresh_bindings(&self) {
         let is_current = self.has_current_list();
-        let due = self.bindings.borrow_mut().take_due(self.now(), is_current);
+        let mut bindings = self.bindings.borrow_mut();
+        let due = bindings.take_due(self.now(), is_current);
+        let unwritten = bindings.take_unwritten();
+        drop(bindings);
         exchange::send_records(self, &due);
+        exchange::send_to_writers(self, &unwritten);
     }
 
     /// Applies what the platform's store holds of services that had a single version.
@@ -143,6 +157,96 @@
     }
 }
 
+/// A batch of records, as the platform's store keeps it.
+#[derive(Debug)]
+pub struct Batch {
+    /// Key of its record.
+    pub key: String,
+    /// Value of its record.
+    pub value: Vec<u8>,
+    content: binding::Batch,
+}
+
+impl state::Entry {
+    /// Returns the entries that write records of streams to the platform's store.
+    pub fn binding_writers(&self) -> rendezvous::Addresses {
+        let own = self.settings.borrow().address;
+        let peers = self.peers.borrow();
+        let all: Vec<_> = peers.alive_addresses().chain([own]).collect();
+        binding::writers(&all)
+    }
+
+    /// Adds a record to those that this entry writes.
+    pub fn add_to_journal(&self, record: binding::Record) {
+        self.bindings.borrow_mut().journal.add(record);
+        self.journal_due.notify_one();
+    }
+
+    /// Returns the next batch of records to write, if there is one.
+    pub fn take_batch(&self) -> Option<Batch> {
+        let now = self.now();
+        let mut bindings = self.bindings.borrow_mut();
+        let batch = bindings.journal.take()?;
+        if !bindings.journal.is_empty() {
+            self.journal_due.notify_one();
+        }
+        drop(bindings);
+        let records = batch.records.iter();
+        let records = records.map(|record| binding_message::Record::new(now, record));
+        let message = binding_message::Batch {
+            records: records.collect(),
+        };
+        // The entry that takes a writer's place uses the same keys.
+        let own = self.settings.borrow().address;
+        let writer = self.binding_writers().iter().position(|w| *w == own);
+        Some(Batch {
+            key: format!("{}-{}", writer.unwrap_or_default(), batch.place),
+            value: message.encode_to_vec(),
+            content: batch,
+        })
+    }
+
+    /// Returns a batch that couldn't be written.
+    pub fn put_batch_back(&self, batch: Batch) {
+        self.bindings.borrow_mut().journal.put_back(batch.content);
+        self.journal_due.notify_one();
+    }
+
+    /// Restores the records of these batches, oldest first, and sends them to the peers that keep them.
+    pub fn restore_bindings<'a>(&self, batches: impl Iterator<Item = &'a [u8]>) {
+        let now = self.now();
+        let mut records = Vec::new();
+        for batch in batches {
+            match binding_message::Batch::decode(batch) {
+                // They count as new: the time of day may have changed since they were written.
+                Ok(batch) => records.extend(batch.records.iter().map(|r| binding::Record {
+                    at: now,
+                    ..r.received(now)
+                })),
+                Err(err) => drop(self.log.line("version_malformed").with("error", err)),
+            }
+        }
+        if records.is_empty() {
+            return;
+        }
+        self.log
+            .line("bindings_restored")
+            .with("records", records.len());
+        exchange::send_records(self, &records);
+        let mut bindings = self.bindings.borrow_mut();
+        for record in &records {
+            bindings.table.add(*record);
+        }
+        bindings.restored = records;
+    }
+
+    /// Sends the restored records again, to the peers that are known by now.
+    pub fn share_restored_bindings(&self) {
+        let restored = std::mem::take(&mut self.bindings.borrow_mut().restored);
+        exchange::send_records(self, &restored);
+    }
+}
+
 /// Returns the key and the value of a change in the platform's store; an empty value deletes the key.
 pub fn encode_single(change: binding::Change) -> (String, String) {
     let value = change.version.map(|version| version.to_string());
@@ -203,7 +307,7 @@
     async fn ask_peers(&self, stream: binding::Stream) -> (Option<binding::Version>, &'static str) {
         let (entry, service) = (&self.entry, self.bound_service());
         let taken_up_at = entry.now();
-        let replies = exchange::request(entry, stream, service).await;
+        let mut replies = exchange::request(entry, stream, service).await;
         if let Some(version) = replies.received.iter().find_map(|reply| reply.version) {
             return (Some(version), "peer");
         }
@@ -212,6 +316,14 @@
                 return (Some(version), "record");
             }
             let resolution = entry.resolve_binding(service, taken_up_at, &replies);
+            if resolution == binding::Resolution::Unknown && entry.now() < RESTORE_TIME {
+                tokio::time::sleep(RESTORE_POLL).await;
+                replies = exchange::request(entry, stream, service).await;
+                if let Some(version) = replies.received.iter().find_map(|reply| reply.version) {
+                    return (Some(version), "peer");
+                }
+                continue;
+            }
             match resolution {
                 binding::Resolution::Version(version) if replies.is_partial => {
                     return (Some(version), "newer_list");
@@ -256,12 +368,13 @@
             at: entry.now(),
         };
         let (service, is_current) = (self.bound_service(), entry.has_current_list());
-        let is_due = entry
-            .bindings
-            .borrow_mut()
-            .begin(record, service, is_current);
+        let mut bindings = entry.bindings.borrow_mut();
+        let is_due = bindings.begin(record, service, is_current);
+        let unwritten = bindings.take_unwritten();
+        drop(bindings);
         if is_due {
             exchange::send_records(entry, &[record]);
         }
+        exchange::send_to_writers(entry, &unwritten);
     }
 }
--- a/src/direct/peer/binding.rs
+++ b/src/direct/peer/binding.rs
@@ -49,12 +49,12 @@
     }
 }
 
+type Batches = collections::HashMap<net::Ipv4Addr, Vec<binding_message::Record>>;
+
 /// Sends records to the entries that keep them.
 pub fn send_records(entry: &state::Entry, records: &[binding::Record]) {
-    let Some(link) = &entry.link else { return };
     let now = entry.now();
-    let mut batches: collections::HashMap<net::Ipv4Addr, Vec<binding_message::Record>> =
-        collections::HashMap::new();
+    let mut batches = Batches::new();
     let peers = entry.peers.borrow();
     for record in records {
         let holders = record
@@ -65,18 +65,63 @@
             batches.entry(holder).or_default().push(message);
         }
     }
-    for (holder, records) in &batches {
-        for bindings in records.chunks(MAX_RECORDS_PER_DATAGRAM) {
+    send_batches(entry, &batches, |bindings| message::Datagram {
+        bindings,
+        ..message::Datagram::default()
+    });
+}
+
+/// Sends records to the entries that write them to the platform's store.
+pub fn send_to_writers(entry: &state::Entry, records: &[binding::Record]) {
+    if records.is_empty() {
+        return;
+    }
+    let (now, own) = (entry.now(), entry.settings.borrow().address);
+    let writers = entry.binding_writers();
+    let mut batches = Batches::new();
+    for record in records {
+        match record.stream.writer(&writers) {
+            Some(writer) if writer != own => {
+                let message = binding_message::Record::new(now, record);
+                batches.entry(writer).or_default().push(message);
+            }
+            _ => entry.add_to_journal(*record),
+        }
+    }
+    send_batches(entry, &batches, |unwritten_bindings| message::Datagram {
+        unwritten_bindings,
+        ..message::Datagram::default()
+    });
+}
+
+fn send_batches(
+    entry: &state::Entry,
+    batches: &Batches,
+    message: impl Fn(Vec<binding_message::Record>) -> message::Datagram,
+) {
+    let Some(link) = &entry.link else { return };
+    for (recipient, records) in batches {
+        for records in records.chunks(MAX_RECORDS_PER_DATAGRAM) {
+            let envelope = link.envelope(entry.incarnation);
             let datagram = message::Datagram {
-                bindings: bindings.to_vec(),
-                ..link.envelope(entry.incarnation)
+                sender: envelope.sender,
+                address: envelope.address,
+                ..message(records.to_vec())
             };
             entry.meter.count("bindings", "sent");
-            link.send(*holder, &datagram);
+            link.send(*recipient, &datagram);
         }
     }
 }
 
+/// Accepts records of another entry that this one is to write.
+pub fn on_unwritten(entry: &state::Entry, records: &[binding_message::Record]) {
+    let now = entry.now();
+    for record in records {
+        entry.add_to_journal(record.received(now));
+    }
+}
+
 /// Keeps records of another entry.
 pub fn on_records(entry: &state::Entry, records: &[binding_message::Record]) {
     let (now, mut bindings) = (entry.now(), entry.bindings.borrow_mut());
--- a/src/direct/peer/binding_message.rs
+++ b/src/direct/peer/binding_message.rs
@@ -21,6 +21,14 @@
     pub age_ms: u32,
 }
 
+/// Records in the platform's store.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Batch {
+    /// The records, oldest first.
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<Record>,
+}
+
 /// A request for the version that began a stream.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct Request {
--- a/src/direct/peer/message.rs
+++ b/src/direct/peer/message.rs
@@ -66,6 +66,9 @@
     /// entry at which the crashes are counted.
     #[prost(message, repeated, tag = "18")]
     pub part_reports: Vec<case_message::Case>,
+    /// Versions that began streams, for the recipient to write to the platform's store.
+    #[prost(message, repeated, tag = "19")]
+    pub unwritten_bindings: Vec<binding_message::Record>,
 }
 
 /// A request for a datagram in reply.
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -316,6 +316,7 @@
         report::on_report(entry, datagram.sender, address, report);
     }
     binding::on_records(entry, &datagram.bindings);
+    binding::on_unwritten(entry, &datagram.unwritten_bindings);
     if let Some(request) = &datagram.binding_request {
         binding::on_request(entry, address, request);
     }
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -126,6 +126,8 @@
     pub(super) callers_wait: cell::Cell<Option<time::Duration>>,
     /// Notified when a peer may have newer data.
     pub peer_change: Notify,
+    /// Notified when this entry has records of streams to write to the platform's store.
+    pub journal_due: Notify,
     /// Notified when this entry's list may have become newer.
     pub list_completed: Notify,
     pub(super) keys: cell::RefCell<collections::HashMap<String, key::Sidecar>>,
@@ -243,6 +245,7 @@
             reported_ready: cell::Cell::default(),
             callers_wait: cell::Cell::default(),
             peer_change: Notify::new(),
+            journal_due: Notify::new(),
             list_completed: Notify::new(),
             keys: cell::RefCell::default(),
             hashes: cell::RefCell::default(),
--- a/tests/binding.rs
+++ b/tests/binding.rs
@@ -3,7 +3,7 @@
 #[path = "support/direct.rs"]
 mod direct;
 
-use std::{net, time};
+use std::{collections, net, time};
 
 use chivebend::decide::binding::{
     self, FirstStart, List, Record, Reply, Resolution, Stream, Version,
@@ -168,6 +168,52 @@
     }
 }
 
+// Guards against records that wait for a write without bound or out of order, and against batches that
+// fill the store.
+#[test]
+fn batches_of_records_take_turns_in_few_places() {
+    let mut journal = binding::Journal::default();
+    assert_eq!(journal.take(), None);
+    let mut places = collections::HashSet::new();
+    for n in 0..1_000 {
+        journal.add(record(1, n, "v1", n));
+        places.insert(journal.take().expect("a batch").place);
+    }
+    assert_eq!(places.len(), 64);
+    for n in 0..100_000 {
+        journal.add(record(1, n, "v1", n));
+    }
+    let first = journal.take().expect("a batch");
+    let ids: Vec<_> = first.records.iter().map(|r| r.stream.id).collect();
+    assert!(ids.is_sorted() && ids[0] > 0, "the oldest are dropped");
+    journal.put_back(first);
+    let again = journal.take().expect("a batch");
+    let again: Vec<_> = again.records.iter().map(|r| r.stream.id).collect();
+    assert_eq!(again, ids);
+}
+
+// Guards against records of streams in services of one version, which need none, and against ones of
+// two versions that stay with their entry.
+#[test]
+fn only_streams_of_several_versions_are_written() {
+    let service = binding::Service::new("s", ms(4_000));
+    let mut bindings = binding::Registry::new(FirstStart::Confirmed(ms(0)));
+    bindings.history.add("s", version("v1"));
+    assert!(!bindings.begin(record(1, 1, "v1", 100), service, true));
+    assert_eq!(bindings.take_due(ms(200), true), []);
+    assert_eq!(bindings.take_unwritten(), []);
+    bindings.history.add("s", version("v2"));
+    assert_eq!(bindings.take_due(ms(300), true).len(), 1);
+    assert!(bindings.begin(record(1, 2, "v2", 400), service, true));
+    let unwritten: Vec<_> = bindings
+        .take_unwritten()
+        .iter()
+        .map(|r| r.stream.id)
+        .collect();
+    assert_eq!(unwritten, [1, 2]);
+    assert_eq!(bindings.take_unwritten(), []);
+}
+
 struct Case {
     name: &'static str,
     // Versions that this entry listed, and whether it has watched for long.
--- a/tests/binding_load.rs
+++ b/tests/binding_load.rs
@@ -4,7 +4,7 @@
 #[path = "support/events.rs"]
 mod events;
 
-use std::{net, time};
+use std::{collections, net, time};
 
 use chivebend::decide::binding;
 use chivebend::decide::random::Random;
@@ -554,6 +554,84 @@
     }
 }
 
+/// Streams that begin at each entry in a second, and the time that one runs.
+const STREAMS_PER_ENTRY_S: usize = 4;
+const STREAM_MS: usize = 3_000;
+
+/// Time in which a writer collects records, and before all entries are killed.
+const WRITE_INTERVAL_MS: usize = 200;
+const KILLED_AT_MS: usize = 20_000;
+
+// Guards against streams that end with all entries while backend servers of their version serve, and
+// against calls to the store that grow with the streams.
+#[test]
+fn streams_of_two_versions_outlive_all_entries_at_any_size_of_the_fleet() {
+    // Writes a second that the platform allows at these sizes.
+    for (entries, max_calls_per_s) in [(4, 400), (30, 400), (360, 3_200), (1_440, 3_200)] {
+        let addresses: Vec<_> = (0..entries).map(address).collect();
+        let writers = binding::writers(&addresses);
+        let mut rng = Random::new(7);
+        let mut journals: Vec<_> = writers
+            .iter()
+            .map(|_| binding::Journal::default())
+            .collect();
+        let (mut store, mut calls) = (collections::HashMap::new(), 0);
+        let mut running = Vec::new();
+        let count = STREAMS_PER_ENTRY_S * entries * KILLED_AT_MS / 1_000;
+        let mut next_write = WRITE_INTERVAL_MS;
+        for n in 0..count {
+            let at = n * KILLED_AT_MS / count;
+            while next_write <= at {
+                for (writer, journal) in journals.iter_mut().enumerate() {
+                    if let Some(batch) = journal.take() {
+                        calls += 1;
+                        store.insert((writer, batch.place), batch.records);
+                    }
+                }
+                next_write += WRITE_INTERVAL_MS;
+            }
+            let record = binding::Record {
+                stream: stream(n),
+                version: version(if rng.below(2) == 0 { "v1" } else { "v2" }),
+                at: ms(at as u64),
+            };
+            let writer = record.stream.writer(&writers).expect("a writer");
+            let writer = writers
+                .iter()
+                .position(|w| *w == writer)
+                .expect("one of them");
+            if rng.below(LOSS) > 0 {
+                journals[writer].add(record);
+            }
+            if at + rng.below(STREAM_MS) >= KILLED_AT_MS {
+                running.push(record);
+            }
+        }
+        let mut table = binding::Table::default();
+        let stored: usize = store.values().map(Vec::len).sum();
+        let mut restored: Vec<_> = store.into_values().flatten().collect();
+        restored.sort_by_key(|record| record.at);
+        for record in restored {
+            table.add(record);
+        }
+        let found = running.iter().map(|r| (table.get(r.stream), r.version));
+        let known = found.clone().filter(|(found, _)| found.is_some()).count();
+        let wrong = found.filter(|(found, began)| found.is_some_and(|f| f != *began));
+        assert_eq!(wrong.count(), 0, "{entries} entries");
+        let share = known as f64 / running.len() as f64;
+        let per_s = calls * 1_000 / KILLED_AT_MS;
+        println!(
+            "{entries} entries: {share:.3} of {} streams go on, {} writers, {per_s} calls a second, \
+             {stored} records in the store",
+            running.len(),
+            writers.len(),
+        );
+        // The rule: half as often as new ones begin.
+        assert!(share >= 0.5, "{entries} entries: {share:.3}");
+        assert!(per_s <= max_calls_per_s, "{entries} entries: {per_s}");
+    }
+}
+
 // Guards against a record in the store that says that a service has one version while it has two.
 #[test]
 fn the_store_holds_only_services_of_one_version() {
