Count the record of a service's only version in the store's era that it was written in

Cause: the copy says again that the service has a single version, and lacks both the deletion of that record and the list entry of v2. Nothing in the record told that it was written before the store was restored.

Change: the record names the store's era, and counts in that era only.

Entries of an earlier release can't read such a record, log it and ignore it.

--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -26,6 +26,9 @@
 /// Interval at which peers are asked again meanwhile.
 const RESTORE_POLL: time::Duration = time::Duration::from_millis(200);
 
+/// Character between a version and the store's era in a record.
+const ERA_SEPARATOR: char = '@';
+
 /// Retry-After if the version that began a stream isn't known here: another entry may know it.
 const UNKNOWN_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
 
@@ -87,8 +90,14 @@
         exchange::send_to_writers(self, &unwritten);
     }
 
-    /// Applies what the platform's store holds of services that had a single version.
-    pub fn restore_versions<'a>(&self, records: impl IntoIterator<Item = (&'a str, &'a [u8])>) {
+    /// Applies what the platform's store, in this era, holds of services that had a single version.
+    /// Records that were written in an earlier era don't count: the copy that the store came back from
+    /// may lack their deletion.
+    pub fn restore_versions<'a>(
+        &self,
+        era: u64,
+        records: impl IntoIterator<Item = (&'a str, &'a [u8])>,
+    ) {
         let decode = |(key, value): (&str, &[u8])| {
             let decoded = decode_single(key, value);
             if decoded.is_none() {
@@ -97,7 +106,11 @@
             }
             decoded
         };
-        let records: Vec<_> = records.into_iter().filter_map(decode).collect();
+        let records = records.into_iter().filter_map(decode);
+        let records = records.filter(|(.., written_in)| *written_in == era);
+        let records: Vec<_> = records
+            .map(|(service, version, _)| (service, version))
+            .collect();
         let mut bindings = self.bindings.borrow_mut();
         let binding::Registry {
             stored, history, ..
@@ -247,19 +260,29 @@
     }
 }
 
-/// Returns the key and the value of a change in the platform's store; an empty value deletes the key.
-pub fn encode_single(change: binding::Change) -> (String, String) {
-    let value = change.version.map(|version| version.to_string());
+/// Returns the key and the value of a change in the platform's store of this era; an empty value deletes
+/// the key.
+pub fn encode_single(change: binding::Change, era: u64) -> (String, String) {
+    let value = change
+        .version
+        .map(|version| format!("{version}{ERA_SEPARATOR}{era}"));
     (
         format!("{:016x}", change.service),
         value.unwrap_or_default(),
     )
 }
 
-fn decode_single(key: &str, value: &[u8]) -> Option<(u64, binding::Version)> {
+// Returns the service, its only version, and the era of the store in which that was written. Records of
+// entries of an earlier release lack it, and count in a store that was never restored.
+fn decode_single(key: &str, value: &[u8]) -> Option<(u64, binding::Version, u64)> {
     let value = std::str::from_utf8(value).ok()?;
+    let (version, era) = value.split_once(ERA_SEPARATOR).unwrap_or((value, "0"));
     let hash = |text| u64::from_str_radix(text, 16).ok();
-    Some((hash(key)?, binding::Version(hash(value)?)))
+    Some((
+        hash(key)?,
+        binding::Version(hash(version)?),
+        era.parse().ok()?,
+    ))
 }
 
 impl forward::Call {
