--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -1,13 +1,13 @@
 //! Binds streams to the software version that began them, within an answer and over the attempts of
 //! a caller; see [`crate::decide::binding`].
 
-use std::{rc, time};
+use std::{net, rc, time};
 
 use prost::Message as _;
 
 use super::peer::binding as exchange;
 use super::peer::binding_message;
-use super::{evacuation, forward, refusal, slot, state};
+use super::{forward, refusal, slot, state};
 use crate::code;
 use crate::decide::{binding, rendezvous};
 use crate::key;
@@ -124,13 +124,14 @@
         self.bindings.borrow().history.first_start() == binding::FirstStart::Claimed
     }
 
-    /// Records that the fleet's first start was confirmed at time `at`, by the store or a peer; `None`
-    /// if that was before this process started.
-    pub fn on_first_start(&self, at: Option<time::Duration>, source: evacuation::Source) {
+    /// Records that the store has confirmed the fleet's first start at time `at`, by a call of this entry
+    /// or of a peer; `None` if that was before this process started.
+    pub fn on_first_start(&self, at: Option<time::Duration>, peer: Option<net::Ipv4Addr>) {
         let mut bindings = self.bindings.borrow_mut();
         if bindings.history.confirm_first_start(at) {
+            let peer = peer.map(|peer| peer.to_string());
             let line = self.log.line("first_start").with("confirmed", true);
-            drop(line.with("source", source));
+            drop(line.with("peer", peer.as_deref().unwrap_or("-")));
         }
     }
 
@@ -138,7 +139,6 @@
     /// that the fleet starts for the first time.
     pub fn on_unconfirmed_start(&self, era: Option<u64>, records: u64) {
         let line = self.log.line("first_start").with("confirmed", false);
-        let line = line.with("source", evacuation::Source::Store);
         let era = era.map(|era| era.to_string());
         let line = line.with("era", era.as_deref().unwrap_or("-"));
         drop(line.with("records", records));
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -199,7 +199,7 @@
         self.note_versions(peer, update);
         if let Some(ms) = update.first_start_ms {
             let age = time::Duration::from_millis(ms.into());
-            self.on_first_start(now.checked_sub(age), super::evacuation::Source::Peer);
+            self.on_first_start(now.checked_sub(age), Some(peer));
         }
         if let Some(reading) = reading.filter(|_| is_new) {
             self.meter
