Give callers' connections a longer user timeout, since callers may read slowly

Cause: TCP_USER_TIMEOUT of 1.7 s, meant for paths to backend servers, was set on callers' connections too. While the caller's window is too small for the next packet the kernel counts the time since its first probe, although each probe is acknowledged.

Change: 60 s for callers, more than their deadlines; all other connections keep 1.7 s, since an entry reads them as fast as it can.

--- a/src/direct/conn.rs
+++ b/src/direct/conn.rs
@@ -20,6 +20,10 @@
 /// million times; a broken path is detected in under two seconds.
 pub const USER_TIMEOUT: time::Duration = time::Duration::from_millis(1_700);
 
+/// The same for callers, who may read slowly: while a caller's window is too small for the next packet,
+/// the kernel counts as if nothing were acknowledged. More than the longest deadlines of callers.
+const CALLER_USER_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+
 /// Time from the first byte of a response's head to its last. A head is one packet; one that was lost
 /// arrives within the retransmissions that [`USER_TIMEOUT`] allows for.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -104,7 +108,7 @@
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect)
         .await
         .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
-    set_options(&stream)?;
+    set_options(&stream, USER_TIMEOUT)?;
     let arrival = rc::Rc::<watched::Arrival>::default();
     let stream = watched::Stream::new(stream, rc::Rc::clone(&arrival));
     let (sender, conn) = http1::Builder::new()
@@ -127,9 +131,13 @@
     })
 }
 
-/// Sets the socket options of all connections: `TCP_NODELAY` and `TCP_USER_TIMEOUT`.
-pub fn set_options(stream: &tokio_net::TcpStream) -> io::Result<()> {
+/// Sets the socket options of a caller's connection.
+pub fn set_caller_options(stream: &tokio_net::TcpStream) -> io::Result<()> {
+    set_options(stream, CALLER_USER_TIMEOUT)
+}
+
+fn set_options(stream: &tokio_net::TcpStream, user_timeout: time::Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -83,7 +83,7 @@
                 continue;
             }
         };
-        if let Err(err) = conn::set_options(&stream) {
+        if let Err(err) = conn::set_caller_options(&stream) {
             entry.log.line("accept_failed").with("error", err);
             continue;
         }
