End after SIGTERM only once the responses that were handed over are sent

Cause: the shutdown waited until no request was active. A request is active until the HTTP library has taken the last piece of its response, and a response that isn't a stream is one piece.

Change: once idle connections are asked to close, those that have had a response and are still there have a part of it to send. The process ends when none is left, or shortly before the kill; `stopped` counts them as cut.

--- a/src/direct/callers.rs
+++ b/src/direct/callers.rs
@@ -26,6 +26,8 @@
 struct Caller {
     // `None` while a request is in progress.
     idle_since: Option<time::Duration>,
+    // True once a response was handed over, of which a part may have to be sent yet.
+    has_response: bool,
     close: rc::Rc<Notify>,
 }
 
@@ -70,6 +72,7 @@
         let close = rc::Rc::new(Notify::new());
         let caller = Caller {
             idle_since: Some(now),
+            has_response: false,
             close: rc::Rc::clone(&close),
         };
         (self.callers.borrow_mut().insert(caller), close)
@@ -86,9 +89,18 @@
     pub fn mark_idle(&self, key: Key, now: time::Duration) {
         if let Some(caller) = self.callers.borrow_mut().get_mut(key) {
             caller.idle_since = Some(now);
+            caller.has_response = true;
         }
     }
 
+    /// Returns the number of connections with a request in progress or a response to send, once all idle
+    /// ones were asked to close: those that have had a response stay only until all of it is sent.
+    pub fn unfinished(&self) -> usize {
+        let callers = self.callers.borrow();
+        let is_unfinished = |c: &&Caller| c.idle_since.is_none() || c.has_response;
+        callers.values().filter(is_unfinished).count()
+    }
+
     /// Removes a connection that was closed.
     pub fn remove(&self, key: Key) {
         self.callers.borrow_mut().remove(key);
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -37,7 +37,7 @@
 /// Pause in which idle connections are closed when there are too many.
 const ROOM_WAIT: time::Duration = time::Duration::from_millis(5);
 
-/// Interval at which [`shut_down`] checks whether all requests have ended, and pause before a
+/// Interval at which [`shut_down`] checks whether all responses are sent, and pause before a
 /// failed listener is tried again.
 pub(super) const POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -338,7 +338,7 @@
     arrivals.should_reject(now, customer, level, served, draw)
 }
 
-/// Shuts the entry down; returns when all requests have ended, or shortly before the kill.
+/// Shuts the entry down; returns when all responses are sent, or shortly before the kill.
 pub async fn shut_down(entry: &state::Entry) {
     let started = entry.now();
     entry.begin_shutdown();
@@ -348,13 +348,16 @@
     tokio::time::sleep(LINGER_TIME).await;
     entry.closing.send_replace(true);
     entry.log.line("closing").with("active", entry.active.get());
-    while entry.now() < last && entry.active.get() > 0 {
+    // Idle connections close before the first check. A response is no longer active once the HTTP library
+    // has taken it, which may be long before a caller that reads slowly has it.
+    tokio::time::sleep(POLL_INTERVAL).await;
+    while entry.now() < last && entry.callers.unfinished() > 0 {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     entry
         .log
         .line("stopped")
-        .with("cut", entry.active.get())
+        .with("cut", entry.callers.unfinished())
         .ms("after_ms", entry.now().saturating_sub(started));
     entry.log.close();
 }
