Count the streams whose records haven't left for the store

Cause: logs and metrics couldn't tell streams whose records were never written from those whose records were lost. Change: an entry follows its streams for as long as they may be taken up, and counts those without a written record (metric unstored_streams). Which records are sent and written is as before. Measured: tests/binding.rs and tests/binding_load.rs pass unchanged. Conclusion: nothing changes for callers.

--- a/src/decide/binding/registry.rs
+++ b/src/decide/binding/registry.rs
@@ -15,14 +15,18 @@
 /// Maximum number of records that [`Registry::take_due`] returns.
 const MAX_DUE: usize = 256;
 
-/// Maximum number of records that are kept to be sent later.
-const MAX_UNSENT: usize = 4_096;
+/// Maximum number of this entry's streams that are followed; of more, the oldest are left out.
+const MAX_RUNNING: usize = 4_096;
 
-/// A record that no other entry has.
+/// A stream of this entry that its caller may take up.
 #[derive(Clone, Copy, Debug)]
-struct Unsent {
+struct Running {
     record: Record,
     service: Service,
+    // True if peers have the record.
+    is_sent: bool,
+    // True if the record left for the store.
+    is_written: bool,
 }
 
 /// Versions that were listed, and those that began streams.
@@ -36,8 +40,8 @@
     pub stored: Stored,
     /// Records that this entry writes to the store, of its own and other entries' streams.
     pub journal: Journal,
-    // Records of this entry's streams that no peer has, oldest first.
-    unsent: collections::VecDeque<Unsent>,
+    // Streams of this entry, oldest first.
+    running: collections::VecDeque<Running>,
     /// Records that were restored from the store, until all peers that keep them are known.
     pub restored: Vec<Record>,
     // Records of this entry's streams that have yet to reach a writer.
@@ -80,7 +84,7 @@
             journal: Journal::default(),
             restored: Vec::new(),
             unwritten: Vec::new(),
-            unsent: collections::VecDeque::new(),
+            running: collections::VecDeque::new(),
         }
     }
 
@@ -163,21 +167,31 @@
         std::mem::take(&mut self.unwritten)
     }
 
+    /// Returns the number of this entry's streams whose records haven't left for the store. If all
+    /// entries are killed, the version of these is known only if the store names their service's.
+    pub fn unstored_streams(&self) -> usize {
+        self.running.iter().filter(|r| !r.is_written).count()
+    }
+
     /// Records that a stream begins. Returns whether other entries need the record at once;
     /// otherwise it is kept until they do.
     pub fn begin(&mut self, record: Record, service: Service, is_current: bool) -> bool {
         self.table.add(record);
-        if !self.needs_no_record(record.at, service, is_current) {
-            if self.is_mixed(record.at, service) {
-                self.unwritten.push(record);
-            }
-            return true;
+        let is_sent = !self.needs_no_record(record.at, service, is_current);
+        let is_written = is_sent && self.is_mixed(record.at, service);
+        if is_written {
+            self.unwritten.push(record);
         }
-        if self.unsent.len() >= MAX_UNSENT {
-            self.unsent.pop_front();
+        if self.running.len() >= MAX_RUNNING {
+            self.running.pop_front();
         }
-        self.unsent.push_back(Unsent { record, service });
-        false
+        self.running.push_back(Running {
+            record,
+            service,
+            is_sent,
+            is_written,
+        });
+        is_sent
     }
 
     /// Forgets old records, and returns those that other entries have come to need: a second version
@@ -185,28 +199,28 @@
     /// periodically.
     pub fn take_due(&mut self, now: time::Duration, is_current: bool) -> Vec<Record> {
         self.table.sweep(now);
-        self.unsent
-            .retain(|unsent| now < unsent.record.at + unsent.service.lifetime);
-        let (mut kept, mut due) = (collections::VecDeque::new(), Vec::new());
-        let (mut known, mut unwritten) = (collections::HashMap::new(), Vec::new());
+        self.running
+            .retain(|running| now < running.record.at + running.service.lifetime);
+        let mut running = std::mem::take(&mut self.running);
+        let (mut due, mut known) = (Vec::new(), collections::HashMap::new());
         // The newest streams are the most likely to break while they run.
-        for unsent in std::mem::take(&mut self.unsent).into_iter().rev() {
-            let service = unsent.service;
+        for running in running.iter_mut().rev().filter(|r| !r.is_sent) {
+            let service = running.service;
             let (needs_none, is_mixed) = *known.entry(service).or_insert_with(|| {
                 let needs_none = self.needs_no_record(now, service, is_current);
                 (needs_none, self.is_mixed(now, service))
             });
             if needs_none || due.len() >= MAX_DUE {
-                kept.push_front(unsent);
                 continue;
             }
-            due.push(unsent.record);
+            running.is_sent = true;
+            running.is_written = is_mixed;
+            due.push(running.record);
             if is_mixed {
-                unwritten.push(unsent.record);
+                self.unwritten.push(running.record);
             }
         }
-        self.unsent = kept;
-        self.unwritten.extend(unwritten);
+        self.running = running;
         due
     }
 }
--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -85,7 +85,9 @@
         let mut bindings = self.bindings.borrow_mut();
         let due = bindings.take_due(self.now(), is_current);
         let unwritten = bindings.take_unwritten();
+        let unstored = bindings.unstored_streams();
         drop(bindings);
+        self.meter.set("unstored_streams", unstored as u64);
         exchange::send_records(self, &due);
         exchange::send_to_writers(self, &unwritten);
     }
