Keep streams known after all entries were killed, whenever a second version joins

Callers saw: after two kills of all entries with a release in between, most streams that they took up were refused with 312 though backend servers of their version served.

Cause: what the store says of a service was taken back before what replaces it was written. A record was written only for a stream that began while several versions were listed; streams that ran by then had none once the store no longer named the only version, and none at all while it didn't name one (after a later start, a restore, or where a first start isn't confirmed). Besides, batches of a new process took the places of those of the one before, nothing was written in its first 1.2 s, and streams that ran for longer than 13 s lost their place.

Change: each stream that runs is known from the store, by its record or by the service's only version. Entries learn from those that read the store what it says. While it names no only version, records of all running streams are written, and again each 8 s. A version that joins gets no new resumable streams until records of the running ones had a second to reach the store and the store says that there are several.

--- a/src/decide/binding/history.rs
+++ b/src/decide/binding/history.rs
@@ -4,6 +4,7 @@
 
 use smallvec::SmallVec;
 
+use super::join::{Joins, Opened, Statement};
 use super::{RETENTION, Version, service_hash};
 
 // Backend servers of one version.
@@ -49,6 +50,8 @@
     first_start: FirstStart,
     services: collections::HashMap<u64, SmallVec<[Listed; 2]>>,
     singles: collections::HashMap<u64, Single>,
+    /// Versions that aren't in use yet.
+    pub joins: Joins,
 }
 
 impl History {
@@ -116,17 +119,99 @@
         self.singles.insert(service, single);
     }
 
+    /// Records what the platform's store says. Returns whether that is something else than before.
+    pub fn on_statement(&mut self, statement: Statement) -> bool {
+        let at = statement.at;
+        if !self.joins.on_statement(statement) {
+            return false;
+        }
+        let singles = self.joins.statement().into_iter();
+        let singles: Vec<_> = singles.flat_map(|s| s.singles.clone()).collect();
+        for (service, version) in singles {
+            self.on_single(at, service, version, RETENTION);
+        }
+        let services: Vec<u64> = self.services().collect();
+        for service in services {
+            if self.joins.stored(service).is_none() && self.listed(service).count() > 1 {
+                self.joins.open(service, Opened::Stored);
+            }
+        }
+        true
+    }
+
+    fn listed(&self, service: u64) -> impl Iterator<Item = &Listed> {
+        let listed = self.services.get(&service).into_iter().flatten();
+        listed.filter(|l| l.servers > 0)
+    }
+
+    /// Returns the version at which new streams of a service begin while another one joins it; `None`
+    /// if they may begin at any. Where few of its backend servers are left it can't serve them all.
+    pub fn base(&self, service: u64) -> Option<Version> {
+        let base = self.joins.base(service)?;
+        let servers = |l: &Listed| l.servers;
+        let all: usize = self.listed(service).map(servers).sum();
+        let is_base = |l: &&Listed| l.version == base;
+        let own = self.listed(service).find(is_base).map_or(0, servers);
+        (own < all && 2 * own >= all).then_some(base)
+    }
+
+    /// Returns whether each stream of a service that no record names began at its only version, by what
+    /// the platform's store says.
+    pub fn is_stored(&self, service: u64) -> bool {
+        let stored = self.joins.stored(service);
+        let mut listed = self.listed(service);
+        stored.is_some_and(|stored| listed.all(|l| l.version == stored))
+    }
+
+    /// Updates which versions are joining. To be called periodically.
+    pub fn update_joins(&mut self, now: time::Duration) {
+        let services: Vec<u64> = self.services().collect();
+        for service in services {
+            if let Some(base) = self.base(service) {
+                self.joins.on_second(now, service, base);
+            } else if !self.is_stored(service) {
+                // Until something is known of the store, its first version isn't.
+                if self.joins.statement().is_none() {
+                    continue;
+                }
+                self.joins.open(service, Opened::Replaced);
+            } else if self.recent(now, service, RETENTION).count() == 1 {
+                self.joins.on_single(service);
+            }
+        }
+    }
+
+    /// Records that a stream that may be taken up has begun at this version.
+    pub fn on_begun(&mut self, service: u64, version: Version) {
+        if self.base(service).is_some_and(|base| base != version) {
+            self.joins.open(service, Opened::Used);
+        }
+    }
+
+    fn recent(
+        &self,
+        now: time::Duration,
+        service: u64,
+        lifetime: time::Duration,
+    ) -> impl Iterator<Item = Version> {
+        let listed = self.services.get(&service).into_iter().flatten();
+        let recent = listed.filter(move |l| l.servers > 0 || now < l.until + lifetime);
+        recent.map(|l| l.version)
+    }
+
     /// Returns whether this process has run for so long, or runs in a fleet that is so young, that it
     /// knows all versions that were listed within `lifetime`.
     pub fn has_watched(&self, now: time::Duration, lifetime: time::Duration) -> bool {
         matches!(self.first_start, FirstStart::Confirmed(_)) || now >= lifetime
     }
 
-    /// Returns the versions that were listed within `lifetime`.
+    /// Returns the versions that were listed within `lifetime`, without one that hasn't been used yet.
     pub fn view(&self, now: time::Duration, service: u64, lifetime: time::Duration) -> View {
-        let listed = self.services.get(&service).into_iter().flatten();
-        let recent = listed.filter(|l| l.servers > 0 || now < l.until + lifetime);
-        let versions: SmallVec<[Version; 2]> = recent.map(|l| l.version).collect();
+        let base = self.base(service);
+        let versions: SmallVec<[Version; 2]> = match base {
+            Some(base) => SmallVec::from_slice(&[base]),
+            None => self.recent(now, service, lifetime).collect(),
+        };
         let single = self.singles.get(&service);
         let is_single = |single: &Single| {
             let mut listed = versions.iter();
@@ -134,6 +219,7 @@
         };
         View {
             is_complete: self.has_watched(now, lifetime) || single.is_some_and(is_single),
+            is_joined: base.is_some(),
             versions,
         }
     }
@@ -152,6 +238,8 @@
     pub versions: SmallVec<[Version; 2]>,
     /// True if there were no others; otherwise the process hasn't run for long enough to know.
     pub is_complete: bool,
+    /// True if another version is listed that isn't in use yet.
+    pub is_joined: bool,
 }
 
 impl View {
--- /dev/null
+++ b/src/decide/binding/join.rs
@@ -0,0 +1,169 @@
+//! Versions that join the one that the platform's store names as a service's only one.
+//!
+//! The store outlives all entries, and says of most services that they have a single version. While it
+//! says so, each stream that no record names began at that version, provided that no stream begins at
+//! another one before the store has taken the statement back. New streams therefore begin at the
+//! service's first version until that is written, and until then records of those that run are on their
+//! way to the store.
+
+use std::{collections, time};
+
+use super::Version;
+
+/// Time from the listing of a second version until the store takes back that there is one: what the
+/// list takes to reach all entries, and records of their streams to reach the store.
+pub const JOIN_DELAY: time::Duration = time::Duration::from_secs(1);
+
+/// Least time since the start of the process until then. Callers whose streams broke when all entries
+/// were killed take them up meanwhile.
+pub const MIN_UPTIME: time::Duration = time::Duration::from_secs(3);
+
+/// Time for which a version is kept from new streams if the store can't be written.
+const MAX_JOIN_TIME: time::Duration = time::Duration::from_secs(5);
+
+/// Maximum number of services that the store names. Updates between entries carry all of them.
+pub const MAX_SINGLES: usize = 64;
+
+/// What the platform's store says at some time, by an entry that reads it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Statement {
+    /// Era of the store.
+    pub era: u64,
+    /// When it was true.
+    pub at: time::Duration,
+    /// Services with a single version.
+    pub singles: collections::BTreeMap<u64, Version>,
+}
+
+/// Why a version that joined another one serves new streams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, derive_more::Display)]
+pub enum Opened {
+    /// The store says that the service has several versions, or nothing.
+    #[display("stored")]
+    Stored,
+    /// The first version is no longer listed, or few of its backend servers are left.
+    #[display("replaced")]
+    Replaced,
+    /// A stream began at it, since no backend server of the first version could be used.
+    #[display("used")]
+    Used,
+    /// The store couldn't be written.
+    #[display("timeout")]
+    Timeout,
+}
+
+/// A change of a service, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Hash of the service's name.
+    pub service: u64,
+    /// Its first version.
+    pub base: Version,
+    /// Why another version serves new streams; `None` if one has joined that doesn't yet.
+    pub opened: Option<Opened>,
+}
+
+/// Services that have been listed with a second version beside the one that the store names.
+#[derive(Debug, Default)]
+pub struct Joins {
+    statement: Option<Statement>,
+    waiting: collections::HashMap<u64, (Version, time::Duration)>,
+    opened: collections::HashSet<u64>,
+    events: Vec<Event>,
+}
+
+impl Joins {
+    /// Returns the newest statement.
+    pub fn statement(&self) -> Option<&Statement> {
+        self.statement.as_ref()
+    }
+
+    /// Returns the version that the store names as the only one of a service.
+    pub fn stored(&self, service: u64) -> Option<Version> {
+        let statement = self.statement.as_ref()?;
+        statement.singles.get(&service).copied()
+    }
+
+    /// Records a statement, unless a newer one is known. Returns whether it says something else than
+    /// the last one.
+    pub fn on_statement(&mut self, statement: Statement) -> bool {
+        let last = self.statement.as_ref();
+        if last.is_some_and(|l| (l.era, l.at) >= (statement.era, statement.at)) {
+            return false;
+        }
+        let is_other = last.is_none_or(|l| l.singles != statement.singles || l.era < statement.era);
+        self.statement = Some(statement);
+        let waiting: Vec<u64> = self.waiting.keys().copied().collect();
+        for service in waiting {
+            if self.stored(service).is_none() {
+                self.open(service, Opened::Stored);
+            }
+        }
+        is_other
+    }
+
+    /// Returns the version that new streams of a service begin at for now, if the store names it, it is
+    /// one of several that are listed, and none of the others has been used.
+    pub fn base(&self, service: u64) -> Option<Version> {
+        self.stored(service)
+            .filter(|_| !self.opened.contains(&service))
+    }
+
+    /// Returns whether streams of a service may have begun at a version that the store doesn't name.
+    pub fn is_opened(&self, service: u64) -> bool {
+        self.opened.contains(&service)
+    }
+
+    /// Returns since when a version has waited beside the first one of a service.
+    pub fn waiting_since(&self, service: u64) -> Option<time::Duration> {
+        self.waiting.get(&service).map(|(_, since)| *since)
+    }
+
+    /// Returns whether the store has to take back that a service has a single version.
+    pub fn is_due(&self, now: time::Duration, service: u64) -> bool {
+        let since = self.waiting_since(service);
+        since.is_some_and(|since| now >= since + JOIN_DELAY && now >= MIN_UPTIME)
+    }
+
+    /// Records that a second version of a service is listed, and opens it if it has waited for too long.
+    pub fn on_second(&mut self, now: time::Duration, service: u64, base: Version) {
+        let events = &mut self.events;
+        let (_, since) = self.waiting.entry(service).or_insert_with(|| {
+            events.push(Event {
+                service,
+                base,
+                opened: None,
+            });
+            (base, now)
+        });
+        if now >= (*since).max(MIN_UPTIME) + MAX_JOIN_TIME {
+            self.open(service, Opened::Timeout);
+        }
+    }
+
+    /// Records that a service is listed with its first version only, as long as streams may be taken up.
+    pub fn on_single(&mut self, service: u64) {
+        self.waiting.remove(&service);
+        self.opened.remove(&service);
+    }
+
+    /// Lets new streams of a service begin at any version.
+    pub fn open(&mut self, service: u64, reason: Opened) {
+        let waiting = self.waiting.remove(&service);
+        if !self.opened.insert(service) {
+            return;
+        }
+        if let Some((base, _)) = waiting {
+            self.events.push(Event {
+                service,
+                base,
+                opened: Some(reason),
+            });
+        }
+    }
+
+    /// Returns the changes since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+}
--- a/src/decide/binding/journal.rs
+++ b/src/decide/binding/journal.rs
@@ -5,7 +5,7 @@
 //! The batches of a writer take turns in a fixed number of places, which bounds what the store holds
 //! and what an entry reads at its start.
 
-use std::{collections, net};
+use std::{collections, net, time};
 
 use super::{Record, Stream, rendezvous};
 
@@ -23,11 +23,15 @@
 /// callers wait for a stream.
 const PLACES: u32 = 64;
 
+/// Time after the start of a process in which its batches take places of their own, as many again: those
+/// of the processes before it are still being restored.
+const START_TIME: time::Duration = time::Duration::from_millis(1_500);
+
 /// Maximum number of records in a batch, about 35 bytes each.
 const MAX_BATCH: usize = 4_000;
 
 /// Maximum number of records that wait for a write.
-const MAX_UNWRITTEN: usize = 2 * MAX_BATCH;
+const MAX_UNWRITTEN: usize = 4 * MAX_BATCH;
 
 /// Returns the entries, of all that run, that write records to the store.
 pub fn writers(entries: &[net::Ipv4Addr]) -> rendezvous::Addresses {
@@ -57,9 +61,25 @@
 pub struct Journal {
     unwritten: collections::VecDeque<Record>,
     batches: u32,
+    is_starting: bool,
 }
 
 impl Journal {
+    /// Returns the journal of a process that starts. Its first batch takes the place after this one, which
+    /// should differ from one start to the next.
+    pub fn new(place: u32) -> Self {
+        Self {
+            batches: place,
+            is_starting: true,
+            ..Self::default()
+        }
+    }
+
+    /// Updates which places are used, by the time since the start of the process.
+    pub fn update(&mut self, now: time::Duration) {
+        self.is_starting &= now < START_TIME;
+    }
+
     /// Adds a record. If there are too many, the oldest is dropped.
     pub fn add(&mut self, record: Record) {
         if self.unwritten.len() >= MAX_UNWRITTEN {
@@ -80,8 +100,9 @@
             return None;
         }
         self.batches = self.batches.wrapping_add(1);
+        let first = if self.is_starting { PLACES } else { 0 };
         Some(Batch {
-            place: self.batches % PLACES,
+            place: first + self.batches % PLACES,
             records: self.unwritten.drain(..count).collect(),
         })
     }
--- a/src/decide/binding/mod.rs
+++ b/src/decide/binding/mod.rs
@@ -24,12 +24,14 @@
 use super::rendezvous;
 
 mod history;
+mod join;
 mod journal;
 mod registry;
 mod stored;
 mod table;
 
 pub use history::{FirstStart, History, View};
+pub use join::{Event, Joins, MAX_SINGLES, Opened, Statement};
 pub use journal::{Batch, Journal, writers};
 pub use registry::{Registry, is_current};
 pub use stored::{Change, Stored, may_be_first_start};
@@ -218,6 +220,8 @@
     let is_agreed = view.versions.iter().all(agrees) && others.all(|version| agrees(&version));
     match only.filter(|_| is_agreed) {
         None => Resolution::Unknown,
+        // The silent one may know that the version that joins is in use.
+        Some(_) if replies.is_partial && view.is_joined => Resolution::Unknown,
         Some(_) if replies.is_partial && list != List::Newer => Resolution::NeedsNewerList,
         Some(version) => Resolution::Version(version),
     }
--- a/src/decide/binding/registry.rs
+++ b/src/decide/binding/registry.rs
@@ -5,7 +5,7 @@
 
 use super::{
     FirstStart, History, Journal, List, RETENTION, Record, Replies, Reply, Resolution, Service,
-    Stored, Stream, Table, View,
+    Statement, Stored, Stream, Table, View,
 };
 
 /// Age of the newest reading of the store up to which the list counts as current: two readings that
@@ -18,6 +18,17 @@
 /// Maximum number of this entry's streams that are followed; of more, the oldest are left out.
 const MAX_RUNNING: usize = 4_096;
 
+/// Time after which the record of a stream that still runs is written again: places of batches in the
+/// store are used again after some 13 s.
+const REWRITE_INTERVAL: time::Duration = time::Duration::from_secs(8);
+
+/// Time after its begin at which a stream's record is written if it isn't known whether the store names the
+/// service's only version. An entry that has just started learns that meanwhile.
+const WRITE_DELAY: time::Duration = time::Duration::from_millis(200);
+
+/// Time after its last event within which the caller of a complete stream may not have received all.
+const DELIVERY_TIME: time::Duration = time::Duration::from_secs(2);
+
 /// A stream of this entry that its caller may take up.
 #[derive(Clone, Copy, Debug)]
 struct Running {
@@ -25,8 +36,35 @@
     service: Service,
     // True if peers have the record.
     is_sent: bool,
-    // True if the record left for the store.
-    is_written: bool,
+    // When the record last left for the store.
+    written_at: Option<time::Duration>,
+    ended_at: Option<time::Duration>,
+}
+
+impl Running {
+    fn may_be_taken_up(&self, now: time::Duration) -> bool {
+        let may_go_on = |ended_at| now < ended_at + DELIVERY_TIME;
+        now < self.record.at + self.service.lifetime && self.ended_at.is_none_or(may_go_on)
+    }
+
+    fn has_to_be_written(&self, now: time::Duration, needs: Needs) -> bool {
+        needs.store
+            && match self.written_at {
+                Some(at) => now >= at + REWRITE_INTERVAL,
+                None => needs.is_urgent || now >= self.record.at + WRITE_DELAY,
+            }
+    }
+}
+
+/// Who needs the records of a service's streams.
+#[derive(Clone, Copy, Debug)]
+struct Needs {
+    // Peers: not all can know the version without it.
+    peers: bool,
+    // The store, which doesn't name an only version.
+    store: bool,
+    // True if that is certain.
+    is_urgent: bool,
 }
 
 /// Versions that were listed, and those that began streams.
@@ -150,48 +188,72 @@
         resolution
     }
 
-    // Returns whether every entry can know the version of a stream without a record, since the
-    // service has had only one. Shortly after all have started, not every entry can.
-    fn needs_no_record(&self, now: time::Duration, service: Service, is_current: bool) -> bool {
+    fn needs(&self, now: time::Duration, service: Service, is_current: bool) -> Needs {
+        let view = self.view(now, service);
         let has_watched = self.history.has_watched(now, service.lifetime);
-        is_current && has_watched && self.view(now, service).only().is_some()
-    }
-
-    fn is_mixed(&self, now: time::Duration, service: Service) -> bool {
-        self.view(now, service).versions.len() > 1
+        // Shortly after all have started, not every entry knows of the only version.
+        let is_known = is_current && has_watched && view.only().is_some();
+        Needs {
+            peers: !is_known || view.is_joined,
+            store: !self.history.is_stored(service.hash),
+            is_urgent: self.history.joins.statement().is_some() || view.versions.len() > 1,
+        }
     }
 
     /// Returns the records that have to outlive all entries, for their writers: those of streams that
-    /// have begun, or have become due, while their services had several versions.
+    /// run, or may be taken up, while the store doesn't name their services' only version.
     pub fn take_unwritten(&mut self) -> Vec<Record> {
         std::mem::take(&mut self.unwritten)
     }
 
-    /// Returns the number of this entry's streams whose records haven't left for the store. If all
-    /// entries are killed, the version of these is known only if the store names their service's.
+    /// Returns the number of this entry's streams of which all knowledge would end with all entries.
     pub fn unstored_streams(&self) -> usize {
-        self.running.iter().filter(|r| !r.is_written).count()
+        let is_unstored =
+            |r: &&Running| r.written_at.is_none() && !self.history.is_stored(r.service.hash);
+        self.running.iter().filter(is_unstored).count()
     }
 
     /// Records that a stream begins. Returns whether other entries need the record at once;
     /// otherwise it is kept until they do.
     pub fn begin(&mut self, record: Record, service: Service, is_current: bool) -> bool {
         self.table.add(record);
-        let is_sent = !self.needs_no_record(record.at, service, is_current);
-        let is_written = is_sent && self.is_mixed(record.at, service);
-        if is_written {
+        let needs = self.needs(record.at, service, is_current);
+        let mut running = Running {
+            record,
+            service,
+            is_sent: needs.peers,
+            written_at: None,
+            ended_at: None,
+        };
+        if running.has_to_be_written(record.at, needs) {
+            running.written_at = Some(record.at);
             self.unwritten.push(record);
         }
         if self.running.len() >= MAX_RUNNING {
             self.running.pop_front();
         }
-        self.running.push_back(Running {
-            record,
-            service,
-            is_sent,
-            is_written,
-        });
-        is_sent
+        self.running.push_back(running);
+        needs.peers
+    }
+
+    /// Records that a stream is complete, so that hardly anybody takes it up.
+    pub fn end(&mut self, now: time::Duration, stream: Stream) {
+        let mut running = self.running.iter_mut().rev();
+        if let Some(running) = running.find(|r| r.record.stream == stream) {
+            running.ended_at = Some(now);
+        }
+    }
+
+    /// Records what the platform's store says. A store that was restored from an older copy lacks
+    /// records. Returns whether it says something else than before.
+    pub fn on_statement(&mut self, statement: Statement) -> bool {
+        let era = self.history.joins.statement().map(|s| s.era);
+        let is_restored = era.is_some_and(|era| era < statement.era);
+        let is_other = self.history.on_statement(statement);
+        if is_restored {
+            self.running.iter_mut().for_each(|r| r.written_at = None);
+        }
+        is_other
     }
 
     /// Forgets old records, and returns those that other entries have come to need: a second version
@@ -199,28 +261,28 @@
     /// periodically.
     pub fn take_due(&mut self, now: time::Duration, is_current: bool) -> Vec<Record> {
         self.table.sweep(now);
-        self.running
-            .retain(|running| now < running.record.at + running.service.lifetime);
+        self.history.update_joins(now);
+        self.journal.update(now);
+        self.running.retain(|running| running.may_be_taken_up(now));
         let mut running = std::mem::take(&mut self.running);
-        let (mut due, mut known) = (Vec::new(), collections::HashMap::new());
+        let (mut due, mut unwritten) = (Vec::new(), Vec::new());
+        let mut known = collections::HashMap::new();
         // The newest streams are the most likely to break while they run.
-        for running in running.iter_mut().rev().filter(|r| !r.is_sent) {
+        for running in running.iter_mut().rev() {
             let service = running.service;
-            let (needs_none, is_mixed) = *known.entry(service).or_insert_with(|| {
-                let needs_none = self.needs_no_record(now, service, is_current);
-                (needs_none, self.is_mixed(now, service))
-            });
-            if needs_none || due.len() >= MAX_DUE {
-                continue;
+            let needs = known.entry(service);
+            let needs = *needs.or_insert_with(|| self.needs(now, service, is_current));
+            if needs.peers && !running.is_sent && due.len() < MAX_DUE {
+                running.is_sent = true;
+                due.push(running.record);
             }
-            running.is_sent = true;
-            running.is_written = is_mixed;
-            due.push(running.record);
-            if is_mixed {
-                self.unwritten.push(running.record);
+            if running.has_to_be_written(now, needs) && unwritten.len() < MAX_DUE {
+                running.written_at = Some(now);
+                unwritten.push(running.record);
             }
         }
         self.running = running;
+        self.unwritten.extend(unwritten);
         due
     }
 }
--- a/src/decide/binding/stored.rs
+++ b/src/decide/binding/stored.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, time};
 
+use super::join::{MAX_SINGLES, Statement};
 use super::{History, RETENTION, Version};
 
 /// Maximum number of changes that [`Stored::due`] returns.
@@ -44,20 +45,25 @@
         }
     }
 
-    /// Returns changes that the store lacks, those that delete records first: until then an entry
-    /// that starts would rely on them.
+    /// Returns changes that the store lacks, those that delete records first: new streams wait for these.
     pub fn due(&self, now: time::Duration, history: &History) -> Vec<Change> {
         let mut due = Vec::new();
         for service in history.services() {
             let view = history.view(now, service, RETENTION);
             let stored = self.singles.get(&service).copied();
+            if view.is_joined && !history.joins.is_due(now, service) {
+                continue;
+            }
+            let is_contradicted = || stored.is_some_and(|stored| !view.versions.contains(&stored));
             let version = match view.only() {
+                _ if view.is_joined => None,
                 Some(version) => Some(version),
-                None if view.versions.len() > 1 => None,
+                None if view.versions.len() > 1 || is_contradicted() => None,
                 // Not known yet.
                 None => continue,
             };
-            if version != stored {
+            let is_bounded = stored.is_some() || self.singles.len() < MAX_SINGLES;
+            if version != stored && is_bounded {
                 due.push(Change { service, version });
             }
         }
@@ -66,6 +72,20 @@
         due
     }
 
+    /// Returns what the store says, by what was read from it and written since.
+    pub fn statement(&self, now: time::Duration, era: u64, history: &History) -> Statement {
+        let singles = self
+            .singles
+            .iter()
+            .map(|(service, version)| (*service, *version));
+        let is_used = |service| history.joins.is_opened(service);
+        Statement {
+            era,
+            at: now,
+            singles: singles.filter(|(service, _)| !is_used(*service)).collect(),
+        }
+    }
+
     /// Records that a change was written.
     pub fn on_written(&mut self, change: Change) {
         match change.version {
--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -203,6 +203,7 @@
 
     fn complete(&mut self) {
         self.is_over = true;
+        self.call.on_stream_end();
         let took = self.call.entry.now().saturating_sub(self.slot.taken_at);
         let pace = took / (self.event_count.max(1) as u32);
         self.call.entry.record_result(self.slot.server, true, pace);
--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -1,13 +1,13 @@
 //! Binds streams to the software version that began them, within an answer and over the attempts of
 //! a caller; see [`crate::decide::binding`].
 
-use std::{net, rc, time};
+use std::{collections, net, rc, time};
 
 use prost::Message as _;
 
 use super::peer::binding as exchange;
-use super::peer::binding_message;
-use super::{forward, refusal, slot, state};
+use super::peer::{binding_message, update};
+use super::{configuration, forward, refusal, slot, state};
 use crate::code;
 use crate::decide::{binding, rendezvous};
 use crate::key;
@@ -23,6 +23,11 @@
 /// A caller that waits for them loses less than its stream.
 const RESTORE_TIME: time::Duration = time::Duration::from_millis(1_500);
 
+/// Time after the start in which it becomes known what the store says of the versions of services, and the
+/// interval of checks.
+const STATEMENT_TIME: time::Duration = time::Duration::from_secs(1);
+const STATEMENT_POLL: time::Duration = time::Duration::from_millis(20);
+
 /// Interval at which peers are asked again meanwhile.
 const RESTORE_POLL: time::Duration = time::Duration::from_millis(200);
 
@@ -88,6 +93,7 @@
         let unstored = bindings.unstored_streams();
         drop(bindings);
         self.meter.set("unstored_streams", unstored as u64);
+        self.log_joins();
         exchange::send_records(self, &due);
         exchange::send_to_writers(self, &unwritten);
     }
@@ -120,6 +126,46 @@
         stored.restore(self.now(), records, history);
     }
 
+    // Logs versions that join services, or serve new streams from now on.
+    fn log_joins(&self) {
+        let events = self.bindings.borrow_mut().history.joins.take_events();
+        for event in events {
+            let line = self.log.line("version_joins");
+            let line = line.with("service", format_args!("{:016x}", event.service));
+            let line = line.with("first", self.version_name(event.base));
+            match event.opened {
+                Some(reason) => drop(line.with("used", true).with("reason", reason)),
+                None => drop(line.with("used", false)),
+            }
+        }
+    }
+
+    /// Records what the platform's store says of the versions of services. Returns whether that is
+    /// something else than before.
+    pub(super) fn on_statement(&self, statement: binding::Statement) -> bool {
+        let is_other = self.bindings.borrow_mut().on_statement(statement);
+        self.log_joins();
+        is_other
+    }
+
+    pub(super) fn statement_message(&self) -> Option<update::Statement> {
+        let bindings = self.bindings.borrow();
+        let statement = bindings.history.joins.statement()?;
+        Some(update::Statement::new(self.now(), statement))
+    }
+
+    /// Tells peers what the platform's store, in this era, says of the versions of services. To be called
+    /// periodically by an entry that has read it.
+    pub fn share_statement(&self, era: u64) {
+        let bindings = self.bindings.borrow();
+        let (stored, history) = (&bindings.stored, &bindings.history);
+        let statement = stored.statement(self.now(), era, history);
+        drop(bindings);
+        if self.on_statement(statement) {
+            self.announce(&[]);
+        }
+    }
+
     /// Returns whether nothing has confirmed yet that the fleet starts for the first time, as the
     /// settings say.
     pub fn awaits_first_start(&self) -> bool {
@@ -244,6 +290,10 @@
         if records.is_empty() {
             return;
         }
+        let mut known = collections::HashSet::new();
+        records.reverse();
+        records.retain(|record| known.insert(record.stream));
+        records.reverse();
         self.log
             .line("bindings_restored")
             .with("records", records.len());
@@ -255,10 +305,12 @@
         bindings.restored = records;
     }
 
-    /// Sends the restored records again, to the peers that are known by now.
+    /// Sends the restored records again, to the peers that are known by now, and to the writers: batches
+    /// of this start use the places of earlier ones.
     pub fn share_restored_bindings(&self) {
         let restored = std::mem::take(&mut self.bindings.borrow_mut().restored);
         exchange::send_records(self, &restored);
+        exchange::send_to_writers(self, &restored);
     }
 }
 
@@ -298,10 +350,38 @@
         binding::Stream::new(customer, first.as_bytes())
     }
 
+    /// Returns the version at which this request should begin, if it is a stream that may be taken up
+    /// and another version joins its service that isn't in use yet.
+    pub(super) fn base_version(&self) -> Option<binding::Version> {
+        if self.req.route.kind != configuration::RouteKind::ResumableStream {
+            return None;
+        }
+        let bindings = self.entry.bindings.borrow();
+        let service = binding::service_hash(&self.req.service);
+        bindings.history.base(service)
+    }
+
+    // Waits shortly after the start until it is known whether the versions of the service are in use.
+    async fn await_statement(&self) {
+        let is_unknown = |entry: &state::Entry| {
+            let joins = &entry.bindings.borrow().history.joins;
+            joins.statement().is_none() && entry.fleet.borrow().is_mixed(self.service)
+        };
+        while self.entry.now() < STATEMENT_TIME && is_unknown(&self.entry) {
+            tokio::time::sleep(STATEMENT_POLL).await;
+        }
+    }
+
     /// Binds a stream that its caller takes up to the version that began it. Fails if that isn't
     /// known.
     pub(super) async fn bind(&mut self) -> Result<(), refusal::Refusal> {
-        if self.req.head.taken_up.is_none() || !self.req.route.kind.is_stream() {
+        if self.req.head.taken_up.is_none() {
+            if self.req.route.kind == configuration::RouteKind::ResumableStream {
+                self.await_statement().await;
+            }
+            return Ok(());
+        }
+        if !self.req.route.kind.is_stream() {
             return Ok(());
         }
         let entry = rc::Rc::clone(&self.entry);
@@ -394,6 +474,9 @@
         };
         let (service, is_current) = (self.bound_service(), entry.has_current_list());
         let mut bindings = entry.bindings.borrow_mut();
+        if self.req.route.kind == configuration::RouteKind::ResumableStream {
+            bindings.history.on_begun(service.hash, slot.version);
+        }
         let is_due = bindings.begin(record, service, is_current);
         let unwritten = bindings.take_unwritten();
         drop(bindings);
@@ -402,4 +485,10 @@
         }
         exchange::send_to_writers(entry, &unwritten);
     }
+
+    /// Records that the stream is complete.
+    pub(super) fn on_stream_end(&self) {
+        let (entry, stream) = (&self.entry, self.stream());
+        entry.bindings.borrow_mut().end(entry.now(), stream);
+    }
 }
--- a/src/direct/peer/update.rs
+++ b/src/direct/peer/update.rs
@@ -3,7 +3,7 @@
 use std::{net, time};
 
 use super::saturating_millis;
-use crate::decide::{evacuation, spread};
+use crate::decide::{binding, evacuation, spread};
 use crate::direct::listing;
 
 /// What an entry holds and what is new to it.
@@ -30,6 +30,53 @@
     /// Milliseconds since the first start of the fleet was confirmed, if it was while the sender ran.
     #[prost(uint32, optional, tag = "7")]
     pub first_start_ms: Option<u32>,
+    /// What the store says of the versions of services, as far as the sender knows.
+    #[prost(message, optional, tag = "8")]
+    pub statement: Option<Statement>,
+}
+
+/// See [`binding::Statement`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Statement {
+    /// Era of the store.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    /// Milliseconds since it was true.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+    /// Hashes of the names of services with a single version.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub services: Vec<u64>,
+    /// The version of each of them.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub versions: Vec<u64>,
+}
+
+impl Statement {
+    /// Creates the message that is sent at `now`.
+    pub fn new(now: time::Duration, statement: &binding::Statement) -> Self {
+        Self {
+            era: statement.era,
+            age_ms: saturating_millis(now.saturating_sub(statement.at)),
+            services: statement.singles.keys().copied().collect(),
+            versions: statement
+                .singles
+                .values()
+                .map(|version| version.0)
+                .collect(),
+        }
+    }
+
+    /// Returns the statement for a message that was received at `now`.
+    pub fn received(&self, now: time::Duration) -> binding::Statement {
+        let versions = self.versions.iter().copied().map(binding::Version);
+        let singles = self.services.iter().copied().zip(versions);
+        binding::Statement {
+            era: self.era,
+            at: now.saturating_sub(time::Duration::from_millis(self.age_ms.into())),
+            singles: singles.take(binding::MAX_SINGLES).collect(),
+        }
+    }
 }
 
 /// Position in the store's log of backend servers.
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -12,6 +12,11 @@
 /// may have crashed, and starts again within some seconds.
 const VERSION_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
+/// Time for which a new stream waits until a version that joins is in use, if it can't begin at the first
+/// one, and the interval of checks. That takes a second if the store can be written.
+const JOIN_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+const JOIN_POLL: time::Duration = time::Duration::from_millis(20);
+
 /// A slot at a backend server; it is released when dropped.
 #[derive(Debug)]
 pub struct Slot {
@@ -184,7 +189,10 @@
         let entry = rc::Rc::clone(&self.entry);
         let mut job = self.job()?;
         let started = entry.now();
-        let mut offer = self.first_offer(&job)?;
+        let mut offer = match self.first_offer(&job) {
+            Err(_) if self.leave_base(&mut job).await => self.first_offer(&job)?,
+            offer => offer?,
+        };
         let mut refusals = 0;
         let slot = loop {
             match self.acquire_slot_at(&job, offer).await {
@@ -193,7 +201,10 @@
                     if offer.reason.is_second() || entry.leaves_to_decider(offer.server) {
                         job.excluded.push(offer.server);
                     }
-                    offer = self.home(&job)?;
+                    offer = match self.home(&job) {
+                        Err(_) if self.leave_base(&mut job).await => self.home(&job)?,
+                        offer => offer?,
+                    };
                 }
                 Err(refusal) => {
                     refusals += 1;
@@ -216,6 +227,20 @@
         self.counted(offer).ok_or_else(|| self.no_server())
     }
 
+    // If no backend server of the version can be used at which new streams begin for now, lets the request
+    // go to any, once the version that joins is in use; returns whether that makes a difference.
+    async fn leave_base(&self, job: &mut place::Job) -> bool {
+        if job.version == self.version {
+            return false;
+        }
+        let until = self.entry.now() + JOIN_TIMEOUT;
+        while self.base_version().is_some() && self.entry.now() < until {
+            tokio::time::sleep(JOIN_POLL).await;
+        }
+        job.version = self.version;
+        true
+    }
+
     fn next_offer(
         &self,
         job: &mut place::Job,
@@ -363,7 +388,7 @@
                 .copied()
                 .collect(),
             suspect: self.check_quarantine()?,
-            version: self.version,
+            version: self.version.or_else(|| self.base_version()),
         })
     }
 
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -168,6 +168,7 @@
             reading: reading.map(|reading| update::Reading::new(now, reading)),
             holding: Some(holding),
             first_start_ms: self.first_start_ms(),
+            statement: self.statement_message(),
             ..update::Update::default()
         }
     }
@@ -201,13 +202,17 @@
             let age = time::Duration::from_millis(ms.into());
             self.on_first_start(now.checked_sub(age), Some(peer));
         }
+        let has_changed = update.statement.as_ref().is_some_and(|statement| {
+            let statement = statement.received(now);
+            self.on_statement(statement)
+        });
         if let Some(reading) = reading.filter(|_| is_new) {
             self.meter
                 .time("update_age", now.saturating_sub(reading.at));
             self.meter.count("update_hops", &reading.hops.to_string());
         }
         let has_to_forward = target::has_to_forward(self.peers.borrow().send_addresses().len());
-        if has_to_forward && (is_new || !changes.is_empty()) {
+        if has_to_forward && (is_new || has_changed || !changes.is_empty()) {
             self.forward(&changes, changed_at);
         }
         if update.wants_reply {
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -212,6 +212,8 @@
         } else {
             binding::FirstStart::No
         };
+        let mut bindings = binding::Registry::new(first_start);
+        bindings.journal = binding::Journal::new(seed as u32);
         let mut fleet = place::Fleet::new(seed);
         fleet.set_features(settings.features);
         let peers = table::Table::new(settings.address, settings.millicores, &settings.zone, seeds);
@@ -258,7 +260,7 @@
             leases: lease::Table::default(),
             losses: losses::Losses::default(),
             quarantine: cell::RefCell::default(),
-            bindings: cell::RefCell::new(binding::Registry::new(first_start)),
+            bindings: cell::RefCell::new(bindings),
             binding_requests: peer_binding::PendingRequests::default(),
             unsent_cases: outbox::Outbox::default(),
             unsaved_cases: cell::RefCell::default(),
--- a/tests/binding.rs
+++ b/tests/binding.rs
@@ -233,6 +233,7 @@
         let view = binding::View {
             versions: self.listed.iter().map(|name| version(name)).collect(),
             is_complete: self.is_complete,
+            is_joined: false,
         };
         let reply = |(record, only, is_mixed): &(&str, &str, bool)| Reply {
             version: named(record),
--- /dev/null
+++ b/tests/join.rs
@@ -0,0 +1,273 @@
+//! Versions that join the one that the store names as a service's only one, without a network.
+
+use std::time;
+
+use chivebend::decide::binding::{self, FirstStart, Opened, Record, Statement, Stream, Version};
+
+const SERVICE: &str = "s";
+
+fn ms(n: u64) -> time::Duration {
+    time::Duration::from_millis(n)
+}
+
+fn version(name: &str) -> Version {
+    Version::new(SERVICE, Some(name))
+}
+
+fn service() -> binding::Service {
+    binding::Service::new(SERVICE, ms(12_000))
+}
+
+fn statement(era: u64, at: u64, names: &[&str]) -> Statement {
+    let single = |name: &&str| (service().hash, version(name));
+    Statement {
+        era,
+        at: ms(at),
+        singles: names.iter().map(single).collect(),
+    }
+}
+
+fn record(id: u64, name: &str, at: u64) -> Record {
+    Record {
+        stream: Stream { customer: 1, id },
+        version: version(name),
+        at: ms(at),
+    }
+}
+
+// An entry that has run for long, and knows what the store says and which backend servers are listed.
+fn open(stored: &[&str], listed: &[(&str, usize)]) -> binding::Registry {
+    let mut entry = binding::Registry::new(FirstStart::No);
+    entry.on_statement(statement(0, 1, stored));
+    for (name, servers) in listed {
+        for _ in 0..*servers {
+            entry.history.add(SERVICE, version(name));
+        }
+    }
+    entry
+}
+
+struct Case {
+    name: &'static str,
+    // Version that the store names.
+    stored: &'static [&'static str],
+    // Versions that are listed, and the number of their backend servers.
+    listed: &'static [(&'static str, usize)],
+    // The version at which new streams begin, if not any.
+    base: Option<&'static str>,
+}
+
+// Guards against streams that begin at a version while the store says that there is another one only, and
+// against capacity that isn't used although nothing would be lost.
+#[test]
+fn new_streams_begin_at_the_version_that_the_store_names() {
+    let cases = [
+        Case {
+            name: "one version",
+            stored: &["v1"],
+            listed: &[("v1", 4)],
+            base: None,
+        },
+        Case {
+            name: "a second version joins",
+            stored: &["v1"],
+            listed: &[("v1", 3), ("v2", 1)],
+            base: Some("v1"),
+        },
+        Case {
+            name: "a third one joins as well",
+            stored: &["v1"],
+            listed: &[("v1", 3), ("v2", 1), ("v3", 1)],
+            base: Some("v1"),
+        },
+        Case {
+            name: "the store names none",
+            stored: &[],
+            listed: &[("v1", 3), ("v2", 1)],
+            base: None,
+        },
+        Case {
+            name: "few backend servers of the first version are left",
+            stored: &["v1"],
+            listed: &[("v1", 1), ("v2", 2)],
+            base: None,
+        },
+        Case {
+            name: "none of the first version is left",
+            stored: &["v1"],
+            listed: &[("v2", 2)],
+            base: None,
+        },
+    ];
+    for case in &cases {
+        let mut entry = open(case.stored, case.listed);
+        let base = case.base.map(version);
+        let history = &entry.history;
+        assert_eq!(history.base(service().hash), base, "{}", case.name);
+        let view = history.view(ms(100), service().hash, service().lifetime);
+        assert_eq!(view.is_joined, base.is_some(), "{}", case.name);
+        if let Some(base) = base {
+            assert_eq!(view.only(), Some(base), "{}", case.name);
+        }
+        // Streams that only this entry knows would end with all entries, unless the store names their
+        // version.
+        entry.begin(record(1, "v1", 100), service(), true);
+        let is_named = case.stored == ["v1"] && case.listed.iter().all(|(name, _)| *name == "v1");
+        let written = entry.take_unwritten().len();
+        assert_eq!(written, usize::from(!is_named), "{}", case.name);
+    }
+}
+
+// Guards against a version that is used before the store has taken back that another one is the only one,
+// or before records of running streams can have reached the store, and against one that is never used.
+#[test]
+fn a_version_that_joins_is_used_once_the_store_has_said_so() {
+    let mut entry = open(&["v1"], &[("v1", 3)]);
+    let binding::Registry {
+        stored, history, ..
+    } = &mut entry;
+    stored.restore(ms(0), [(service().hash, version("v1"))], history);
+    assert!(!entry.begin(record(1, "v1", 30_000), service(), true));
+    assert_eq!(entry.take_due(ms(30_000), true), []);
+    assert_eq!(entry.take_unwritten(), []);
+    entry.history.add(SERVICE, version("v2"));
+    assert_eq!(entry.stored.due(ms(30_100), &entry.history), []);
+    // Records go to peers and to the store first.
+    assert_eq!(entry.take_due(ms(30_100), true).len(), 1);
+    assert_eq!(entry.take_unwritten().len(), 1);
+    assert_eq!(entry.stored.due(ms(31_000), &entry.history), []);
+    let due = entry.stored.due(ms(31_100), &entry.history);
+    assert_eq!(due.iter().map(|c| c.version).collect::<Vec<_>>(), [None]);
+    assert_eq!(entry.history.base(service().hash), Some(version("v1")));
+    entry.stored.on_written(due[0]);
+    let statement = entry.stored.statement(ms(31_200), 0, &entry.history);
+    assert!(entry.on_statement(statement));
+    assert_eq!(entry.history.base(service().hash), None);
+    let events = entry.history.joins.take_events();
+    let opened: Vec<_> = events.iter().map(|event| event.opened).collect();
+    assert_eq!(opened, [None, Some(Opened::Stored)]);
+}
+
+// Guards against a version that waits again because another reader of the store doesn't know yet that it is
+// used, and against one that waits for a store that can't be written.
+#[test]
+fn a_version_that_is_used_stays_so() {
+    struct Use {
+        name: &'static str,
+        reason: Opened,
+        apply: fn(&mut binding::Registry),
+    }
+    let uses = [
+        Use {
+            name: "the store says so",
+            reason: Opened::Stored,
+            apply: |entry| {
+                entry.on_statement(statement(0, 20_000, &[]));
+            },
+        },
+        Use {
+            name: "a stream began at it",
+            reason: Opened::Used,
+            apply: |entry| entry.history.on_begun(service().hash, version("v2")),
+        },
+        Use {
+            name: "the first version's backend servers are gone",
+            reason: Opened::Replaced,
+            apply: |entry| {
+                for _ in 0..3 {
+                    entry.history.remove(ms(20_000), SERVICE, version("v1"));
+                }
+                entry.take_due(ms(20_000), true);
+            },
+        },
+        Use {
+            name: "the store can't be written",
+            reason: Opened::Timeout,
+            apply: |entry| {
+                entry.take_due(ms(14_900), true);
+                assert_eq!(entry.history.base(service().hash), Some(version("v1")));
+                entry.take_due(ms(15_000), true);
+            },
+        },
+    ];
+    for case in &uses {
+        let mut entry = open(&["v1"], &[("v1", 3), ("v2", 1)]);
+        entry.take_due(ms(10_000), true);
+        (case.apply)(&mut entry);
+        // Another reader's statement is newer, but lacks it.
+        entry.on_statement(statement(0, 21_000, &["v1"]));
+        for _ in 0..3 {
+            entry.history.add(SERVICE, version("v1"));
+        }
+        entry.take_due(ms(21_000), true);
+        assert_eq!(entry.history.base(service().hash), None, "{}", case.name);
+        let events = entry.history.joins.take_events();
+        let last = events.last().expect("an event").opened;
+        assert_eq!(last, Some(case.reason), "{}", case.name);
+        // What this entry tells peers of the store doesn't contradict it.
+        let history = &mut entry.history;
+        let single = [(service().hash, version("v1"))];
+        entry.stored.restore(ms(21_000), single, history);
+        let statement = entry.stored.statement(ms(22_000), 0, history);
+        assert!(statement.singles.is_empty(), "{}", case.name);
+        assert_eq!(
+            entry.stored.due(ms(22_000), history).len(),
+            1,
+            "{}",
+            case.name
+        );
+    }
+}
+
+// Guards against a statement that is taken for newer than it is, and against records that a store lacks which
+// was restored from an older copy.
+#[test]
+fn the_newest_statement_counts() {
+    let mut entry = open(&["v1"], &[("v1", 1)]);
+    assert!(!entry.on_statement(statement(0, 900, &["v1"])), "the same");
+    assert!(!entry.on_statement(statement(0, 800, &[])), "older");
+    assert!(entry.on_statement(statement(0, 1_000, &[])));
+    entry.begin(record(1, "v1", 1_000), service(), true);
+    assert_eq!(entry.take_unwritten().len(), 1);
+    assert!(!entry.on_statement(statement(0, 1_200, &[])));
+    entry.take_due(ms(1_300), true);
+    assert_eq!(entry.take_unwritten(), []);
+    assert!(entry.on_statement(statement(1, 1_100, &[])), "a newer era");
+    assert!(
+        !entry.on_statement(statement(0, 2_000, &["v1"])),
+        "an older era"
+    );
+    entry.take_due(ms(1_500), true);
+    assert_eq!(entry.take_unwritten().len(), 1);
+}
+
+// Guards against streams that outlive the place of their record in the store, and against records of streams
+// that nobody can take up.
+#[test]
+fn records_are_written_again_while_their_streams_run() {
+    let mut entry = open(&[], &[("v1", 1), ("v2", 1)]);
+    entry.begin(record(1, "v1", 0), service(), true);
+    entry.begin(record(2, "v2", 0), service(), true);
+    assert_eq!(entry.take_unwritten().len(), 2);
+    assert_eq!(entry.unstored_streams(), 0);
+    entry.end(ms(1_000), Stream { customer: 1, id: 2 });
+    let mut written = Vec::new();
+    for at in (0..30_000).step_by(250) {
+        entry.take_due(ms(at), true);
+        written.extend(entry.take_unwritten().iter().map(|r| r.stream.id));
+    }
+    assert_eq!(written, [1, 1]);
+}
+
+// Guards against batches of a process that has just started in the places of those that it restores.
+#[test]
+fn batches_of_a_new_process_take_other_places() {
+    let mut journal = binding::Journal::new(3);
+    let mut place = |now| {
+        journal.update(ms(now));
+        journal.add(record(1, "v1", 0));
+        journal.take().expect("a batch").place
+    };
+    assert_eq!([place(300), place(1_400)], [68, 69]);
+    assert_eq!([place(1_500), place(1_700)], [6, 7]);
+}
