Record streams when they are taken up, and let a joining version wait for callers after a start

Cause: a stream that was taken up was recorded with its next event only. It may wait for a backend server, be refused or come again; by then the store may no longer name the version that had shown where it belongs. Besides, callers come back up to 6 s after a kill, and the store's statement was taken back 3 s after the start. Requests that waited when a version joined went to it at once, which opened it before the records had reached the store.

Change: binding a stream records it. The statement stays for 6 s after a start of all entries; updates between entries carry how long the fleet has run without a break, so that a single restart doesn't delay anything. The version is checked again when a request that waited gets its slot. A version that was used before the store could be read doesn't wait.

What begins in the last 0.2 s before a kill while several versions are in use is still unknown.

--- a/src/decide/binding/history.rs
+++ b/src/decide/binding/history.rs
@@ -52,6 +52,8 @@
     singles: collections::HashMap<u64, Single>,
     /// Versions that aren't in use yet.
     pub joins: Joins,
+    // Versions at which streams began before anything was known of the store.
+    begun: collections::HashMap<u64, SmallVec<[Version; 2]>>,
 }
 
 impl History {
@@ -130,6 +132,12 @@
         for (service, version) in singles {
             self.on_single(at, service, version, RETENTION);
         }
+        for (service, versions) in std::mem::take(&mut self.begun) {
+            let stored = self.joins.stored(service);
+            if versions.iter().any(|version| Some(*version) != stored) {
+                self.joins.open(service, Opened::Used);
+            }
+        }
         let services: Vec<u64> = self.services().collect();
         for service in services {
             if self.joins.stored(service).is_none() && self.listed(service).count() > 1 {
@@ -183,6 +191,12 @@
 
     /// Records that a stream that may be taken up has begun at this version.
     pub fn on_begun(&mut self, service: u64, version: Version) {
+        if self.joins.statement().is_none() {
+            let begun = self.begun.entry(service).or_default();
+            if !begun.contains(&version) {
+                begun.push(version);
+            }
+        }
         if self.base(service).is_some_and(|base| base != version) {
             self.joins.open(service, Opened::Used);
         }
--- a/src/decide/binding/join.rs
+++ b/src/decide/binding/join.rs
@@ -14,9 +14,9 @@
 /// list takes to reach all entries, and records of their streams to reach the store.
 pub const JOIN_DELAY: time::Duration = time::Duration::from_secs(1);
 
-/// Least time since the start of the process until then. Callers whose streams broke when all entries
-/// were killed take them up meanwhile.
-pub const MIN_UPTIME: time::Duration = time::Duration::from_secs(3);
+/// Least time since the start of the fleet until then. Callers whose streams broke when all entries were
+/// killed take them up meanwhile, after some attempts.
+pub const MIN_UPTIME: time::Duration = time::Duration::from_secs(6);
 
 /// Time for which a version is kept from new streams if the store can't be written.
 const MAX_JOIN_TIME: time::Duration = time::Duration::from_secs(5);
@@ -33,6 +33,8 @@
     pub at: time::Duration,
     /// Services with a single version.
     pub singles: collections::BTreeMap<u64, Version>,
+    /// Time for which entries of the fleet have run without a break, as far as is known.
+    pub uptime: time::Duration,
 }
 
 /// Why a version that joined another one serves new streams.
@@ -70,6 +72,8 @@
     waiting: collections::HashMap<u64, (Version, time::Duration)>,
     opened: collections::HashSet<u64>,
     events: Vec<Event>,
+    // Time for which the fleet had run when this process started.
+    uptime_before: time::Duration,
 }
 
 impl Joins {
@@ -78,6 +82,17 @@
         self.statement.as_ref()
     }
 
+    /// Returns the time for which entries of the fleet have run without a break, as far as is known.
+    pub fn uptime(&self, now: time::Duration) -> time::Duration {
+        now + self.uptime_before
+    }
+
+    /// Records how long a peer knows that the fleet has run.
+    pub fn on_uptime(&mut self, now: time::Duration, uptime: time::Duration) {
+        let before = uptime.saturating_sub(now).min(MIN_UPTIME);
+        self.uptime_before = self.uptime_before.max(before);
+    }
+
     /// Returns the version that the store names as the only one of a service.
     pub fn stored(&self, service: u64) -> Option<Version> {
         let statement = self.statement.as_ref()?;
@@ -122,7 +137,7 @@
     /// Returns whether the store has to take back that a service has a single version.
     pub fn is_due(&self, now: time::Duration, service: u64) -> bool {
         let since = self.waiting_since(service);
-        since.is_some_and(|since| now >= since + JOIN_DELAY && now >= MIN_UPTIME)
+        since.is_some_and(|since| now >= since + JOIN_DELAY && self.uptime(now) >= MIN_UPTIME)
     }
 
     /// Records that a second version of a service is listed, and opens it if it has waited for too long.
@@ -136,7 +151,8 @@
             });
             (base, now)
         });
-        if now >= (*since).max(MIN_UPTIME) + MAX_JOIN_TIME {
+        let settled = MIN_UPTIME.saturating_sub(self.uptime_before);
+        if now >= (*since).max(settled) + MAX_JOIN_TIME {
             self.open(service, Opened::Timeout);
         }
     }
--- a/src/decide/binding/registry.rs
+++ b/src/decide/binding/registry.rs
@@ -42,6 +42,10 @@
 }
 
 impl Running {
+    fn is_same(&self, record: &Record) -> bool {
+        self.record.stream == record.stream && self.record.version == record.version
+    }
+
     fn may_be_taken_up(&self, now: time::Duration) -> bool {
         let may_go_on = |ended_at| now < ended_at + DELIVERY_TIME;
         now < self.record.at + self.service.lifetime && self.ended_at.is_none_or(may_go_on)
@@ -213,11 +217,19 @@
         self.running.iter().filter(is_unstored).count()
     }
 
-    /// Records that a stream begins. Returns whether other entries need the record at once;
+    /// Records that a stream begins, or is taken up. Returns whether other entries need the record at once;
     /// otherwise it is kept until they do.
     pub fn begin(&mut self, record: Record, service: Service, is_current: bool) -> bool {
         self.table.add(record);
         let needs = self.needs(record.at, service, is_current);
+        let mut known = self.running.iter_mut().rev();
+        if let Some(known) = known.find(|known| known.is_same(&record)) {
+            let is_due = needs.peers && !known.is_sent;
+            known.record.at = record.at;
+            known.ended_at = None;
+            known.is_sent |= needs.peers;
+            return is_due;
+        }
         let mut running = Running {
             record,
             service,
--- a/src/decide/binding/stored.rs
+++ b/src/decide/binding/stored.rs
@@ -83,6 +83,7 @@
             era,
             at: now,
             singles: singles.filter(|(service, _)| !is_used(*service)).collect(),
+            uptime: history.joins.uptime(now),
         }
     }
 
--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -143,15 +143,20 @@
     /// Records what the platform's store says of the versions of services. Returns whether that is
     /// something else than before.
     pub(super) fn on_statement(&self, statement: binding::Statement) -> bool {
-        let is_other = self.bindings.borrow_mut().on_statement(statement);
+        let mut bindings = self.bindings.borrow_mut();
+        bindings
+            .history
+            .joins
+            .on_uptime(self.now(), statement.uptime);
+        let is_other = bindings.on_statement(statement);
+        drop(bindings);
         self.log_joins();
         is_other
     }
 
     pub(super) fn statement_message(&self) -> Option<update::Statement> {
         let bindings = self.bindings.borrow();
-        let statement = bindings.history.joins.statement()?;
-        Some(update::Statement::new(self.now(), statement))
+        update::Statement::new(self.now(), &bindings.history.joins)
     }
 
     /// Tells peers what the platform's store, in this era, says of the versions of services. To be called
@@ -353,7 +358,8 @@
     /// Returns the version at which this request should begin, if it is a stream that may be taken up
     /// and another version joins its service that isn't in use yet.
     pub(super) fn base_version(&self) -> Option<binding::Version> {
-        if self.req.route.kind != configuration::RouteKind::ResumableStream {
+        let is_resumable = self.req.route.kind == configuration::RouteKind::ResumableStream;
+        if !is_resumable || self.version.is_some() || self.leaves_base.get() {
             return None;
         }
         let bindings = self.entry.bindings.borrow();
@@ -402,8 +408,10 @@
             line.with("version", entry.version_name(version))
                 .with("source", source),
         );
-        self.version = Some(version);
         self.choose_service(version);
+        // It may wait for its next event, and be taken up again, once nobody knows any more what showed its
+        // version.
+        self.keep_binding(version);
         Ok(())
     }
 
@@ -465,18 +473,28 @@
     /// Binds the stream to the version of this slot's backend server, whose first event is about to
     /// be passed on.
     pub(super) fn on_first_event(&mut self, slot: &slot::Slot) {
+        if self.version.is_some() {
+            return;
+        }
+        if self.req.route.kind == configuration::RouteKind::ResumableStream {
+            let service = self.bound_service().hash;
+            let mut bindings = self.entry.bindings.borrow_mut();
+            bindings.history.on_begun(service, slot.version);
+        }
+        self.keep_binding(slot.version);
+    }
+
+    // Binds the stream, and records its version here and wherever it is needed.
+    fn keep_binding(&mut self, version: binding::Version) {
         let entry = &self.entry;
-        self.version = Some(slot.version);
+        self.version = Some(version);
         let record = binding::Record {
             stream: self.stream(),
-            version: slot.version,
+            version,
             at: entry.now(),
         };
         let (service, is_current) = (self.bound_service(), entry.has_current_list());
         let mut bindings = entry.bindings.borrow_mut();
-        if self.req.route.kind == configuration::RouteKind::ResumableStream {
-            bindings.history.on_begun(service.hash, slot.version);
-        }
         let is_due = bindings.begin(record, service, is_current);
         let unwritten = bindings.take_unwritten();
         drop(bindings);
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -42,6 +42,8 @@
     pub service: u32,
     /// Version that it is bound to, if it is a stream whose caller has received events.
     pub version: Option<binding::Version>,
+    /// True if it may begin at a version that joins its service and isn't in use yet.
+    pub leaves_base: cell::Cell<bool>,
     /// True if its connection was lost while it ran as the only suspect of a backend server.
     pub was_lost_alone: cell::Cell<bool>,
     /// The quarantined part of its prompt because of which it was refused.
@@ -80,6 +82,7 @@
         may_have_run: false,
         service,
         version: None,
+        leaves_base: cell::Cell::default(),
         was_lost_alone: cell::Cell::default(),
         quarantined_part: cell::Cell::default(),
         is_logged: cell::Cell::new(false),
@@ -155,6 +158,7 @@
             may_have_run: self.may_have_run,
             service: self.service,
             version: self.version,
+            leaves_base: self.leaves_base.clone(),
             was_lost_alone: self.was_lost_alone.clone(),
             quarantined_part: cell::Cell::default(),
             is_logged: cell::Cell::new(false),
--- a/src/direct/peer/update.rs
+++ b/src/direct/peer/update.rs
@@ -50,21 +50,22 @@
     /// The version of each of them.
     #[prost(fixed64, repeated, tag = "4")]
     pub versions: Vec<u64>,
+    /// Milliseconds for which entries of the fleet have run without a break.
+    #[prost(uint32, tag = "5")]
+    pub uptime_ms: u32,
 }
 
 impl Statement {
-    /// Creates the message that is sent at `now`.
-    pub fn new(now: time::Duration, statement: &binding::Statement) -> Self {
-        Self {
+    /// Creates the message that is sent at `now`, if anything is known of the store.
+    pub fn new(now: time::Duration, joins: &binding::Joins) -> Option<Self> {
+        let statement = joins.statement()?;
+        Some(Self {
             era: statement.era,
             age_ms: saturating_millis(now.saturating_sub(statement.at)),
             services: statement.singles.keys().copied().collect(),
-            versions: statement
-                .singles
-                .values()
-                .map(|version| version.0)
-                .collect(),
-        }
+            versions: statement.singles.values().map(|v| v.0).collect(),
+            uptime_ms: saturating_millis(joins.uptime(now)),
+        })
     }
 
     /// Returns the statement for a message that was received at `now`.
@@ -75,6 +76,7 @@
             era: self.era,
             at: now.saturating_sub(time::Duration::from_millis(self.age_ms.into())),
             singles: singles.take(binding::MAX_SINGLES).collect(),
+            uptime: time::Duration::from_millis(self.uptime_ms.into()),
         }
     }
 }
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -196,11 +196,16 @@
         let mut refusals = 0;
         let slot = loop {
             match self.acquire_slot_at(&job, offer).await {
-                Ok(Some(slot)) => break slot,
-                Ok(None) => {
-                    if offer.reason.is_second() || entry.leaves_to_decider(offer.server) {
+                Ok(Some(slot)) if self.may_begin_at(slot.version) => break slot,
+                Ok(acquired) => {
+                    let is_undecided = acquired.is_none();
+                    drop(acquired);
+                    let is_decided_elsewhere =
+                        offer.reason.is_second() || entry.leaves_to_decider(offer.server);
+                    if is_undecided && is_decided_elsewhere {
                         job.excluded.push(offer.server);
                     }
+                    job.version = self.version.or_else(|| self.base_version());
                     offer = match self.home(&job) {
                         Err(_) if self.leave_base(&mut job).await => self.home(&job)?,
                         offer => offer?,
@@ -237,10 +242,16 @@
         while self.base_version().is_some() && self.entry.now() < until {
             tokio::time::sleep(JOIN_POLL).await;
         }
+        self.leaves_base.set(true);
         job.version = self.version;
         true
     }
 
+    // A version may have joined while the request waited.
+    fn may_begin_at(&self, version: binding::Version) -> bool {
+        self.base_version().is_none_or(|base| base == version)
+    }
+
     fn next_offer(
         &self,
         job: &mut place::Job,
--- a/tests/join.rs
+++ b/tests/join.rs
@@ -24,6 +24,7 @@
         era,
         at: ms(at),
         singles: names.iter().map(single).collect(),
+        uptime: ms(at),
     }
 }
 
@@ -148,6 +149,26 @@
     assert_eq!(opened, [None, Some(Opened::Stored)]);
 }
 
+// Guards against a statement that is taken back before callers have come again after a start of all entries,
+// and against a version that waits because only this process has just started.
+#[test]
+fn a_version_that_joins_waits_for_callers_of_a_fleet_that_has_just_started() {
+    for (uptime, expected) in [(0, 6_000), (4_000, 2_000), (60_000, 1_250)] {
+        let mut entry = open(&["v1"], &[("v1", 3), ("v2", 1)]);
+        let binding::Registry {
+            stored, history, ..
+        } = &mut entry;
+        stored.restore(ms(0), [(service().hash, version("v1"))], history);
+        history.joins.on_uptime(ms(0), ms(uptime));
+        let mut due = (0..20_000).step_by(250).filter(|at| {
+            entry.take_due(ms(*at), true);
+            !entry.stored.due(ms(*at), &entry.history).is_empty()
+        });
+        let first = due.next().expect("it is taken back");
+        assert!(first.abs_diff(expected) <= 250, "{uptime}: {first}");
+    }
+}
+
 // Guards against a version that waits again because another reader of the store doesn't know yet that it is
 // used, and against one that waits for a store that can't be written.
 #[test]
@@ -219,6 +240,19 @@
     }
 }
 
+// Guards against a version that waits though streams have begun at it before the store could be read.
+#[test]
+fn a_version_that_was_used_before_the_store_was_read_does_not_wait() {
+    for (begun, base) in [("v1", Some(version("v1"))), ("v2", None)] {
+        let mut entry = binding::Registry::new(FirstStart::No);
+        entry.history.add(SERVICE, version("v1"));
+        entry.history.add(SERVICE, version("v2"));
+        entry.history.on_begun(service().hash, version(begun));
+        entry.on_statement(statement(0, 2_000, &["v1"]));
+        assert_eq!(entry.history.base(service().hash), base, "{begun}");
+    }
+}
+
 // Guards against a statement that is taken for newer than it is, and against records that a store lacks which
 // was restored from an older copy.
 #[test]
