Count a list as current only by readings that agree with it

Cause: an entry's list counted as current for 3 s after any answer of the store to any entry, as told by a reading, whether or not the list was the one that was read. An entry that has stood still hears of new readings before it has their list. It then tells peers that ask that a service has only the version that the old list names, and the peers that stood still with it agree.

Change: the time counts from the newest reading whose list agrees with the entry's. A difference that lasts, since a list was merged, counts as agreement as it does for newer lists.

--- a/src/decide/spread/mod.rs
+++ b/src/decide/spread/mod.rs
@@ -140,6 +140,8 @@
     own_answer_at: Option<time::Duration>,
     // When the call began that last delivered this entry's list.
     own_list_at: Option<time::Duration>,
+    // When the store last answered an entry whose list agreed with this one's.
+    agreed_answer_at: Option<time::Duration>,
     // Time at which the list had all that the store had then.
     complete_at: Option<time::Duration>,
     // Digest of the list and version of the configuration that it read last.
@@ -227,6 +229,7 @@
         self.compare(own.list, theirs.list, theirs.position);
         if own.list == theirs.list || self.are_settled(own.list, theirs.list) {
             self.complete_at = self.complete_at.max(reading.list_at);
+            self.agreed_answer_at = self.agreed_answer_at.max(Some(reading.at));
         }
         self.record(reading) && self.is_forwarded(&reading)
     }
@@ -314,7 +317,7 @@
         peers: usize,
         is_complete: bool,
     ) -> time::Duration {
-        let is_fresh = self.last_answer().is_some_and(|at| now < at + MAX_AGE);
+        let is_fresh = self.newest_answer().is_some_and(|at| now < at + MAX_AGE);
         if !is_complete {
             START_EXCHANGE_INTERVAL
         } else if is_fresh && !target::has_to_forward(peers) {
@@ -336,10 +339,15 @@
     }
 
     /// Returns when the store last answered an entry, as far as is known.
-    pub fn last_answer(&self) -> Option<time::Duration> {
+    pub fn newest_answer(&self) -> Option<time::Duration> {
         self.readings.iter().map(|r| r.at).max()
     }
 
+    /// Returns when the store last answered an entry whose list this one's was found to agree with.
+    pub fn last_answer(&self) -> Option<time::Duration> {
+        self.agreed_answer_at
+    }
+
     /// Returns whether a transfer is due or will be soon.
     pub fn has_holders(&self) -> bool {
         !self.holders.is_empty()
--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -78,7 +78,7 @@
     pub fn known_age(&self) -> time::Duration {
         let now = self.now();
         let last = self.peers.borrow().last_store_answer();
-        let last = last.max(self.spread.borrow().last_answer());
+        let last = last.max(self.spread.borrow().newest_answer());
         let last = last.map_or(time::Duration::MAX, |at| now.saturating_sub(at));
         self.answer_age().min(last)
     }
