Count ages in datagrams from their arrival, not from when they are handled

What callers would see: four of five entries stood still for 3 s while a second version joined, and their receive buffers were full.

Cause: messages tell ages (how long ago the store answered, when a list was read), which the recipient subtracted from the time at which it handled the datagram. In a process that was suspended, datagrams have waited in the receive buffer for as long; a full buffer has the oldest ones. What was known before the stop then counted as new, the list that lacks the second version as current for 3 s, and the entries that had stood still confirmed it to each other. One entry alone isn't enough: those that were running contradict it.

Change: the socket notes when it was last found empty; what is read after that has arrived since, and ages count from there. In a process that runs that is a few milliseconds to one heartbeat (80 ms) too much. The answer to a call that lasted longer than its timeout, since the process stood still meanwhile, counts from when the call began.

--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -26,8 +26,7 @@
 pub mod table;
 pub mod update;
 
-use std::io::Read as _;
-use std::{io, net, rc, time};
+use std::{net, rc, time};
 
 use prost::Message as _;
 
@@ -67,8 +66,9 @@
     let mut next_exchange = next_heartbeat;
     loop {
         let next = next_heartbeat.min(next_exchange);
-        match tokio::time::timeout_at(next, link.socket.recv_from(&mut buffer)).await {
-            Ok(Ok((len, _))) => on_bytes(&entry, &buffer[..len]),
+        let received = link.receive(&mut buffer, || entry.now());
+        match tokio::time::timeout_at(next, received).await {
+            Ok(Ok(len)) => on_bytes(&entry, &buffer[..len]),
             // The network's error for an earlier datagram; the next heartbeat tries again.
             Ok(Err(err)) => log::debug!(event = "datagram_failed", error:% = err; ""),
             Err(_elapsed) if next_exchange <= next_heartbeat => {
@@ -107,12 +107,11 @@
         return;
     }
     link.last_catch_up.set(now);
-    let socket = socket2::SockRef::from(&link.socket);
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     for _ in 0..MAX_CATCH_UP_DATAGRAMS {
-        match (&*socket).read(&mut buffer) {
-            Ok(len) => on_bytes(entry, &buffer[..len]),
-            Err(err) if err.kind() == io::ErrorKind::WouldBlock => return,
+        match link.read(&mut buffer, entry.now()) {
+            Ok(Some(len)) => on_bytes(entry, &buffer[..len]),
+            Ok(None) => return,
             // The network's error for an earlier datagram; more datagrams may follow it.
             Err(err) => log::debug!(event = "datagram_failed", error:% = err; ""),
         }
--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -174,16 +174,17 @@
         self.standby.get().may_call(self.now(), topic as usize)
     }
 
-    /// Records that the store responded to a call for this topic, with usable data or not.
-    pub fn on_store_reached(&self, topic: spread::Topic) {
+    /// Records that the store responded to a call for this topic, with usable data or not. `at` is a time
+    /// at which what it returned was current.
+    pub fn on_store_reached(&self, topic: spread::Topic, at: time::Duration) {
         let mut answered = self.store_answered.get();
-        answered[topic as usize] = Some(self.now());
+        answered[topic as usize] = answered[topic as usize].max(Some(at));
         self.store_answered.set(answered);
         let mut standby = self.standby.get();
         standby.on_answer(topic as usize);
         self.standby.set(standby);
         if topic == spread::Topic::Backends {
-            self.on_list_answer(self.now());
+            self.on_list_answer(at);
         }
     }
 
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -4,7 +4,7 @@
 
 use prost::Message as _;
 
-use super::peer::{message, update};
+use super::peer::{link, message, update};
 use super::{listing, parts, state};
 use crate::code;
 use crate::decide::evacuation;
@@ -181,7 +181,9 @@
         self.peers.borrow_mut().learn(now, addresses.chain([peer]));
         let changed_at = update.changed_at.unwrap_or_default().into();
         let changes = self.apply_changes(peer, update, changed_at);
-        let reading = update.reading.as_ref().map(|r| r.received(now));
+        let arrived_after = self.link.as_ref().map_or(now, link::Link::arrived_after);
+        let reading = update.reading.as_ref();
+        let reading = reading.map(|r| r.received(arrived_after));
         if let Some(reading) = &reading {
             self.on_list_answer(reading.at);
         }
