Count the age of what the store says of versions from the datagram's arrival

Cause: as for readings, a statement of before a stop that waited in the receive buffer counted as the newest, so that an entry that has stood still would take the first version of a service for the only one that streams began at.

Change: its age counts from the time at which the socket was last found empty.

Found by reading; no test that fails before.

--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -205,7 +205,7 @@
             self.on_first_start(now.checked_sub(age), Some(peer));
         }
         let has_changed = update.statement.as_ref().is_some_and(|statement| {
-            let statement = statement.received(now);
+            let statement = statement.received(arrived_after);
             self.on_statement(statement)
         });
         if let Some(reading) = reading.filter(|_| is_new) {
