Show a reader that brings back what the store said before it stood still

What callers might see: streams that go on at another version at entries that were out of step together.

Cause: `Stored::statement` stamps with the present what the entry last read from the topic of versions or wrote to it. An entry that stood still while another one deleted a record says on waking, and every 0.25 s after, that the store names the first version, and that counts as newer than what the other one says. Entries that have opened the second version aren't misled; one that hears of both statements before its list has the second version is.

--- a/tests/step.rs
+++ b/tests/step.rs
@@ -1,12 +1,14 @@
-//! What an entry that is out of step knows of its list of backend servers.
+//! What an entry that is out of step knows of backend servers and their versions.
 
-use std::{net, time};
+use std::{collections, net, time};
 
 use chivebend::decide::{binding, evacuation, spread};
 
 const OWN: net::Ipv4Addr = net::Ipv4Addr::LOCALHOST;
 const PEER: net::Ipv4Addr = net::Ipv4Addr::new(127, 0, 0, 2);
 
+const SERVICE: &str = "app";
+
 fn ms(n: u64) -> time::Duration {
     time::Duration::from_millis(n)
 }
@@ -88,3 +90,44 @@
         assert_eq!(is_current, case.is_current, "{}", case.name);
     }
 }
+
+fn statement(at: u64, version: Option<binding::Version>) -> binding::Statement {
+    let service = binding::service_hash(SERVICE);
+    let singles: collections::BTreeMap<_, _> = version.map(|v| (service, v)).into_iter().collect();
+    binding::Statement {
+        era: 0,
+        at: ms(at),
+        singles,
+    }
+}
+
+// Guards against an entry that takes a version for the only one that streams began at, since a reader that
+// stood still repeats what another reader has taken back meanwhile.
+#[test]
+fn a_reader_that_stood_still_does_not_bring_back_a_statement() {
+    let (v1, v2) = (
+        binding::Version::new(SERVICE, Some("v1")),
+        binding::Version::new(SERVICE, Some("v2")),
+    );
+    let service = binding::service_hash(SERVICE);
+    // It wrote the record at 1 s, stood still from 2 s to 9 s, and reads the store no more for it.
+    let mut reader = binding::Registry::new(binding::FirstStart::No);
+    reader.history.add(SERVICE, v1);
+    reader.stored.on_written(binding::Change {
+        service,
+        version: Some(v1),
+    });
+    let stale = reader.stored.statement(ms(9_000), 0, &reader.history);
+    // Another one deleted the record at 5 s. An entry hears of that before it has the list.
+    let mut entry = binding::Registry::new(binding::FirstStart::Confirmed(ms(0)));
+    entry.history.add(SERVICE, v1);
+    entry.on_statement(statement(1_000, Some(v1)));
+    entry.on_statement(statement(8_900, None));
+    entry.on_statement(stale);
+    entry.history.add(SERVICE, v2);
+    let stream = binding::Stream::new("c", b"a");
+    let service = binding::Service::new(SERVICE, ms(4_000));
+    let reply = entry.reply(ms(9_100), stream, service, true);
+    assert_eq!(reply.only, None, "streams have begun at both versions");
+    assert!(reply.is_mixed);
+}
