Let a version wait after each start and release, and keep the store's statement true until it is taken back

Callers might see: streams that go on at another version (ORDER) after all entries were killed just after a second version joined a service whose only version was stored since the fleet's first start, or whose backend servers were gone for a moment; streams that nobody knows after a kill of a writer and then of all.

Cause: a service that the store didn't name when an entry first read it counted as opened for good, so that versions never waited and records were written for ever. A version that was in use because the first had few or no backend servers was so while the store still named the first. Batches of an entry that takes a writer's place take the places of its records.

Change: a service is closed again once it has had one version for as long as streams may be taken up. Whatever is listed, the store's version stays the base until the store has taken it back, at once if no backend server of it is listed. A stream waits only if a backend server of another version could serve it. A record of the joining version from a peer or the store opens it. Records are due again if the writers change. What the store says is bounded, and records of services that are gone are deleted. If the store can't be written a version waits for 20 s instead of 5.

--- a/src/decide/binding/join.rs
+++ b/src/decide/binding/join.rs
@@ -19,7 +19,7 @@
 pub const MIN_UPTIME: time::Duration = time::Duration::from_secs(6);
 
 /// Time for which a version is kept from new streams if the store can't be written.
-const MAX_JOIN_TIME: time::Duration = time::Duration::from_secs(5);
+const MAX_JOIN_TIME: time::Duration = time::Duration::from_secs(20);
 
 /// Maximum number of services that the store names. Updates between entries carry all of them.
 pub const MAX_SINGLES: usize = 64;
@@ -53,10 +53,7 @@
     /// The store says that the service has several versions, or nothing.
     #[display("stored")]
     Stored,
-    /// The first version is no longer listed.
-    #[display("replaced")]
-    Replaced,
-    /// A stream began at it, since no backend server of the first version could be used.
+    /// A stream began at it, since no backend server of the first version could be used, here or elsewhere.
     #[display("used")]
     Used,
     /// The store couldn't be written.
@@ -80,6 +77,8 @@
 pub struct Joins {
     statement: Option<Statement>,
     waiting: collections::HashMap<u64, (Version, time::Duration)>,
+    // Services of which no backend server of the first version could be used.
+    urgent: collections::HashSet<u64>,
     opened: collections::HashSet<u64>,
     events: Vec<Event>,
     // Time for which the fleet had run when this process started.
@@ -147,6 +146,14 @@
         self.opened.contains(&service)
     }
 
+    /// Records that no backend server of a service's first version can be used, so that another version
+    /// doesn't wait for callers that come late.
+    pub fn on_unusable(&mut self, service: u64) {
+        if self.waiting.contains_key(&service) {
+            self.urgent.insert(service);
+        }
+    }
+
     /// Returns since when a version has waited beside the first one of a service.
     pub fn waiting_since(&self, service: u64) -> Option<time::Duration> {
         self.waiting.get(&service).map(|(_, since)| *since)
@@ -155,7 +162,7 @@
     /// Returns whether the time is over in which a version waits, with time for callers that come late or
     /// without.
     pub fn is_due(&self, now: time::Duration, service: u64, waits_for_callers: bool) -> bool {
-        let min_uptime = if waits_for_callers {
+        let min_uptime = if waits_for_callers && !self.urgent.contains(&service) {
             MIN_UPTIME
         } else {
             time::Duration::ZERO
@@ -184,12 +191,14 @@
     /// Records that a service is listed with its first version only, as long as streams may be taken up.
     pub fn on_single(&mut self, service: u64) {
         self.waiting.remove(&service);
+        self.urgent.remove(&service);
         self.opened.remove(&service);
     }
 
     /// Lets new streams of a service begin at any version.
     pub fn open(&mut self, service: u64, reason: Opened) {
         let waiting = self.waiting.remove(&service);
+        self.urgent.remove(&service);
         if !self.opened.insert(service) {
             return;
         }
--- a/src/decide/binding/registry.rs
+++ b/src/decide/binding/registry.rs
@@ -5,7 +5,7 @@
 
 use super::{
     FirstStart, History, Journal, List, RETENTION, Record, Replies, Reply, Resolution, Service,
-    Statement, Stored, Stream, Table, View,
+    Statement, Stored, Stream, Table, View, rendezvous,
 };
 
 /// Age of the newest reading of the store up to which the list counts as current: two readings that
@@ -86,6 +86,8 @@
     running: collections::VecDeque<Running>,
     /// Records that were restored from the store, until all peers that keep them are known.
     pub restored: Vec<Record>,
+    // Entries that write records.
+    writers: rendezvous::Addresses,
     // Records of this entry's streams that have yet to reach a writer.
     unwritten: Vec<Record>,
 }
@@ -125,6 +127,7 @@
             stored: Stored::default(),
             journal: Journal::default(),
             restored: Vec::new(),
+            writers: rendezvous::Addresses::new(),
             unwritten: Vec::new(),
             running: collections::VecDeque::new(),
         }
@@ -248,6 +251,26 @@
         needs.peers
     }
 
+    /// Keeps a record of a peer, or of the store.
+    pub fn keep(&mut self, record: Record) {
+        self.history.on_record(record.version);
+        self.table.add(record);
+    }
+
+    /// Records which entries write records to the store.
+    pub fn set_writers(&mut self, writers: rendezvous::Addresses) {
+        if self.writers != writers {
+            self.rewrite();
+            self.writers = writers;
+        }
+    }
+
+    // Makes all records of this entry's streams due again: the store has lost them, or entries that write now
+    // use their places.
+    fn rewrite(&mut self) {
+        self.running.iter_mut().for_each(|r| r.written_at = None);
+    }
+
     /// Records that a stream is complete, so that hardly anybody takes it up.
     pub fn end(&mut self, now: time::Duration, stream: Stream) {
         let mut running = self.running.iter_mut().rev();
@@ -263,7 +286,7 @@
         let is_restored = era.is_some_and(|era| era < statement.read.era);
         let is_other = self.history.on_statement(statement);
         if is_restored {
-            self.running.iter_mut().for_each(|r| r.written_at = None);
+            self.rewrite();
         }
         is_other
     }
--- a/src/decide/binding/stored.rs
+++ b/src/decide/binding/stored.rs
@@ -5,6 +5,10 @@
 use super::join::{MAX_SINGLES, Position, Statement};
 use super::{History, RETENTION, Version};
 
+/// Maximum number of records that are kept of those that were read: more than services, as others may write
+/// there.
+const MAX_RESTORED: usize = 4_096;
+
 /// Maximum number of changes that [`Stored::due`] returns.
 const MAX_DUE: usize = 16;
 
@@ -19,7 +23,7 @@
 #[derive(Debug, Default)]
 pub struct Stored {
     // Service and its only version.
-    singles: collections::HashMap<u64, Version>,
+    singles: collections::BTreeMap<u64, Version>,
 }
 
 /// A change that the store lacks.
@@ -39,7 +43,7 @@
         records: impl IntoIterator<Item = (u64, Version)>,
         history: &mut History,
     ) {
-        self.singles = records.into_iter().collect();
+        self.singles = records.into_iter().take(MAX_RESTORED).collect();
         for (service, version) in &self.singles {
             history.on_single(now, *service, *version, RETENTION);
         }
@@ -67,22 +71,32 @@
                 due.push(Change { service, version });
             }
         }
+        due.extend(self.outdated(now, history));
         due.sort_unstable_by_key(|change| change.version.is_some());
         due.truncate(MAX_DUE);
         due
     }
 
+    // Returns a change that deletes the record of a service that hasn't been listed for long, if there is one.
+    fn outdated(&self, now: time::Duration, history: &History) -> Option<Change> {
+        let known: collections::HashSet<u64> = history.services().collect();
+        let mut services = self.singles.keys().copied();
+        let service = services.find(|service| now >= RETENTION && !known.contains(service))?;
+        Some(Change {
+            service,
+            version: None,
+        })
+    }
+
     /// Returns what the store says, by what was read from it and written up to this position.
     pub fn statement(&self, now: time::Duration, read: Position, history: &History) -> Statement {
-        let singles = self
-            .singles
-            .iter()
-            .map(|(service, version)| (*service, *version));
-        let is_used = |service| history.joins.is_opened(service);
+        let singles = self.singles.iter().take(MAX_SINGLES);
+        let singles = singles.map(|(service, version)| (*service, *version));
+        let is_true = |(service, _): &(u64, Version)| !history.joins.is_opened(*service);
         Statement {
             read,
             at: now,
-            singles: singles.filter(|(service, _)| !is_used(*service)).collect(),
+            singles: singles.filter(is_true).collect(),
             uptime: history.joins.uptime(now),
         }
     }
--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -87,7 +87,9 @@
     /// Forgets old records, and sends those to peers that have become necessary.
     pub(super) fn refresh_bindings(&self) {
         let is_current = self.has_current_list();
+        let writers = self.binding_writers();
         let mut bindings = self.bindings.borrow_mut();
+        bindings.set_writers(writers);
         let due = bindings.take_due(self.now(), is_current);
         let unwritten = bindings.take_unwritten();
         let unstored = bindings.unstored_streams();
@@ -305,7 +307,7 @@
         exchange::send_records(self, &records);
         let mut bindings = self.bindings.borrow_mut();
         for record in &records {
-            bindings.table.add(*record);
+            bindings.keep(*record);
         }
         bindings.restored = records;
     }
@@ -313,7 +315,12 @@
     /// Sends the restored records again, to the peers that are known by now, and to the writers: batches
     /// of this start use the places of earlier ones.
     pub fn share_restored_bindings(&self) {
-        let restored = std::mem::take(&mut self.bindings.borrow_mut().restored);
+        let mut bindings = self.bindings.borrow_mut();
+        let restored = std::mem::take(&mut bindings.restored);
+        for record in &restored {
+            bindings.history.on_record(record.version);
+        }
+        drop(bindings);
         exchange::send_records(self, &restored);
         exchange::send_to_writers(self, &restored);
     }
@@ -355,6 +362,13 @@
         binding::Stream::new(customer, first.as_bytes())
     }
 
+    /// Records that no backend server can be used at the version at which this request should begin.
+    pub(super) fn on_base_unusable(&self) {
+        let mut bindings = self.entry.bindings.borrow_mut();
+        let service = binding::service_hash(&self.req.service);
+        bindings.history.joins.on_unusable(service);
+    }
+
     /// Returns the version at which this request should begin, if it is a stream that may be taken up
     /// and another version joins its service that isn't in use yet.
     pub(super) fn base_version(&self) -> Option<binding::Version> {
@@ -429,7 +443,12 @@
                 return (Some(version), "record");
             }
             let resolution = entry.resolve_binding(service, taken_up_at, &replies);
-            if resolution == binding::Resolution::Unknown && entry.now() < RESTORE_TIME {
+            // Records that are being restored may show that a version that joins has been used.
+            let is_open = match resolution {
+                binding::Resolution::Unknown => true,
+                _ => entry.bindings.borrow().history.base(service.hash).is_some(),
+            };
+            if is_open && entry.now() < RESTORE_TIME {
                 tokio::time::sleep(RESTORE_POLL).await;
                 replies = exchange::request(entry, stream, service).await;
                 if let Some(version) = replies.received.iter().find_map(|reply| reply.version) {
--- a/src/direct/peer/binding.rs
+++ b/src/direct/peer/binding.rs
@@ -126,7 +126,7 @@
 pub fn on_records(entry: &state::Entry, records: &[binding_message::Record]) {
     let (now, mut bindings) = (entry.now(), entry.bindings.borrow_mut());
     for record in records {
-        bindings.table.add(record.received(now));
+        bindings.keep(record.received(now));
     }
 }
 
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -238,12 +238,16 @@
         if job.version == self.version {
             return false;
         }
+        job.version = self.version;
+        if self.entry.fleet.borrow_mut().choose(job).is_none() {
+            return false;
+        }
+        self.on_base_unusable();
         let until = self.entry.now() + JOIN_TIMEOUT;
         while self.base_version().is_some() && self.entry.now() < until {
             tokio::time::sleep(JOIN_POLL).await;
         }
         self.leaves_base.set(true);
-        job.version = self.version;
         true
     }
 
--- a/tests/join_load.rs
+++ b/tests/join_load.rs
@@ -42,6 +42,8 @@
     name: &'static str,
     // True if the store names the first version as the only one.
     is_stored: bool,
+    // True if the fleet's first start was confirmed when nothing was stored.
+    is_first_start: bool,
     // Time in which the store refuses writes.
     refuses: [u64; 2],
 }
@@ -125,6 +127,15 @@
         for at in 0..count {
             let mut entry = restart(&singles);
             entry.history.add(SERVICE, version("v1"));
+            if case.is_first_start {
+                entry = binding::Registry::new(binding::FirstStart::Claimed);
+                let nothing = binding::Position::default();
+                let statement = entry.stored.statement(ms(1), nothing, &entry.history);
+                entry.on_statement(statement);
+                entry.history.add(SERVICE, version("v1"));
+                entry.take_due(ms(250), true);
+                entry.history.confirm_first_start(Some(ms(1_000)));
+            }
             entries.push(entry);
             queue.add(rng.below(REFRESH_MS as usize) as u64, Event::Refresh(at));
             let read = rng.below(READ_INTERVAL_MS as usize) + rng.below(MAX_SPREAD_MS);
@@ -300,19 +311,28 @@
 #[test]
 fn streams_outlive_all_entries_whenever_a_second_version_joins() {
     let cases = [
+        Case {
+            name: "the store names the first version since a first start",
+            is_stored: false,
+            is_first_start: true,
+            refuses: [0, 0],
+        },
         Case {
             name: "the store names the first version",
             is_stored: true,
+            is_first_start: false,
             refuses: [0, 0],
         },
         Case {
             name: "the store names none",
             is_stored: false,
+            is_first_start: false,
             refuses: [0, 0],
         },
         Case {
             name: "the store refuses writes while the second version joins",
             is_stored: true,
+            is_first_start: false,
             refuses: [SECOND_AT_MS - 200, SECOND_AT_MS + 2_000],
         },
     ];
