Use what a process goes on reporting, whatever another record under its id said

Callers saw: after one record of another writer under the id of a running backend server, with a later start or a larger number, the server got no request any more; with a larger number alone it couldn't say that it leaves.

Cause: reports are ordered by start and number, and the newest ever seen of an id is kept for good, by the decoder, by the list, by the peers' lists and by what is remembered of removed ones. A record says by itself that all others are late.

Change: a report counts as late only until its process has gone on reporting for two seconds, with no newer report under the id in between; the newer one is then void. List entries carry the void report, in changes and lists, so that entries that don't read the store drop it too and it doesn't come back from one of them. The same holds for a start that an inspection told, and for a process that starts again with a clock that went back.

Why not by a clock: a limit on starts in the future would stop only the greatest values, a start a minute ahead would still win for good, and entries' and servers' clocks may be off by seconds. Why not by the order of the log: a delayed write may come after a newer one, and a server that leaves would get requests again. Late writes end; a process that runs reports every 1.2 s, so that two seconds without a report of the newer process tell them apart.

A list of a peer with an older report of a server that is listed again no longer removes it.

No change to an existing check; literals of list entries got the new field.

--- a/src/direct/backends.rs
+++ b/src/direct/backends.rs
@@ -180,6 +180,7 @@
         server: listing::Server,
         is_logged: bool,
     ) {
+        self.log_void(&server);
         let earlier = self.remove_earlier(&server);
         let known = self.keys.borrow().get(&server.id).copied();
         if let Some(key) = known {
@@ -276,6 +277,17 @@
             .with("leaving", is_leaving);
     }
 
+    fn log_void(&self, server: &listing::Server) {
+        let key = self.keys.borrow().get(&server.id).copied();
+        let backends = self.backends.borrow();
+        let known = key.and_then(|key| backends.get(key));
+        let is_new = known.is_some_and(|known| known.server.void != server.void);
+        if let Some(void) = server.void.filter(|_| is_new) {
+            let line = self.log.line("report_void").with("backend", &server.id);
+            drop(line.with("report", server.report).with("void", void));
+        }
+    }
+
     fn apply_cold_report(
         &self,
         configuration: &configuration::Configuration,
--- a/src/direct/listing.rs
+++ b/src/direct/listing.rs
@@ -1,6 +1,6 @@
 //! List of backend servers: its entries, and updates to it from the store or a peer.
 
-use std::net;
+use std::{collections, net, time};
 
 use xxhash_rust::xxh3;
 
@@ -53,6 +53,50 @@
     pub version: Option<String>,
     /// Report that the entry comes from.
     pub report: Report,
+    /// Later report under the same id that was false, since the process went on reporting.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub void: Option<Report>,
+}
+
+/// Time for which a process has to go on reporting before a newer report under its id counts as
+/// false: a process whose report it was would have reported again by then.
+const CONTINUED_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// Maximum number of ids of which overtaken reports are remembered.
+const MAX_OVERTAKEN: usize = 4_096;
+
+/// Reports that the store shows although newer ones under their ids are known, with the time at which
+/// the first one was read.
+///
+/// Reports that arrive late are overtaken as well, but the newer process goes on reporting.
+#[derive(Debug, Default)]
+pub struct Overtaken(collections::HashMap<String, (Report, time::Duration)>);
+
+impl Overtaken {
+    /// Records an overtaken report that was read at `now`. Returns whether its process has gone on
+    /// reporting.
+    pub fn is_continued(&mut self, now: time::Duration, id: &str, report: Report) -> bool {
+        let first = self.0.get(id).copied();
+        let first =
+            first.filter(|(first, _)| first.start == report.start && first.number <= report.number);
+        let Some((first, at)) = first else {
+            if self.0.len() >= MAX_OVERTAKEN {
+                self.0.clear();
+            }
+            self.0.insert(id.to_owned(), (report, now));
+            return false;
+        };
+        let is_continued = first < report && now >= at + CONTINUED_TIME;
+        if is_continued {
+            self.forget(id);
+        }
+        is_continued
+    }
+
+    /// Forgets the overtaken reports of an id, since a newer process reports.
+    pub fn forget(&mut self, id: &str) {
+        self.0.remove(id);
+    }
 }
 
 /// An update of the list of backend servers.
@@ -118,6 +162,20 @@
             || self.service != other.service
     }
 
+    /// Returns whether this is no older than a list entry with this report under the same id.
+    pub fn is_as_new_as(&self, report: Report) -> bool {
+        self.report >= report || self.has_voided(report)
+    }
+
+    /// Returns whether a report under the same id is false. Of another process, earlier ones are too.
+    pub fn has_voided(&self, report: Report) -> bool {
+        let is_void = |void: Report| {
+            let is_earlier = void.start == report.start && report.number <= void.number;
+            void == report || (is_earlier && void.start != self.report.start)
+        };
+        self.void.is_some_and(is_void)
+    }
+
     /// Returns a hash that identifies this process, by the same fields as
     /// [`Server::is_other_process`] and the id.
     pub fn process_hash(&self) -> u64 {
--- a/src/direct/peer/update.rs
+++ b/src/direct/peer/update.rs
@@ -127,6 +127,20 @@
     /// Version of its software.
     #[prost(string, optional, tag = "7")]
     pub version: Option<String>,
+    /// Later report under the same id that was false.
+    #[prost(message, optional, tag = "8")]
+    pub void: Option<Report>,
+}
+
+/// See [`listing::Report`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Report {
+    /// Start of the process in Unix milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub start: u64,
+    /// Number of the report.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
 }
 
 impl From<evacuation::Position> for Position {
@@ -209,6 +223,9 @@
                     leaving: server.leaving,
                     cold_ms: server.cold_ms,
                     version: server.version.clone(),
+                    void: server
+                        .void
+                        .map(|listing::Report { start, number }| Report { start, number }),
                 }),
             ),
         };
@@ -243,6 +260,9 @@
             cold_ms: listed.cold_ms,
             version: listed.version.clone(),
             report,
+            void: listed
+                .void
+                .map(|Report { start, number }| listing::Report { start, number }),
         }))
     }
 }
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -20,6 +20,8 @@
     listed: collections::HashMap<String, listing::Server>,
     // Last reports of removed backend servers, by id.
     tombstones: collections::HashMap<String, listing::Report>,
+    // Reports that the store shows although newer ones are known.
+    overtaken: listing::Overtaken,
     // Hashes of the ids of recently removed backend servers, with the time of their removal.
     deregistered: collections::VecDeque<(u64, time::Duration)>,
     is_complete: bool,
@@ -73,7 +75,9 @@
     pub fn apply(&mut self, now: time::Duration, update: listing::Update) -> Effect {
         match update {
             listing::Update::Restored(server) if self.is_outdated(&server) => Effect::None,
-            listing::Update::Listed(server) | listing::Update::Restored(server) => {
+            listing::Update::Restored(server) => self.list(server),
+            listing::Update::Listed(server) => {
+                let server = self.with_void(now, server);
                 self.list(server)
             }
             // A backend server whose list entry can't be read can't be used.
@@ -153,11 +157,11 @@
     }
 
     fn list(&mut self, server: listing::Server) -> Effect {
-        let server = self.with_known_version(server);
-        let known = self.listed.get(&server.id);
-        if known.is_some_and(|known| known.report > server.report) {
+        if self.is_overtaken(&server) {
             return Effect::None;
         }
+        let server = self.with_known_fields(server);
+        let known = self.listed.get(&server.id);
         let is_same = known.is_some_and(|known| known.is_same_payload(&server));
         // Peers ignored a list entry that was no newer than its removal.
         let was_outdated = known.is_some_and(|known| self.is_outdated(known));
@@ -206,13 +210,13 @@
     ) -> Effect {
         let mut kept = collections::HashSet::new();
         for server in received {
-            if self.is_outdated(&server) {
+            // One that is listed again is newer than its removal.
+            if !self.listed.contains_key(&server.id) && self.is_outdated(&server) {
                 continue;
             }
             kept.insert(server.id.clone());
-            let known = self.listed.get(&server.id);
-            if known.is_none_or(|known| known.report <= server.report) {
-                let server = self.with_known_version(server);
+            if !self.is_overtaken(&server) {
+                let server = self.with_known_fields(server);
                 self.put(server);
             }
         }
@@ -231,15 +235,22 @@
     // few entries changed, returns these.
     fn replace(&mut self, now: time::Duration, servers: Vec<listing::Server>) -> Effect {
         let was_complete = std::mem::replace(&mut self.is_complete, true);
+        let servers: Vec<_> = servers
+            .into_iter()
+            .map(|read| {
+                let read = self.with_void(now, read);
+                (self.is_overtaken(&read), self.with_known_fields(read))
+            })
+            .collect();
         let before = std::mem::take(&mut self.listed);
         self.digests = [0; 2];
         let mut changes = Vec::new();
-        for read in servers {
+        for (is_overtaken, read) in servers {
             let known = before.get(&read.id);
             if known.is_none() && self.is_outdated(&read) {
                 continue;
             }
-            let newer = known.filter(|known| known.report > read.report);
+            let newer = known.filter(|_| is_overtaken);
             let server = newer.cloned().unwrap_or(read);
             if known.is_none_or(|known| !known.is_same_payload(&server)) {
                 changes.push(listing::Change::Listed(server.clone()));
@@ -274,18 +285,41 @@
         Effect::Changed(changes)
     }
 
-    // Adds the version of a known process to a list entry that an entry of an earlier release sent.
-    fn with_known_version(&self, server: listing::Server) -> listing::Server {
-        let known = self.listed.get(&server.id);
-        let known = known.filter(|known| !known.is_other_process(&server));
+    // Adds what list entries may lack: the version of a known process if an entry of an earlier release
+    // sent it, and which report was found to be false.
+    fn with_known_fields(&self, server: listing::Server) -> listing::Server {
+        let any = self.listed.get(&server.id);
+        let known = any.filter(|known| !known.is_other_process(&server));
         let version = server.version.clone();
         listing::Server {
             version: version.or_else(|| known.and_then(|known| known.version.clone())),
+            void: server.void.or(any.and_then(|known| known.void)),
+            ..server
+        }
+    }
+
+    // Adds to a list entry of the store the newer report that is known, if its process goes on reporting
+    // nonetheless.
+    fn with_void(&mut self, now: time::Duration, server: listing::Server) -> listing::Server {
+        let known = self.listed.get(&server.id).map(|known| known.report);
+        let newest = known.max(self.tombstones.get(&server.id).copied());
+        let Some(newer) = newest.filter(|newest| !server.is_as_new_as(*newest)) else {
+            self.overtaken.forget(&server.id);
+            return server;
+        };
+        let report = server.report;
+        let is_continued = self.overtaken.is_continued(now, &server.id, report);
+        listing::Server {
+            void: server.void.or(is_continued.then_some(newer)),
             ..server
         }
     }
 
     fn put(&mut self, server: listing::Server) {
+        let gone = self.tombstones.get(&server.id);
+        if gone.is_some_and(|report| server.has_voided(*report)) {
+            self.tombstones.remove(&server.id);
+        }
         self.add_to_digests(&server);
         let version = server.version.clone();
         if let Some(known) = self.listed.insert(server.id.clone(), server) {
@@ -317,10 +351,18 @@
         }
     }
 
+    // Returns whether a newer list entry of the backend server is known.
+    fn is_overtaken(&self, server: &listing::Server) -> bool {
+        let is_newer = |known: &listing::Server| {
+            known.has_voided(server.report) || !server.is_as_new_as(known.report)
+        };
+        self.listed.get(&server.id).is_some_and(is_newer)
+    }
+
     // Returns whether the backend server is known to have been removed after this report.
     fn is_outdated(&self, server: &listing::Server) -> bool {
         let gone = self.tombstones.get(&server.id);
-        gone.is_some_and(|report| server.report <= *report)
+        gone.is_some_and(|report| server.report <= *report && !server.has_voided(*report))
     }
 
     fn deregister(&mut self, now: time::Duration, id: String, report: listing::Report) {
--- a/tests/asks.rs
+++ b/tests/asks.rs
@@ -95,6 +95,7 @@
             start: 1,
             number: 1,
         },
+        void: None,
     }
 }
 
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -4,7 +4,8 @@
 mod support;
 
 use chivebend::decide::place;
-use chivebend::direct::{listing, parts, pool, state, transfer};
+use chivebend::direct::peer::update;
+use chivebend::direct::{listing, parts, pool, roster, state, transfer};
 use smallvec::smallvec;
 
 const VERSION: parts::Version = parts::Version::Second;
@@ -159,6 +160,149 @@
     assert_ne!(one.list_digest(VERSION), other.list_digest(VERSION));
 }
 
+// A reading of the store at this time in milliseconds, with these reports of the backend server `a`.
+type Reading = (u64, &'static [(u64, u64)]);
+
+// Guards against one false report under the id of a running backend server that makes its own reports
+// count as late for good, and against late reports that undo what is known: a backend server that
+// leaves got requests again.
+#[test]
+fn process_that_goes_on_reporting_is_used_although_a_newer_report_is_known() {
+    struct Case {
+        name: &'static str,
+        known: (u64, u64),
+        readings: &'static [Reading],
+        listed: (u64, u64),
+    }
+    let case = |name, known, readings, listed| Case {
+        name,
+        known,
+        readings,
+        listed,
+    };
+    let cases = [
+        case(
+            "start too late",
+            (u64::MAX, 1),
+            &[(0, &[(100, 8)]), (2_000, &[(100, 10)])],
+            (100, 10),
+        ),
+        case(
+            "number too large",
+            (100, u64::MAX),
+            &[
+                (0, &[(100, 8)]),
+                (1_200, &[(100, 9)]),
+                (2_400, &[(100, 10)]),
+            ],
+            (100, 10),
+        ),
+        case(
+            "a single late report, read again",
+            (100, 9),
+            &[(0, &[(100, 8)]), (9_000, &[(100, 8)])],
+            (100, 9),
+        ),
+        case(
+            "two late reports in a reading",
+            (100, 9),
+            &[(0, &[(100, 7), (100, 8)])],
+            (100, 9),
+        ),
+        case(
+            "late reports of the time in which a process reports again",
+            (100, 9),
+            &[(0, &[(100, 7)]), (1_900, &[(100, 8)])],
+            (100, 9),
+        ),
+        case(
+            "late reports before and after one of the newer process",
+            (200, 1),
+            &[(0, &[(100, 8)]), (1_000, &[(200, 2)]), (2_000, &[(100, 9)])],
+            (200, 2),
+        ),
+        case(
+            "the false report is written again",
+            (900, 7),
+            &[
+                (0, &[(100, 8)]),
+                (2_000, &[(100, 10)]),
+                (3_000, &[(900, 7), (100, 11)]),
+            ],
+            (100, 11),
+        ),
+        case(
+            "a process that starts later than the false report",
+            (900, 7),
+            &[(0, &[(100, 8)]), (2_000, &[(100, 10), (901, 1)])],
+            (901, 1),
+        ),
+    ];
+    for case in cases {
+        let mut list = roster::Roster::default();
+        let known = started("a", case.known.0, case.known.1);
+        list.apply(support::ms(0), listing::Update::All(vec![known]));
+        for (at, reports) in case.readings {
+            for (start, number) in *reports {
+                let read = started("a", *start, *number);
+                list.apply(support::ms(*at), listing::Update::Listed(read));
+            }
+        }
+        let expected = support::report(case.listed.0, case.listed.1);
+        let report = list.get("a").map(|server| server.report);
+        assert_eq!(report, Some(expected), "{}", case.name);
+    }
+}
+
+// Guards against a false report that stays at the entries that don't read the store themselves, or
+// comes back from one of them.
+#[test]
+fn peers_learn_which_report_was_false() {
+    let false_report = started("a", u64::MAX, 1);
+    let mut reader = roster::Roster::default();
+    for (at, read) in [
+        (0, false_report.clone()),
+        (1, started("a", 100, 8)),
+        (2_001, started("a", 100, 10)),
+    ] {
+        reader.apply(support::ms(at), listing::Update::Listed(read));
+    }
+    let found = reader.get("a").expect("it is listed").clone();
+    let change = update::Change::from(&listing::Change::Listed(found.clone()));
+    let change = listing::Update::try_from(&change).expect("an update");
+    let list = serde_json::to_vec(&vec![found.clone()]).expect("JSON");
+    let (list, _) = transfer::decode_answer(&list).expect("a list");
+    let parts = listing::Update::PartsFromPeer(listing::Parts {
+        count: 1,
+        indices: vec![0],
+        servers: vec![found],
+    });
+    for is_removed in [false, true] {
+        for update in [&change, &list, &parts] {
+            let name = format!("{update:?} {is_removed}");
+            let mut peer = roster::Roster::default();
+            let report = |peer: &roster::Roster| peer.get("a").map(|server| server.report);
+            let false_list = listing::Update::FromPeer(vec![false_report.clone()]);
+            let apply = |peer: &mut roster::Roster, update: &listing::Update| {
+                peer.apply(support::ms(3_000), update.clone());
+            };
+            apply(&mut peer, &false_list);
+            if is_removed {
+                apply(&mut peer, &listing::Update::Gone("a".into()));
+            }
+            apply(&mut peer, update);
+            assert_eq!(report(&peer), Some(support::report(100, 10)), "{name}");
+            apply(&mut peer, &false_list);
+            apply(&mut peer, &listing::Update::Restored(false_report.clone()));
+            assert_eq!(report(&peer), Some(support::report(100, 10)), "{name}");
+            // An entry that has just started knows nothing of the false report.
+            apply(&mut peer, &listing::Update::Restored(started("a", 100, 12)));
+            apply(&mut peer, update);
+            assert_eq!(report(&peer), Some(support::report(100, 12)), "{name}");
+        }
+    }
+}
+
 #[test]
 fn unreadable_record_removes_only_its_own_id() {
     let entry = support::entry(1);
--- a/tests/second_silent.rs
+++ b/tests/second_silent.rs
@@ -32,6 +32,7 @@
             start: 1,
             number: 1,
         },
+        void: None,
     }
 }
 
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -62,6 +62,7 @@
         cold_ms: 0,
         version: Some("v1".into()),
         report: report(0, number),
+        void: None,
     }
 }
 
