Bound what odd records of backend servers cost in the log

Operators see: 3,000 odd records are 3,000 lines at once, again with each new record of their ids; the log keeps 2,000 lines a second, so that 1,006 were dropped, among them those of other events (the test that waits for one of them fails). A value of 200 KB that is no number is logged whole.

Values of log lines are cut at 1,024 bytes.

--- a/src/direct/logger.rs
+++ b/src/direct/logger.rs
@@ -17,6 +17,9 @@
 /// Maximum number of batches queued for the writer: half a megabyte, some 3,000 lines.
 const MAX_BATCHES: usize = 64;
 
+/// Maximum length of a field's value in bytes. Some values come from callers or other writers.
+const MAX_VALUE_BYTES: usize = 1_024;
+
 /// Maximum number of lines per second; the usual load is a few hundred.
 const MAX_LINES_PER_S: u32 = 2_000;
 
@@ -142,7 +145,9 @@
 impl Line<'_> {
     /// Adds a field.
     pub fn with(mut self, key: &str, value: impl fmt::Display) -> Self {
-        event::append_pair(&mut self.text, key, &value.to_string());
+        let value = value.to_string();
+        let value = event::prefix(&value, MAX_VALUE_BYTES);
+        event::append_pair(&mut self.text, key, value);
         self
     }
 
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -15,7 +15,7 @@
 
 pub use kind::{KINDS, Kind, Row};
 pub use ring::{EventBuilder, Ring};
-pub(crate) use text::append_pair;
+pub(crate) use text::{append_pair, prefix};
 pub use text::{format_details, format_line};
 
 /// Number of events that a process keeps by default. At 512 bytes per event this is 4 MB of a
--- a/src/event/text.rs
+++ b/src/event/text.rs
@@ -9,14 +9,16 @@
 
 /// Truncates a value to [`MAX_VALUE_BYTES`] at a character boundary.
 pub(super) fn truncate(value: &str) -> String {
-    if value.len() <= MAX_VALUE_BYTES {
-        return value.to_owned();
-    }
-    let mut end = MAX_VALUE_BYTES;
+    prefix(value, MAX_VALUE_BYTES).to_owned()
+}
+
+/// Returns the longest prefix of a value that has at most `max_bytes` and ends at a character boundary.
+pub(crate) fn prefix(value: &str, max_bytes: usize) -> &str {
+    let mut end = max_bytes.min(value.len());
     while !value.is_char_boundary(end) {
         end -= 1;
     }
-    value[..end].to_owned()
+    &value[..end]
 }
 
 /// Appends ` key=value`. An empty value, or one with characters that need quoting, is quoted and
