Bound what odd numbers of a configuration do to requests

With two weights of 2^32-1 a build with overflow checks answers no request of the route ("attempt to add with overflow"); others divide it in another proportion.

--- a/src/direct/configuration.rs
+++ b/src/direct/configuration.rs
@@ -86,13 +86,14 @@
 impl Route {
     /// Returns the service for this random number in `0.0..1.0`.
     pub fn service(&self, draw: f64) -> Option<&rc::Rc<str>> {
-        let total: u32 = self.shares.iter().map(|s| s.weight).sum();
-        let mut left = (draw * f64::from(total)) as u32;
+        let total: u64 = self.shares.iter().map(|s| u64::from(s.weight)).sum();
+        let mut left = (draw * total as f64) as u64;
         for share in &self.shares {
-            if left < share.weight {
+            let weight = u64::from(share.weight);
+            if left < weight {
                 return Some(&share.service);
             }
-            left -= share.weight;
+            left -= weight;
         }
         None
     }
--- a/src/direct/peer/lease.rs
+++ b/src/direct/peer/lease.rs
@@ -63,7 +63,8 @@
         return reply(entry, holder, message::Decision::Elsewhere, |_| {});
     }
     let now = entry.now();
-    let at = |ms: i64| time::Duration::from_millis((now.as_millis() as i64 + ms).max(0) as u64);
+    let now_ms = now.as_millis() as i64;
+    let at = |ms: i64| time::Duration::from_millis(now_ms.saturating_add(ms).max(0) as u64);
     let job = place::Job {
         service: 0,
         customer: entry.customer(&request.customer),
--- a/src/direct/route/mod.rs
+++ b/src/direct/route/mod.rs
@@ -249,8 +249,8 @@
             fault::new(code::Code::BadRequest, text)
         })?,
     };
-    let all: u32 = shares().map(|s| s.weight).sum();
-    if chosen.weight < all {
+    let all: u64 = shares().map(|s| u64::from(s.weight)).sum();
+    if u64::from(chosen.weight) < all {
         let (service, weight) = (&chosen.service, chosen.weight);
         let text = format!("{weight} of {all} requests of the route go to service {service}");
         answer.notes.push(text);
