--- /dev/null
+++ b/tests/odd_peer.rs
@@ -0,0 +1,296 @@
+//! Datagrams with odd values from an entry's peer.
+
+#[path = "support/direct.rs"]
+mod support;
+
+use std::{net, rc, time};
+
+use chivebend::direct::peer::{
+    self, binding_message, case_message, message, report_message, update,
+};
+use chivebend::direct::{listing, state};
+use prost::Message as _;
+use tokio::task;
+
+const OWN: net::Ipv4Addr = net::Ipv4Addr::new(127, 6, 90, 1);
+const PEER: net::Ipv4Addr = net::Ipv4Addr::new(127, 6, 90, 2);
+
+/// Time for an entry to read a datagram and act on it.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(30);
+
+fn engine() -> listing::Server {
+    listing::Server {
+        service: "models".into(),
+        report: support::report(100, 1),
+        ..support::server("engine", 1, false)
+    }
+}
+
+// Returns datagrams with this value in every number, and with this fraction.
+fn datagrams(n: u64, fraction: f32) -> [(&'static str, message::Datagram); 5] {
+    [
+        ("update", update(n)),
+        ("heartbeat", heartbeat(n, fraction)),
+        ("placement", placement(n, fraction)),
+        ("cases and bindings", cases_and_bindings(n, fraction)),
+        ("others", others(n)),
+    ]
+}
+
+fn engine_hash() -> u64 {
+    xxhash_rust::xxh3::xxh3_64(b"engine")
+}
+
+fn update(n: u64) -> message::Datagram {
+    let small = n as u32;
+    let holding = update::Holding {
+        position: Some(update::Position { era: n, offset: n }),
+        list: n,
+        configuration: n,
+        has_versions: true,
+    };
+    let reading = update::Reading {
+        reader: PEER.to_bits(),
+        incarnation: n,
+        sequence: n,
+        holding: Some(holding),
+        age_ms: small,
+        hops: small,
+        list_age_ms: Some(small),
+    };
+    let change = |id: &str, address: &str| update::Change {
+        id: id.into(),
+        start: n,
+        number: n,
+        listed: Some(update::Listed {
+            service: "models".into(),
+            address: address.into(),
+            slots: small,
+            cold_ms: small,
+            ..update::Listed::default()
+        }),
+    };
+    message::Datagram {
+        update: Some(update::Update {
+            reading: Some(reading),
+            holding: Some(holding),
+            changes: vec![
+                change("engine", "127.0.0.1:1"),
+                change("other", "127.0.0.1:99999"),
+                change(&"k".repeat(1_000), ""),
+            ],
+            wants_reply: true,
+            known_addresses: vec![small],
+            changed_at: Some(update::Position { era: n, offset: n }),
+            first_start_ms: Some(small),
+        }),
+        ..message::Datagram::default()
+    }
+}
+
+fn heartbeat(n: u64, fraction: f32) -> message::Datagram {
+    let small = n as u32;
+    let load = message::Load {
+        server: engine_hash(),
+        running: small,
+        unread_tokens: small,
+        least_service: Some(fraction),
+        queued_tokens: small,
+        tokens_per_s: small,
+        weight_step: small as i32,
+    };
+    message::Datagram {
+        heartbeat: Some(message::Heartbeat {
+            sequence: n,
+            loads: vec![load; 3],
+            customers: vec![n; 3],
+            service: vec![small],
+            demand: vec![small; 2],
+            entries: n,
+            entry_count: small,
+            known_addresses: vec![small],
+            configuration_version: n,
+            store_age_ms: small,
+            millicores: small,
+            busy_ago_ms: Some(small),
+            rate: small,
+            departing_servers: vec![n],
+            era: n,
+            answer_age_ms: Some(small),
+            known_age_ms: Some(small),
+            ..message::Heartbeat::default()
+        }),
+        ..message::Datagram::default()
+    }
+}
+
+fn placement(n: u64, fraction: f32) -> message::Datagram {
+    let (small, signed) = (n as u32, n as i64);
+    message::Datagram {
+        placement_request: Some(message::PlacementRequest {
+            number: n,
+            server: engine_hash(),
+            customer: "c".into(),
+            chains: vec![n],
+            tokens: vec![small; 2],
+            cost: n,
+            due_ms: signed,
+            objective_ms: small,
+            deadline_ms: small,
+            suspect: vec![n],
+        }),
+        placement_reply: Some(message::PlacementReply {
+            number: n,
+            decision: small as i32,
+            ms: small,
+            code: small,
+            tokens: fraction,
+            ahead_ms: fraction,
+            tokens_per_s: small,
+            weight_step: small as i32,
+            ..message::PlacementReply::default()
+        }),
+        progress: vec![message::Progress {
+            number: n,
+            step: small as i32,
+        }],
+        ..message::Datagram::default()
+    }
+}
+
+fn cases_and_bindings(n: u64, fraction: f32) -> message::Datagram {
+    let small = n as u32;
+    let case = case_message::Case {
+        customer: n,
+        content: n,
+        crashes: vec![case_message::Crash {
+            server: n,
+            ago_ms: small,
+            alone: true,
+            chance: fraction,
+            request: n,
+        }],
+        quarantined_ms: Some(small),
+        seen_ms: small,
+        unexplained_ms: vec![small],
+        companions: vec![n],
+        ..case_message::Case::default()
+    };
+    let binding = binding_message::Record {
+        customer: n,
+        id: n,
+        version: n,
+        age_ms: small,
+    };
+    message::Datagram {
+        cases: vec![case.clone()],
+        part_reports: vec![case],
+        bindings: vec![binding],
+        unwritten_bindings: vec![binding],
+        binding_request: Some(binding_message::Request {
+            number: n,
+            customer: n,
+            id: n,
+            service: n,
+            lifetime_ms: small,
+        }),
+        ..message::Datagram::default()
+    }
+}
+
+fn others(n: u64) -> message::Datagram {
+    let small = n as u32;
+    message::Datagram {
+        leaving: vec![n],
+        evacuations: vec![message::Evacuation {
+            zone: "\u{0}".into(),
+            era: n,
+            offset: n,
+            is_evacuated: true,
+        }],
+        inspections: vec![message::Inspection {
+            server: engine_hash(),
+            ended: false,
+            start: n,
+            cold_ms: Some(small),
+        }],
+        probe: Some(message::Probe { target: small }),
+        liveness: vec![message::Liveness {
+            address: small,
+            incarnation: n,
+            is_suspect: true,
+            age_ms: small,
+            suspicion: small,
+        }],
+        report: Some(report_message::Report {
+            scope: small as i32,
+            groups: small,
+            group: small,
+            customers: vec![n],
+            service: vec![small],
+            demand: vec![small],
+        }),
+        ..message::Datagram::default()
+    }
+}
+
+// Guards against a datagram that ends an entry, or ends that it reads those of its peers.
+#[tokio::test(flavor = "current_thread")]
+async fn odd_datagrams_end_nothing() {
+    let tasks = task::LocalSet::new();
+    tasks.run_until(Box::pin(send_all())).await;
+}
+
+async fn send_all() {
+    let socket = net::UdpSocket::bind((PEER, 0)).expect("a socket");
+    let port = socket.local_addr().expect("an address").port();
+    let settings = state::Settings {
+        address: OWN,
+        ..support::settings()
+    };
+    let entry = support::linked_entry(settings, PEER, port, vec![engine()]).await;
+    let reading = task::spawn_local(peer::run(rc::Rc::clone(&entry)));
+    let numbers = [0, 1, u32::MAX.into(), i64::MAX as u64, 1 << 63, u64::MAX];
+    let fractions = [0.0, -1.0, f32::MAX, f32::INFINITY, f32::NAN];
+    let send = async |bytes: &[u8]| {
+        let sent = socket.send_to(bytes, (OWN, port));
+        sent.expect("it is read");
+        tokio::time::sleep(SETTLE_TIME).await;
+    };
+    for number in numbers {
+        for fraction in fractions {
+            for (name, datagram) in datagrams(number, fraction) {
+                let datagram = message::Datagram {
+                    sender: number,
+                    address: PEER.to_bits(),
+                    ..datagram
+                };
+                let bytes = datagram.encode_to_vec();
+                send(&bytes).await;
+                send(&bytes[..bytes.len() - 1]).await;
+                entry.refresh();
+                assert!(!reading.is_finished(), "{name} {number} {fraction}");
+            }
+        }
+    }
+    // A message within itself.
+    for depth in [90, 10_000] {
+        send(&[0x1b].repeat(depth)).await;
+        send(&[0x5a, 0x7f].repeat(depth)).await;
+    }
+    let update = update::Update {
+        changes: vec![update::Change::from(&listing::Change::Listed(
+            support::server("new", 1, false),
+        ))],
+        ..update::Update::default()
+    };
+    let datagram = message::Datagram {
+        sender: 1,
+        address: PEER.to_bits(),
+        update: Some(update),
+        ..message::Datagram::default()
+    };
+    send(&datagram.encode_to_vec()).await;
+    let servers = entry.servers().expect("a list");
+    assert!(servers.iter().any(|server| server.id == "new"));
+}
