--- a/src/direct/listing.rs
+++ b/src/direct/listing.rs
@@ -93,6 +93,11 @@
         is_continued
     }
 
+    /// Forgets all overtaken reports.
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+
     /// Forgets the overtaken reports of an id, since a newer process reports.
     pub fn forget(&mut self, id: &str) {
         self.0.remove(id);
