Bound the memory that bodies of requests and responses take at an entry

Cause: a limit for each body and none for the sum. Each body of a request was read completely before the request was decided about, and each response that is no stream was held until its caller had read it. The memory limit of the settings was not read.

Change: bodies take memory from half of that limit before they are read, and give it back with their last copy. Large ones of requests may use two thirds of it, small ones five sixths, responses all; a customer holds at most three times what it leaves free. A request without room waits in its connection for an eighth of its objective and is refused with the new code 214; the rest of its body is read and dropped, so that the caller gets the refusal. A response without room is passed on as it arrives. Metrics say how many bytes are held, and a log line whose body was refused.

Incomplete events of streams still have no bound in sum.

--- a/src/code.rs
+++ b/src/code.rs
@@ -87,6 +87,7 @@
     RequestHeld 211 "request_held" 501 No false "Backend servers end when they run this request; it is not run any more." "See `chivebend held` for the backend servers; correct them, or let the request go.";
     PartHeld 212 "part_held" 501 No false "Backend servers end when they run requests with a part of this prompt; none with it is run any more." "See `chivebend held` for the part; correct the backend servers, or let the part go.";
     AskedTooOften 213 "asked_too_often" 429 No true "An entry is asked where requests would go more often than it answers." "Ask again a second later.";
+    MemoryFull 214 "memory_full" 503 No true "The process holds as many bytes of requests and responses as its memory allows." "See `body_bytes` and who sends large bodies in docs/OPERATIONS.md; add entries, or give them more memory.";
     NoCatalogue 301 "no_catalogue" 503 No true "This process has no accepted catalogue yet." "Check the log service, and that a catalogue was published.";
     NoBackendServer 302 "no_backend_server" 503 No true "No live backend server serves this." "Check `chivebend status`.";
     BackendRefused 303 "backend_refused" 502 No true "The backend server refused the connection." "Check the backend server.";
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -18,6 +18,7 @@
 pub mod ledger;
 pub mod limit;
 pub mod member;
+pub mod memory;
 pub mod outage;
 pub mod outcome;
 pub mod overload;
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -1,20 +1,19 @@
 //! Forwarding of a request: acquires slots, makes attempts, and retries where that is allowed.
 
-use std::{cell, net, rc, time};
+use std::{cell, fmt, net, rc, time};
 
 use http::{HeaderValue, header};
-use http_body_util::{BodyExt, Limited};
 use smallvec::SmallVec;
 use tokio::task;
 
-use super::{answer, attempt, body, refusal, request, slot, state};
+use super::{answer, attempt, body, passing, refusal, request, slot, state};
 use crate::code;
-use crate::decide::{binding, overload, place, quarantine};
+use crate::decide::{binding, memory, overload, place, quarantine};
 use crate::key;
 
 /// Maximum size in bytes of a response body that is not a stream. It is read completely before it
 /// is passed on, so that a broken response can still be retried or reported as such.
-const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+const MAX_RESPONSE_BYTES: u64 = 4 * 1024 * 1024;
 
 /// Maximum number of attempts of one request that may fail before it is sent, because a connection
 /// was refused or closed. Each is at another backend server or on a new connection.
@@ -52,6 +51,14 @@
     pub decision: cell::Cell<Option<Decision>>,
 }
 
+// A response that is not a stream.
+enum Answer {
+    // It was received completely.
+    Complete(http::Response<body::Body>),
+    // It is passed on as it arrives, since there is no memory for it.
+    Passing(http::Response<body::Body>),
+}
+
 /// A placement decision.
 #[derive(Clone, Copy, Debug)]
 pub struct Decision {
@@ -119,13 +126,13 @@
             }
             let server = response.slot.server;
             match self.read_complete(response).await {
-                Ok(response)
+                Ok(Answer::Complete(response))
                     if status.is_server_error() && is_retryable && self.try_spend_retry() =>
                 {
                     self.log_retry("failed", server);
                     failure_response = Some(response);
                 }
-                Ok(response) => return Ok(response),
+                Ok(Answer::Complete(response) | Answer::Passing(response)) => return Ok(response),
                 Err(()) if is_retryable && self.try_spend_retry() => {
                     self.log_retry("broken", server);
                 }
@@ -144,7 +151,7 @@
     }
 
     // Returns a copy for the response stream, which then logs how the request ended.
-    fn detach(&mut self) -> Self {
+    fn detach(&self) -> Self {
         self.is_logged.set(true);
         Self {
             entry: rc::Rc::clone(&self.entry),
@@ -268,45 +275,59 @@
     }
 
     // Reads a response that is not a stream.
-    async fn read_complete(
-        &self,
-        response: attempt::Response,
-    ) -> Result<http::Response<body::Body>, ()> {
-        let attempt::Response {
-            mut head,
-            body,
-            conn,
-            mut slot,
-        } = response;
-        slot.record_first_event();
-        let read = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-        let complete = match read {
-            Ok(complete) => complete.to_bytes(),
+    async fn read_complete(&self, mut response: attempt::Response) -> Result<Answer, ()> {
+        response.slot.record_first_event();
+        let hold = self.entry.memory.empty(memory::Owner::Response);
+        let received = body::receive(&mut response.body, MAX_RESPONSE_BYTES, hold).await;
+        let complete = match received {
+            Ok(body::Received::Complete(complete)) => complete,
+            Ok(body::Received::Partial(pieces)) => {
+                let passed = passing::pass_on(self.detach(), response, pieces);
+                return Ok(Answer::Passing(passed));
+            }
             Err(err) => {
-                self.entry
-                    .log
-                    .line("answer_broken")
-                    .with("id", self.id())
-                    .with("backend", self.backend(slot.server))
-                    .with("fingerprint", self.req.fingerprint())
-                    .with("error", err);
-                self.on_connection_lost(&slot);
-                self.entry
-                    .record_result(slot.server, false, time::Duration::ZERO);
+                self.on_broken(&response.slot, &err);
                 return Err(());
             }
         };
+        self.on_received(&response.slot, &response.head, "whole");
+        let mut head = response.head;
+        if !closes_connection(&head.headers) {
+            let server = response.slot.server;
+            self.entry.return_connection(server, response.conn);
+        }
+        strip_connection_headers(&mut head.headers);
+        let body = body::full(complete);
+        Ok(Answer::Complete(http::Response::from_parts(head, body)))
+    }
+
+    /// Records that a response that is not a stream was received completely.
+    pub(super) fn on_received(
+        &self,
+        slot: &slot::Slot,
+        head: &http::response::Parts,
+        outcome: &str,
+    ) {
         let took = self.entry.now().saturating_sub(slot.taken_at);
         if attempt::requested_pause(head.status, &head.headers).is_none() {
             let succeeded = !head.status.is_server_error();
             self.entry.record_result(slot.server, succeeded, took);
         }
-        self.log_answered(&slot, head.status.as_u16(), "whole");
-        if !closes_connection(&head.headers) {
-            self.entry.return_connection(slot.server, conn);
-        }
-        strip_connection_headers(&mut head.headers);
-        Ok(http::Response::from_parts(head, body::full(complete)))
+        self.log_answered(slot, head.status.as_u16(), outcome);
+    }
+
+    /// Records that a response that is not a stream broke off.
+    pub(super) fn on_broken(&self, slot: &slot::Slot, error: &dyn fmt::Display) {
+        self.entry
+            .log
+            .line("answer_broken")
+            .with("id", self.id())
+            .with("backend", self.backend(slot.server))
+            .with("fingerprint", self.req.fingerprint())
+            .with("error", error);
+        self.on_connection_lost(slot);
+        self.entry
+            .record_result(slot.server, false, time::Duration::ZERO);
     }
 }
 
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -8,8 +8,9 @@
 //! Path of a request: [`serve`] reads it, [`request`] checks it, and [`forward`] makes its
 //! attempts, each with a slot from [`slot`], which may wait in [`waiting`] or be requested from a
 //! peer in [`peer`], and with a connection from [`pool`]. [`attempt`] classifies the response and
-//! [`answer`] passes a stream on, which [`binding`] keeps at the software version that began it. The
-//! state of the entry is in [`state`], that of backend servers in [`backends`].
+//! [`answer`] passes a stream on, which [`binding`] keeps at the software version that began it. Bodies
+//! take their memory from [`memory`]. The state of the entry is in [`state`], that of backend servers
+//! in [`backends`].
 //!
 //! After a lost connection [`losses`] finds out by [`inspect`] whether the backend server crashed.
 //! [`suspend`] keeps requests away from one that may be cold, [`quarantine`] stops requests that
@@ -32,9 +33,11 @@
 pub mod listing;
 pub mod logger;
 pub mod losses;
+pub mod memory;
 pub mod meter;
 pub mod operator;
 pub mod parts;
+mod passing;
 pub mod peer;
 pub mod pool;
 pub mod quarantine;
--- a/src/direct/operator.rs
+++ b/src/direct/operator.rs
@@ -10,6 +10,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 
 use super::{route, serve, state};
+use crate::decide::memory;
 
 /// Maximum time for receiving the head of a request.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(5);
@@ -73,6 +74,11 @@
         entry.meter.set("active", entry.active.get() as u64);
         let waiting = entry.fleet.borrow().queued() as u64;
         entry.meter.set("waiting", waiting);
+        let usage = entry.memory.usage(memory::Owner::Response);
+        entry.meter.set("body_bytes", usage.held);
+        entry.meter.set("response_body_bytes", usage.of_owner);
+        entry.meter.set("body_bytes_max", usage.max);
+        entry.meter.set("bodies_waiting", usage.waiting as u64);
         return http::Response::new(Full::new(entry.meter.text().into()));
     }
     let mut response = http::Response::new(Full::default());
--- a/src/direct/request.rs
+++ b/src/direct/request.rs
@@ -61,6 +61,8 @@
     pub taken_up: Option<TakenUp>,
     /// True if the body is sent in chunks.
     pub is_chunked: bool,
+    /// True if the caller waits for a response before it sends the body.
+    pub expects_continue: bool,
 }
 
 /// A stream that the caller takes up after a broken connection.
@@ -156,6 +158,7 @@
         taken_up: read_taken_up(headers, names)?,
         headers: forwarded_headers(headers, names),
         is_chunked: headers.contains_key(header::TRANSFER_ENCODING),
+        expects_continue: headers.contains_key(header::EXPECT),
     })
 }
 
--- a/src/direct/route/mod.rs
+++ b/src/direct/route/mod.rs
@@ -20,7 +20,7 @@
 
 use super::{body, configuration, refusal, serve, state};
 use crate::code;
-use crate::decide::{place, quarantine, rotation};
+use crate::decide::{memory, place, quarantine, rotation};
 use crate::key;
 
 /// Maximum size of a question in bytes, as of a caller's request head.
@@ -103,7 +103,8 @@
         );
         return Err(fault::new(code::Code::AskedTooOften, text));
     }
-    let read = body::read(req.into_body(), MAX_QUESTION_BYTES);
+    let (mut incoming, hold) = (req.into_body(), entry.memory.empty(memory::Owner::Response));
+    let read = body::read(&mut incoming, MAX_QUESTION_BYTES, hold);
     let bytes = tokio::time::timeout(QUESTION_TIMEOUT, read).await;
     let bytes = bytes.unwrap_or(Err(code::Code::SlowCaller));
     let bytes = bytes.map_err(|code| fault::new(code, code.row().text))?;
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -2,6 +2,7 @@
 
 use std::{cell, convert, future, io, net, pin, rc, task, time};
 
+use bytes::Bytes;
 use http::{HeaderValue, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -13,7 +14,7 @@
 
 use super::{body, callers, configuration, conn, forward, logger, refusal, request, state};
 use crate::code;
-use crate::decide::rotation;
+use crate::decide::{memory, rotation};
 
 /// Minimum buffer size of a connection in bytes, which bounds the size of a request head.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -28,6 +29,14 @@
 /// Retry-After while the process has no configuration: about the time of a start.
 const UNCONFIGURED_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
+/// Share of a request's latency objective for which it waits for memory for its body: no longer than
+/// another entry would take to serve it in time.
+const MEMORY_WAIT: f64 = 1.0 / 8.0;
+
+/// Minimum Retry-After for a request whose body there is no memory for; large bodies take seconds to
+/// arrive.
+const MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
+
 /// Refusal of a request whose route names no service.
 pub(super) const NO_SERVICE: refusal::Refusal = refusal::Refusal {
     code: code::Code::NoBackendServer,
@@ -259,12 +268,14 @@
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = received + timeout;
     check_shutdown(entry, received, deadline)?;
-    let until = tokio::time::Instant::from_std(entry.started + deadline);
-    let read = body::read(incoming, configuration.limits.body_bytes);
-    let body = match tokio::time::timeout_at(until, read).await {
-        Ok(body) => body.map_err(refusal::Refusal::new)?,
-        Err(_elapsed) => return Err(refusal::Refusal::new(code::Code::SlowCaller)),
+    let upload = Upload {
+        incoming,
+        limit: configuration.limits.body_bytes,
+        owner: memory::Owner::Customer(entry.customer(customer.as_deref().unwrap_or(""))),
+        wait: route.objective.mul_f64(MEMORY_WAIT).min(timeout),
+        until: tokio::time::Instant::from_std(entry.started + deadline),
     };
+    let body = upload.read(entry, &head).await?;
     Ok(request::Request {
         head,
         body,
@@ -277,6 +288,63 @@
     })
 }
 
+// The body of a request that is to be read.
+struct Upload {
+    incoming: Incoming,
+    limit: u64,
+    owner: memory::Owner,
+    // Maximum time for which it waits for memory.
+    wait: time::Duration,
+    until: tokio::time::Instant,
+}
+
+impl Upload {
+    async fn read(
+        mut self,
+        entry: &state::Entry,
+        head: &request::Head,
+    ) -> Result<Bytes, refusal::Refusal> {
+        let too_large = |_too_large| refusal::Refusal::new(code::Code::BodyTooLarge);
+        let length = body::length(&self.incoming, self.limit).map_err(too_large)?;
+        let taken = entry.memory.take(self.owner, length.unwrap_or(0));
+        let Ok(Some(hold)) = tokio::time::timeout(self.wait, taken).await else {
+            return Err(self.refuse(entry, head, length));
+        };
+        let read = body::read(&mut self.incoming, self.limit, hold);
+        match tokio::time::timeout_at(self.until, read).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(code::Code::MemoryFull)) => Err(self.refuse(entry, head, length)),
+            Ok(Err(code)) => Err(refusal::Refusal::new(code)),
+            Err(_elapsed) => Err(refusal::Refusal::new(code::Code::SlowCaller)),
+        }
+    }
+
+    // Refuses a request whose body there is no memory for.
+    fn refuse(
+        self,
+        entry: &state::Entry,
+        head: &request::Head,
+        length: Option<u64>,
+    ) -> refusal::Refusal {
+        let usage = entry.memory.usage(self.owner);
+        entry
+            .log
+            .line("body_refused")
+            .with("id", head.id.to_str().unwrap_or("?"))
+            .with("length", length.map_or("-".into(), |n| n.to_string()))
+            .with("held", usage.held)
+            .with("of_customer", usage.of_owner)
+            .with("max", usage.max)
+            .with("waiting", usage.waiting);
+        // A caller that asked whether to send the body doesn't send it after a refusal.
+        if !head.expects_continue {
+            body::discard(self.incoming, self.until);
+        }
+        let after = MEMORY_RETRY_AFTER.mul_f64(1.0 + entry.rng.borrow_mut().unit());
+        refusal::Refusal::with_retry_after(code::Code::MemoryFull, after)
+    }
+}
+
 /// Returns the configuration; fails if there is none yet.
 pub(super) fn configuration(
     entry: &state::Entry,
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -12,7 +12,9 @@
     binding as peer_binding, interval, lease, link, message, outbox, placement, report, table,
 };
 use super::pool::backend;
-use super::{callers, configuration, dialect, logger, losses, meter, roster, route, waiting};
+use super::{
+    callers, configuration, dialect, logger, losses, memory, meter, roster, route, waiting,
+};
 use crate::decide::{
     binding, feature, health, outage, overload, place, probe, quarantine, random, retry, rotation,
     spread, standby,
@@ -56,6 +58,8 @@
     pub retry_window: time::Duration,
     /// Maximum number of open sockets of the process.
     pub sockets: usize,
+    /// Maximum memory of the process in bytes.
+    pub memory: u64,
     /// Processor capacity in thousandths of a core; the same number for all entries if unknown.
     pub millicores: u32,
     /// Time from the termination signal to the kill.
@@ -187,6 +191,8 @@
     pub(super) questions: cell::Cell<route::rate::Rate>,
     /// Connections of callers.
     pub callers: callers::Table,
+    /// Memory for bodies.
+    pub memory: memory::Pool,
     /// Number of requests in progress.
     pub active: cell::Cell<usize>,
     pub(super) leaving: cell::Cell<bool>,
@@ -216,6 +222,7 @@
         fleet.set_features(settings.features);
         let peers = table::Table::new(settings.address, settings.millicores, &settings.zone, seeds);
         Self {
+            memory: memory::Pool::new(settings.memory),
             started,
             dialect,
             settings: cell::RefCell::new(settings),
--- a/tests/support/direct.rs
+++ b/tests/support/direct.rs
@@ -76,6 +76,7 @@
         min_entries: 1,
         retry_window: ms(10_000),
         sockets: 100,
+        memory: u64::MAX,
         millicores: 0,
         grace: ms(1_000),
         is_first_start: true,
