--- a/tests/odd_peer.rs
+++ b/tests/odd_peer.rs
@@ -83,6 +83,13 @@
             known_addresses: vec![small],
             changed_at: Some(update::Position { era: n, offset: n }),
             first_start_ms: Some(small),
+            statement: Some(update::Statement {
+                read: Some(update::Position { era: n, offset: n }),
+                age_ms: small,
+                services: vec![n; 3],
+                versions: vec![n],
+                uptime_ms: small,
+            }),
         }),
         ..message::Datagram::default()
     }
