Record only streams that callers may take up

Cause: streams of routes that can't be resumed began at the version that joins, as they may, and their records went to peers, which took them for streams that may be taken up: the version came into use, and the store's statement was taken back before the records of running streams were there.

Change: such streams are neither recorded nor sent. No caller takes them up.

--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -495,11 +495,15 @@
         if self.version.is_some() {
             return;
         }
-        if self.req.route.kind == configuration::RouteKind::ResumableStream {
-            let service = self.bound_service().hash;
-            let mut bindings = self.entry.bindings.borrow_mut();
-            bindings.history.on_begun(service, slot.version);
+        // Others aren't taken up.
+        if self.req.route.kind != configuration::RouteKind::ResumableStream {
+            self.version = Some(slot.version);
+            return;
         }
+        let service = self.bound_service().hash;
+        let mut bindings = self.entry.bindings.borrow_mut();
+        bindings.history.on_begun(service, slot.version);
+        drop(bindings);
         self.keep_binding(slot.version);
     }
 
