--- a/src/decide/binding/join.rs
+++ b/src/decide/binding/join.rs
@@ -76,9 +76,11 @@
 #[derive(Debug, Default)]
 pub struct Joins {
     statement: Option<Statement>,
+    // First version of each service beside which another one waits, and since when.
     waiting: collections::HashMap<u64, (Version, time::Duration)>,
     // Services of which no backend server of the first version could be used.
     urgent: collections::HashSet<u64>,
+    // Services of which streams may have begun at any version that is listed.
     opened: collections::HashSet<u64>,
     events: Vec<Event>,
     // Time for which the fleet had run when this process started.
--- a/src/decide/binding/registry.rs
+++ b/src/decide/binding/registry.rs
@@ -93,7 +93,7 @@
 }
 
 /// Returns whether a list of backend servers is current, by the time of the newest answer of the
-/// store to any entry.
+/// store to an entry whose list agrees with it.
 pub fn is_current(now: time::Duration, last_answer: Option<time::Duration>) -> bool {
     last_answer.is_some_and(|at| now < at + MAX_LIST_AGE)
 }
