Write batches of records in the places of the oldest ones

Cause: the first batches of each process began at a random one of 64 places in the store, so that they overwrote those of the process before, whose streams hadn't been taken up and whose restored records are written again a second after a start only.

A writer reads the keys of its batches before it writes the first, and continues after the newest, in the first places and the later ones; so does an entry that takes another writer's place. It costs one read at the start of a writer that has something to write. If the read fails, batches begin at a random place as before, and it is read again with the next one.

--- a/src/decide/binding/journal.rs
+++ b/src/decide/binding/journal.rs
@@ -24,9 +24,12 @@
 const PLACES: u32 = 64;
 
 /// Time after the start of a process in which its batches take places of their own, as many again: those
-/// of the processes before it are still being restored.
+/// of the processes before it are still being restored. The batches of eight such starts fit there.
 const START_TIME: time::Duration = time::Duration::from_millis(1_500);
 
+/// Character between the number of a writer and the place in the key of a batch.
+const KEY_SEPARATOR: char = '-';
+
 /// Maximum number of records in a batch, about 35 bytes each.
 const MAX_BATCH: usize = 4_000;
 
@@ -56,25 +59,62 @@
     pub records: Vec<Record>,
 }
 
+impl Batch {
+    /// Returns the key of this batch in the store. The entry that takes a writer's place uses the same keys.
+    pub fn key(&self, writer: usize) -> String {
+        format!("{}{}", key_prefix(writer), self.place)
+    }
+}
+
+/// Returns what the keys of a writer's batches begin with.
+pub fn key_prefix(writer: usize) -> String {
+    format!("{writer}{KEY_SEPARATOR}")
+}
+
 /// Records that this entry has to write.
 #[derive(Debug, Default)]
 pub struct Journal {
     unwritten: collections::VecDeque<Record>,
-    batches: u32,
+    // Newest places of the first batches of processes, and of their later ones.
+    start_place: u32,
+    place: u32,
     is_starting: bool,
+    // Writer whose places are known.
+    writer: Option<usize>,
 }
 
 impl Journal {
-    /// Returns the journal of a process that starts. Its first batch takes the place after this one, which
-    /// should differ from one start to the next.
+    /// Returns the journal of a process that starts. Until it is known which places are in use, its batches
+    /// take those after this one, which should differ from one start to the next.
     pub fn new(place: u32) -> Self {
         Self {
-            batches: place,
+            start_place: place,
+            place,
             is_starting: true,
             ..Self::default()
         }
     }
 
+    /// Returns whether it is unknown which places are in use by the batches of this writer.
+    pub fn lacks_places(&self, writer: usize) -> bool {
+        self.writer != Some(writer)
+    }
+
+    /// Records the keys of this writer's batches in the store, in the order in which they were written:
+    /// the next batch takes the place of the oldest.
+    pub fn on_keys<'a>(&mut self, writer: usize, keys: impl IntoIterator<Item = &'a str>) {
+        self.writer = Some(writer);
+        let prefix = key_prefix(writer);
+        for key in keys {
+            let place = key.strip_prefix(&prefix).and_then(|p| p.parse().ok());
+            match place {
+                Some(place) if place < PLACES => self.place = place,
+                Some(place) if place < 2 * PLACES => self.start_place = place,
+                _ => {}
+            }
+        }
+    }
+
     /// Updates which places are used, by the time since the start of the process.
     pub fn update(&mut self, now: time::Duration) {
         self.is_starting &= now < START_TIME;
@@ -99,10 +139,14 @@
         if count == 0 {
             return None;
         }
-        self.batches = self.batches.wrapping_add(1);
-        let first = if self.is_starting { PLACES } else { 0 };
+        let (newest, first) = if self.is_starting {
+            (&mut self.start_place, PLACES)
+        } else {
+            (&mut self.place, 0)
+        };
+        *newest = newest.wrapping_add(1);
         Some(Batch {
-            place: first + self.batches % PLACES,
+            place: first + *newest % PLACES,
             records: self.unwritten.drain(..count).collect(),
         })
     }
--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -250,6 +250,26 @@
         self.journal_due.notify_one();
     }
 
+    // Returns which of the writers this entry is.
+    fn writer_number(&self) -> usize {
+        let own = self.settings.borrow().address;
+        let writer = self.binding_writers().iter().position(|w| *w == own);
+        writer.unwrap_or_default()
+    }
+
+    /// Returns which writer this entry is if it has records to write and doesn't know which keys of that
+    /// writer the store has.
+    pub fn writer_without_keys(&self) -> Option<usize> {
+        let journal = &self.bindings.borrow().journal;
+        let writer = self.writer_number();
+        (!journal.is_empty() && journal.lacks_places(writer)).then_some(writer)
+    }
+
+    /// Records the keys of a writer that the store has, in the order in which they were written.
+    pub fn on_writer_keys<'a>(&self, writer: usize, keys: impl IntoIterator<Item = &'a str>) {
+        self.bindings.borrow_mut().journal.on_keys(writer, keys);
+    }
+
     /// Returns the next batch of records to write, if there is one.
     pub fn take_batch(&self) -> Option<Batch> {
         let now = self.now();
@@ -264,11 +284,8 @@
         let message = binding_message::Batch {
             records: records.collect(),
         };
-        // The entry that takes a writer's place uses the same keys.
-        let own = self.settings.borrow().address;
-        let writer = self.binding_writers().iter().position(|w| *w == own);
         Some(Batch {
-            key: format!("{}-{}", writer.unwrap_or_default(), batch.place),
+            key: batch.key(self.writer_number()),
             value: message.encode_to_vec(),
             content: batch,
         })
