Choose places of batches at random among the oldest

After a read that failed, batches took places in use though others were free, a writer that had stood still went on in places that its substitute had used, and a read without an answer delayed the writes.

--- a/src/decide/binding/journal.rs
+++ b/src/decide/binding/journal.rs
@@ -5,9 +5,10 @@
 //! The batches of a writer take turns in a fixed number of places, which bounds what the store holds
 //! and what an entry reads at its start.
 
-use std::{collections, net, time};
+use std::{collections, net, ops, time};
 
 use super::{Record, Stream, rendezvous};
+use crate::decide::random;
 
 /// Number of writers in a small fleet: with two, one may have ended.
 const MIN_WRITERS: usize = 2;
@@ -27,6 +28,13 @@
 /// of the processes before it are still being restored. The batches of eight such starts fit there.
 const START_TIME: time::Duration = time::Duration::from_millis(1_500);
 
+/// Number of places, those of the oldest batches, from which a batch takes one at random. Shortly after a
+/// start two entries may take themselves for the same writer.
+const FREE_PLACES: usize = 8;
+
+/// Time without a batch after which other entries may have used the places.
+const PLACES_LIFETIME: time::Duration = time::Duration::from_secs(5);
+
 /// Character between the number of a writer and the place in the key of a batch.
 const KEY_SEPARATOR: char = '-';
 
@@ -71,53 +79,101 @@
     format!("{writer}{KEY_SEPARATOR}")
 }
 
+/// Places of a writer's batches, by the order in which they were written.
+#[derive(Debug)]
+struct Places {
+    // Order of the batch in each place; 0 if it isn't known of any.
+    written: [u32; 2 * PLACES as usize],
+    newest: u32,
+    rng: random::Random,
+}
+
+impl Places {
+    fn new(seed: u64) -> Self {
+        Self {
+            written: [0; 2 * PLACES as usize],
+            newest: 0,
+            rng: random::Random::new(seed),
+        }
+    }
+
+    fn use_place(&mut self, place: u32) {
+        if let Some(written) = self.written.get_mut(place as usize) {
+            self.newest += 1;
+            *written = self.newest;
+        }
+    }
+
+    // Returns one of the places of the oldest batches among these.
+    fn take(&mut self, places: ops::Range<u32>) -> u32 {
+        let rng = &mut self.rng;
+        let mut oldest: Vec<_> = places
+            .map(|place| (self.written[place as usize], rng.bits(), place))
+            .collect();
+        oldest.sort_unstable();
+        let (_, _, place) = oldest[rng.below(FREE_PLACES)];
+        self.use_place(place);
+        place
+    }
+}
+
 /// Records that this entry has to write.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Journal {
     unwritten: collections::VecDeque<Record>,
-    // Newest places of the first batches of processes, and of their later ones.
-    start_place: u32,
-    place: u32,
-    is_starting: bool,
-    // Writer whose places are known.
-    writer: Option<usize>,
+    places: Places,
+    // All writers when the places became known, and when that was, or a batch was taken since.
+    known_for: Option<(rendezvous::Addresses, time::Duration)>,
+    // Time since the start of the process.
+    now: time::Duration,
+}
+
+impl Default for Journal {
+    fn default() -> Self {
+        Self::new(0)
+    }
 }
 
 impl Journal {
-    /// Returns the journal of a process that starts. Until it is known which places are in use, its batches
-    /// take those after this one, which should differ from one start to the next.
-    pub fn new(place: u32) -> Self {
+    /// Returns the journal of a process that starts. The seed should differ from one start to the next.
+    pub fn new(seed: u64) -> Self {
         Self {
-            start_place: place,
-            place,
-            is_starting: true,
-            ..Self::default()
+            unwritten: collections::VecDeque::new(),
+            places: Places::new(seed),
+            known_for: None,
+            now: time::Duration::ZERO,
         }
     }
 
-    /// Returns whether it is unknown which places are in use by the batches of this writer.
-    pub fn lacks_places(&self, writer: usize) -> bool {
-        self.writer != Some(writer)
+    /// Returns whether it is unknown which places are in use: they haven't been read, other entries have
+    /// become writers, or may have written in this one's place while it didn't.
+    pub fn lacks_places(&self, writers: &rendezvous::Addresses) -> bool {
+        let is_known = |(known, at): &(rendezvous::Addresses, time::Duration)| {
+            known == writers && self.now < *at + PLACES_LIFETIME
+        };
+        !self.known_for.as_ref().is_some_and(is_known)
     }
 
-    /// Records the keys of this writer's batches in the store, in the order in which they were written:
-    /// the next batch takes the place of the oldest.
-    pub fn on_keys<'a>(&mut self, writer: usize, keys: impl IntoIterator<Item = &'a str>) {
-        self.writer = Some(writer);
+    /// Records the keys of batches in the store, in the order in which they were written, of the writer with
+    /// this number.
+    pub fn on_keys<'a>(
+        &mut self,
+        writers: rendezvous::Addresses,
+        writer: usize,
+        keys: impl IntoIterator<Item = &'a str>,
+    ) {
         let prefix = key_prefix(writer);
-        for key in keys {
-            let place = key.strip_prefix(&prefix).and_then(|p| p.parse().ok());
-            match place {
-                Some(place) if place < PLACES => self.place = place,
-                Some(place) if place < 2 * PLACES => self.start_place = place,
-                _ => {}
-            }
+        self.known_for = Some((writers, self.now));
+        self.places = Places::new(self.places.rng.bits());
+        let places = keys.into_iter().filter_map(|key| key.strip_prefix(&prefix));
+        for place in places.filter_map(|place| place.parse().ok()) {
+            self.places.use_place(place);
         }
     }
 
-    /// Updates which places are used, by the time since the start of the process.
+    /// Updates the time since the start of the process.
     pub fn update(&mut self, now: time::Duration) {
-        self.is_starting &= now < START_TIME;
+        self.now = now;
     }
 
     /// Adds a record. If there are too many, the oldest is dropped.
@@ -139,14 +195,16 @@
         if count == 0 {
             return None;
         }
-        let (newest, first) = if self.is_starting {
-            (&mut self.start_place, PLACES)
+        let places = if self.now < START_TIME {
+            PLACES..2 * PLACES
         } else {
-            (&mut self.place, 0)
+            0..PLACES
         };
-        *newest = newest.wrapping_add(1);
+        if let Some((_, at)) = &mut self.known_for {
+            *at = self.now;
+        }
         Some(Batch {
-            place: first + *newest % PLACES,
+            place: self.places.take(places),
             records: self.unwritten.drain(..count).collect(),
         })
     }
--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -251,29 +251,41 @@
     }
 
     // Returns which of the writers this entry is.
-    fn writer_number(&self) -> usize {
+    fn writer_number(&self, writers: &[net::Ipv4Addr]) -> usize {
         let own = self.settings.borrow().address;
-        let writer = self.binding_writers().iter().position(|w| *w == own);
-        writer.unwrap_or_default()
+        writers.iter().position(|w| *w == own).unwrap_or_default()
     }
 
-    /// Returns which writer this entry is if it has records to write and doesn't know which keys of that
-    /// writer the store has.
-    pub fn writer_without_keys(&self) -> Option<usize> {
+    /// Returns the writers, and which of them this entry is, if it has records to write and doesn't know
+    /// which keys that writer has in the store.
+    pub fn writer_without_keys(&self) -> Option<(rendezvous::Addresses, usize)> {
         let journal = &self.bindings.borrow().journal;
-        let writer = self.writer_number();
-        (!journal.is_empty() && journal.lacks_places(writer)).then_some(writer)
+        if journal.is_empty() {
+            return None;
+        }
+        let writers = self.binding_writers();
+        let number = self.writer_number(&writers);
+        journal.lacks_places(&writers).then_some((writers, number))
     }
 
-    /// Records the keys of a writer that the store has, in the order in which they were written.
-    pub fn on_writer_keys<'a>(&self, writer: usize, keys: impl IntoIterator<Item = &'a str>) {
-        self.bindings.borrow_mut().journal.on_keys(writer, keys);
+    /// Records the keys that the writer with this number has in the store, in the order in which they
+    /// were written.
+    pub fn on_writer_keys<'a>(
+        &self,
+        writers: rendezvous::Addresses,
+        writer: usize,
+        keys: impl IntoIterator<Item = &'a str>,
+    ) {
+        let mut bindings = self.bindings.borrow_mut();
+        bindings.journal.update(self.now());
+        bindings.journal.on_keys(writers, writer, keys);
     }
 
     /// Returns the next batch of records to write, if there is one.
     pub fn take_batch(&self) -> Option<Batch> {
         let now = self.now();
         let mut bindings = self.bindings.borrow_mut();
+        bindings.journal.update(now);
         let batch = bindings.journal.take()?;
         if !bindings.journal.is_empty() {
             self.journal_due.notify_one();
@@ -285,7 +297,7 @@
             records: records.collect(),
         };
         Some(Batch {
-            key: batch.key(self.writer_number()),
+            key: batch.key(self.writer_number(&self.binding_writers())),
             value: message.encode_to_vec(),
             content: batch,
         })
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -219,7 +219,7 @@
             binding::FirstStart::No
         };
         let mut bindings = binding::Registry::new(first_start);
-        bindings.journal = binding::Journal::new(seed as u32);
+        bindings.journal = binding::Journal::new(seed);
         let mut fleet = place::Fleet::new(seed);
         fleet.set_features(settings.features);
         let peers = table::Table::new(settings.address, settings.millicores, &settings.zone, seeds);
