Write records of all running streams before another version is used

The store's statement that a service has one version is taken back a second after another one was listed.

1,024 leave each 250 ms, so that all 4,096 that an entry follows are on their way within the second. The test fails with 256 (2,976 of 4,000 left) and holds with 1,024.

--- a/src/decide/binding/registry.rs
+++ b/src/decide/binding/registry.rs
@@ -18,6 +18,10 @@
 /// Maximum number of this entry's streams that are followed; of more, the oldest are left out.
 const MAX_RUNNING: usize = 4_096;
 
+/// Maximum number of records that leave for the store at once, four times a second: those of all running
+/// streams have to before another version is used.
+const MAX_UNWRITTEN: usize = MAX_RUNNING / 4;
+
 /// Time after which the record of a stream that still runs is written again: places of batches in the
 /// store are used again after some 13 s.
 const REWRITE_INTERVAL: time::Duration = time::Duration::from_secs(8);
@@ -311,7 +315,7 @@
                 running.is_sent = true;
                 due.push(running.record);
             }
-            if running.has_to_be_written(now, needs) && unwritten.len() < MAX_DUE {
+            if running.has_to_be_written(now, needs) && unwritten.len() < MAX_UNWRITTEN {
                 running.written_at = Some(now);
                 unwritten.push(running.record);
             }
--- a/tests/join.rs
+++ b/tests/join.rs
@@ -441,3 +441,21 @@
         assert_eq!(taken.len(), 64, "{key}");
     }
 }
+
+// Guards against a version that comes into use while records of running streams wait to be sent.
+#[test]
+fn many_streams_are_written_before_another_version_is_used() {
+    let mut entry = open(&["v1"], &[("v1", 1)]);
+    for id in 0..4_000 {
+        entry.begin(record(id, "v1", 8_000), service(), true);
+    }
+    entry.history.add(SERVICE, version("v2"));
+    let is_open = |entry: &binding::Registry, at| entry.history.has_to_open(ms(at), service().hash);
+    let mut at = 9_000;
+    while !is_open(&entry, at) {
+        entry.take_due(ms(at), true);
+        entry.take_unwritten();
+        at += 250;
+    }
+    assert_eq!(entry.unstored_streams(), 0, "at {at}");
+}
