Read on in a stream only once there is memory for its event

Callers saw: 80 streams whose events of 1,000,000 bytes have not ended take an entry with a limit of 65,536 KiB to 95,248 and 95,348 KiB (two runs, debug build, backend servers send at once); where the platform ends such a process, all requests in progress are lost.

Cause: a limit for each event, 1 MiB, and none for the sum; nothing counted what a stream holds of an event, nor a complete event whose caller reads slowly.

Change: beyond 8 KiB an event takes memory as it grows, from a sixth of that for bodies, and gives it back once it is sent. A stream without memory isn't read, so that its backend server stops sending. One event at a time may exceed the room until it is sent, since incomplete ones that hold all of it would wait for each other. Requests and events leave each other room. The wait isn't part of the pace that the backend server is judged by, and ends with the caller or the deadline. New: line event_waits, metric events_waiting.

Conclusion: the sum is bounded by the sixth, an event that exceeds it and 8 KiB for each stream.

--- a/src/decide/memory.rs
+++ b/src/decide/memory.rs
@@ -22,6 +22,9 @@
 /// The same for small ones; responses may use all of it.
 const SMALL_SHARE: f64 = 5.0 / 6.0;
 
+/// Share of the memory for bodies that events of streams may take, beside requests: what these leave.
+const EVENT_SHARE: f64 = 1.0 / 6.0;
+
 /// A customer's bodies may hold this many times as much as they leave free, so that no customer takes
 /// all of the room from the others, and a single one may use most of it.
 const CUSTOMER_FACTOR: u64 = 3;
@@ -33,6 +36,8 @@
     Customer(key::Customer),
     /// The body of a response.
     Response,
+    /// An event of a stream that is incomplete or isn't sent yet.
+    Event,
 }
 
 /// Bytes of bodies that a process holds, and how many it may hold.
@@ -41,6 +46,7 @@
     max: u64,
     held: u64,
     owners: collections::HashMap<Owner, u64>,
+    is_exceeded: bool,
 }
 
 impl Budget {
@@ -76,9 +82,30 @@
         if !self.has_room(owner, taken, more) {
             return false;
         }
+        self.take(owner, more);
+        true
+    }
+
+    /// Takes `more` bytes though there is no room, for the only event that may; returns false if another
+    /// one does. Incomplete events that hold all of the room would wait for each other otherwise.
+    pub fn try_exceed(&mut self, owner: Owner, more: u64) -> bool {
+        let may_exceed = owner == Owner::Event && !self.is_exceeded;
+        if may_exceed {
+            self.is_exceeded = true;
+            self.take(owner, more);
+        }
+        may_exceed
+    }
+
+    /// Takes `more` bytes without asking for room, for the event that may exceed it.
+    pub fn take(&mut self, owner: Owner, more: u64) {
         self.held += more;
         *self.owners.entry(owner).or_default() += more;
-        true
+    }
+
+    /// Lets another event exceed the room.
+    pub fn end_exceeding(&mut self) {
+        self.is_exceeded = false;
     }
 
     fn has_room(&self, owner: Owner, taken: u64, more: u64) -> bool {
@@ -87,15 +114,23 @@
             return true;
         }
         let max = match owner {
-            Owner::Response => self.max,
+            Owner::Response | Owner::Event => self.max,
             Owner::Customer(_) if taken + more <= MAX_SMALL_BYTES => share(self.max, SMALL_SHARE),
             Owner::Customer(_) => share(self.max, LARGE_SHARE),
         };
-        let Some(free) = max.checked_sub(self.held + more) else {
+        let held = match owner {
+            Owner::Response | Owner::Event => self.held,
+            Owner::Customer(_) => self.held - self.held_by(Owner::Event),
+        };
+        let Some(free) = max.checked_sub(held + more) else {
             return false;
         };
-        owner == Owner::Response
-            || self.held_by(owner) + more <= free.saturating_mul(CUSTOMER_FACTOR)
+        let share = match owner {
+            Owner::Response => return true,
+            Owner::Event => share(self.max, EVENT_SHARE),
+            Owner::Customer(_) => free.saturating_mul(CUSTOMER_FACTOR),
+        };
+        self.held_by(owner) + more <= share
     }
 
     /// Gives bytes back.
--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -8,12 +8,17 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 
-use super::{attempt, body, conn, forward, refusal, slot};
+use super::{attempt, body, conn, forward, memory, refusal, slot};
 use crate::code;
+use crate::decide;
 
 /// Maximum size of one event in bytes.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Capacity in bytes for an incomplete event that isn't counted: most events fit, so that their streams
+/// never wait for memory. The buffers of a connection hold as much.
+const UNCOUNTED_BYTES: usize = 8 * 1024;
+
 /// Separator behind each event.
 const EVENT_END: &[u8] = b"\n\n";
 
@@ -24,7 +29,11 @@
     conn: Option<conn::Conn>,
     body: Incoming,
     // Bytes of an event that is not complete yet.
-    partial: BytesMut,
+    partial: Vec<u8>,
+    // Memory of these bytes.
+    hold: memory::Hold,
+    // Time that it waited for memory.
+    waited: time::Duration,
     // Id of the last event passed on.
     last_id: Option<String>,
     // Number of events passed on.
@@ -45,11 +54,13 @@
         slot,
     } = response;
     let state = Stream {
+        hold: call.entry.memory.empty(decide::memory::Owner::Event),
+        waited: time::Duration::ZERO,
         call,
         slot,
         conn: Some(conn),
         body,
-        partial: BytesMut::new(),
+        partial: Vec::new(),
         last_id: None,
         event_count: 0,
         closes_connection: forward::closes_connection(&head.headers),
@@ -93,11 +104,9 @@
         loop {
             match self.body.frame().await {
                 Some(Ok(frame)) => {
-                    let events = frame
-                        .into_data()
-                        .ok()
-                        .and_then(|data| self.split_complete_events(data));
-                    if let Some(events) = events {
+                    if let Ok(data) = frame.into_data()
+                        && let Some(events) = self.split_complete_events(data).await
+                    {
                         return Ok(Some(events));
                     }
                     if self.partial.len() > MAX_EVENT_BYTES {
@@ -120,21 +129,18 @@
 
     // Returns the complete events in the data received so far, without those that were passed on
     // before. Mostly the data is exactly that, and then it isn't copied.
-    fn split_complete_events(&mut self, data: Bytes) -> Option<Bytes> {
+    async fn split_complete_events(&mut self, data: Bytes) -> Option<Bytes> {
         // Only the new data is searched: of an event that doesn't end, all of it would be searched
         // with each piece.
-        if !self.partial.is_empty() && !self.ends_event(&data) {
-            self.partial.extend_from_slice(&data);
+        let is_end = self.partial.is_empty() || self.ends_event(&data);
+        if !is_end {
+            self.extend_partial(&data).await;
             return None;
         }
-        let mut complete = if self.partial.is_empty() {
-            data
-        } else {
-            self.partial.extend_from_slice(&data);
-            self.partial.split().freeze()
-        };
+        let mut complete = self.join_partial(data);
         let end = rfind_event_end(&complete).map_or(0, |at| at + EVENT_END.len());
-        self.partial.extend_from_slice(&complete.split_off(end));
+        let rest = complete.split_off(end);
+        self.extend_partial(&rest).await;
         let events = self.drop_duplicates(complete);
         if events.is_empty() {
             return None;
@@ -143,6 +149,51 @@
         Some(events)
     }
 
+    // Appends bytes to the partial event once there is memory for them. The rest stays in the backend
+    // server's connection meanwhile, which makes it stop sending.
+    async fn extend_partial(&mut self, data: &[u8]) {
+        let (capacity, needed) = (self.partial.capacity(), self.partial.len() + data.len());
+        if needed > capacity {
+            let larger = needed.max((capacity * 2).min(MAX_EVENT_BYTES));
+            let more = larger.saturating_sub(UNCOUNTED_BYTES) as u64 - self.hold.bytes();
+            if !self.hold.try_extend(more) {
+                self.wait_for_memory(more).await;
+            }
+            self.partial.reserve_exact(larger - self.partial.len());
+        }
+        self.partial.extend_from_slice(data);
+    }
+
+    async fn wait_for_memory(&mut self, more: u64) {
+        let entry = &self.call.entry;
+        let started = entry.now();
+        if self.waited.is_zero() {
+            let id = self.call.req.head.id.to_str().unwrap_or("?");
+            let line = entry.log.line("event_waits").with("id", id);
+            line.with("backend", self.call.backend(self.slot.server))
+                .with("event_bytes", self.partial.len());
+        }
+        self.hold.extend(more).await;
+        self.waited += self.call.entry.now().saturating_sub(started);
+    }
+
+    // Returns the partial event with the data that completes it. That doesn't wait: the event gives its
+    // memory back once it is sent.
+    fn join_partial(&mut self, data: Bytes) -> Bytes {
+        if self.partial.is_empty() {
+            return data;
+        }
+        let mut joined = std::mem::take(&mut self.partial);
+        joined.reserve_exact(data.len());
+        joined.extend_from_slice(&data);
+        self.take_hold().attach(joined)
+    }
+
+    fn take_hold(&mut self) -> memory::Hold {
+        let empty = self.call.entry.memory.empty(decide::memory::Owner::Event);
+        std::mem::replace(&mut self.hold, empty)
+    }
+
     // Returns whether an event ends in the data that follows the partial one.
     fn ends_event(&self, data: &[u8]) -> bool {
         let is_split = self.partial.ends_with(b"\n") && data.starts_with(b"\n");
@@ -205,6 +256,8 @@
         self.is_over = true;
         self.call.on_stream_end();
         let took = self.call.entry.now().saturating_sub(self.slot.taken_at);
+        // The wait for memory is no matter of the backend server.
+        let took = took.saturating_sub(self.waited);
         let pace = took / (self.event_count.max(1) as u32);
         self.call.entry.record_result(self.slot.server, true, pace);
         self.call.log_answered(&self.slot, self.status, "stream");
@@ -220,7 +273,8 @@
         let entry = std::rc::Rc::clone(&self.call.entry);
         // Closing the connection makes the backend server stop.
         self.conn = None;
-        self.partial.clear();
+        self.partial = Vec::new();
+        drop(self.take_hold());
         entry.record_result(self.slot.server, false, time::Duration::ZERO);
         self.call.on_connection_lost(&self.slot);
         let kind = self.call.req.route.kind;
--- a/src/direct/memory.rs
+++ b/src/direct/memory.rs
@@ -2,7 +2,8 @@
 //!
 //! The bytes of a body for which there is no room stay in the caller's connection, which makes the
 //! caller stop sending. A body of known length gets all of its room before it is read: bodies that
-//! are read in part never wait for each other.
+//! are read in part never wait for each other. Events of streams grow as they arrive; one at a time may
+//! go on without room, for the same reason.
 
 use std::collections;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -32,6 +33,8 @@
 #[derive(Debug)]
 struct Waiter {
     owner: memory::Owner,
+    // Bytes that it has already, and those that it waits for.
+    taken: u64,
     bytes: u64,
     grant: oneshot::Sender<Hold>,
 }
@@ -47,6 +50,8 @@
     pub max: u64,
     /// Number of bodies that wait for room.
     pub waiting: usize,
+    /// Number of streams whose next event waits for room.
+    pub events_waiting: usize,
 }
 
 /// Memory that a body has; it is given back when dropped.
@@ -55,6 +60,8 @@
     pool: Pool,
     owner: memory::Owner,
     bytes: u64,
+    // True if it may take more than there is room for.
+    is_exceeding: bool,
 }
 
 impl Pool {
@@ -83,12 +90,15 @@
     /// Returns how much of the memory is used, also by one owner.
     pub fn usage(&self, owner: memory::Owner) -> Usage {
         let state = self.lock();
-        let waiters = state.waiters.iter();
+        let waiting = state.waiters.iter().filter(|w| !w.grant.is_closed());
+        let (events, bodies): (Vec<_>, Vec<_>) =
+            waiting.partition(|w| w.owner == memory::Owner::Event);
         Usage {
             held: state.budget.held(),
             of_owner: state.budget.held_by(owner),
             max: state.budget.max(),
-            waiting: waiters.filter(|w| !w.grant.is_closed()).count(),
+            waiting: bodies.len(),
+            events_waiting: events.len(),
         }
     }
 
@@ -125,16 +135,12 @@
     fn wait(&self, owner: memory::Owner, bytes: u64) -> Option<oneshot::Receiver<Hold>> {
         let mut state = self.lock();
         state.waiters.retain(|w| !w.grant.is_closed());
-        if state.waiters.len() >= MAX_WAITING {
+        let bodies = state.waiters.iter();
+        let bodies = bodies.filter(|w| w.owner != memory::Owner::Event);
+        if bodies.count() >= MAX_WAITING {
             return None;
         }
-        let (grant, granted) = oneshot::channel();
-        state.waiters.push_back(Waiter {
-            owner,
-            bytes,
-            grant,
-        });
-        Some(granted)
+        Some(state.wait(owner, 0, bytes))
     }
 
     fn hold(&self, owner: memory::Owner, bytes: u64) -> Hold {
@@ -142,6 +148,7 @@
             pool: self.clone(),
             owner,
             bytes,
+            is_exceeding: false,
         }
     }
 
@@ -156,11 +163,29 @@
         let mut state = self.lock();
         let State { budget, waiters } = &mut *state;
         waiters.retain(|w| !w.grant.is_closed());
-        let next = waiters
-            .iter()
-            .position(|w| budget.try_take(w.owner, 0, w.bytes))?;
-        let waiter = waiters.remove(next)?;
-        Some((waiter.grant, self.hold(waiter.owner, waiter.bytes)))
+        let fits = |w: &Waiter| budget.try_take(w.owner, w.taken, w.bytes);
+        let fitting = waiters.iter().position(fits);
+        let next = fitting.or_else(|| {
+            let mut waiters = waiters.iter();
+            waiters.position(|w| budget.try_exceed(w.owner, w.bytes))
+        });
+        let waiter = waiters.remove(next?)?;
+        let mut hold = self.hold(waiter.owner, waiter.bytes);
+        hold.is_exceeding = fitting.is_none();
+        Some((waiter.grant, hold))
+    }
+}
+
+impl State {
+    fn wait(&mut self, owner: memory::Owner, taken: u64, bytes: u64) -> oneshot::Receiver<Hold> {
+        let (grant, granted) = oneshot::channel();
+        self.waiters.push_back(Waiter {
+            owner,
+            taken,
+            bytes,
+            grant,
+        });
+        granted
     }
 }
 
@@ -181,6 +206,47 @@
         self.bytes += if grows { more } else { 0 };
         grows
     }
+
+    /// Takes more memory for an event of a stream; returns whether it may go on, because there was room or
+    /// no other event exceeds it.
+    pub fn try_extend(&mut self, more: u64) -> bool {
+        self.extend_or_wait(more, |_| ()).is_none()
+    }
+
+    /// The same, once that is so. Dropping the future ends the wait.
+    pub async fn extend(&mut self, more: u64) {
+        let (owner, taken) = (self.owner, self.bytes);
+        let granted = self.extend_or_wait(more, |state| state.wait(owner, taken, more));
+        if let Some(granted) = granted
+            && let Ok(granted) = granted.await
+        {
+            self.merge(granted);
+        }
+    }
+
+    // Nothing is given back between the attempt and the wait, which nobody would end otherwise.
+    fn extend_or_wait<T>(&mut self, more: u64, wait: impl FnOnce(&mut State) -> T) -> Option<T> {
+        if more == 0 {
+            return None;
+        }
+        let mut state = self.pool.lock();
+        let budget = &mut state.budget;
+        if self.is_exceeding {
+            budget.take(self.owner, more);
+        } else if !budget.try_take(self.owner, self.bytes, more) {
+            if !budget.try_exceed(self.owner, more) {
+                return Some(wait(&mut state));
+            }
+            self.is_exceeding = true;
+        }
+        self.bytes += more;
+        None
+    }
+
+    fn merge(&mut self, mut other: Self) {
+        self.bytes += std::mem::take(&mut other.bytes);
+        self.is_exceeding |= std::mem::take(&mut other.is_exceeding);
+    }
 }
 
 impl Hold {
@@ -207,7 +273,12 @@
 impl Drop for Hold {
     fn drop(&mut self) {
         if self.bytes > 0 {
-            self.pool.lock().budget.release(self.owner, self.bytes);
+            let mut state = self.pool.lock();
+            state.budget.release(self.owner, self.bytes);
+            if self.is_exceeding {
+                state.budget.end_exceeding();
+            }
+            drop(state);
             self.pool.grant_waiting();
         }
     }
--- a/src/direct/operator.rs
+++ b/src/direct/operator.rs
@@ -79,6 +79,9 @@
         entry.meter.set("response_body_bytes", usage.of_owner);
         entry.meter.set("body_bytes_max", usage.max);
         entry.meter.set("bodies_waiting", usage.waiting as u64);
+        entry
+            .meter
+            .set("events_waiting", usage.events_waiting as u64);
         return http::Response::new(Full::new(entry.meter.text().into()));
     }
     let mut response = http::Response::new(Full::default());
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -104,6 +104,52 @@
     assert_eq!(pool.usage(first).held, 0);
 }
 
+// Guards against events of streams that take the room of requests, and against requests that leave none to
+// events.
+#[test]
+fn events_and_requests_leave_each_other_room() {
+    for has_events_first in [true, false] {
+        let mut budget = memory::Budget::new(LIMIT);
+        let [first, second, third] = customers();
+        let event = memory::Owner::Event;
+        let mut owners = [first, second, third, event];
+        owners.rotate_right(usize::from(has_events_first));
+        let taken = owners.map(|owner| take_while_room(&mut budget, owner, LARGE));
+        let mut expected = [6, 1, 0, 2];
+        expected.rotate_right(usize::from(has_events_first));
+        assert_eq!(taken, expected);
+        assert!(budget.try_take(third, 0, SMALL));
+    }
+}
+
+// Guards against incomplete events that hold all of the room and wait for each other, and against more than
+// one that exceeds it.
+#[test]
+fn one_event_at_a_time_goes_on_without_room() {
+    let event = memory::Owner::Event;
+    let pool = pool::Pool::new(LIMIT);
+    let mut holds = [(); 3].map(|()| pool.empty(event));
+    for hold in &mut holds {
+        assert!(hold.try_extend(600 * KIB));
+    }
+    let [mut first, mut second, mut third] = holds;
+    assert!(first.try_extend(LARGE) && first.try_extend(LARGE));
+    assert!(!second.try_extend(LARGE));
+    let mut left = Box::pin(third.extend(LARGE));
+    assert!(left.as_mut().now_or_never().is_none());
+    let mut next = Box::pin(second.extend(LARGE));
+    assert!(next.as_mut().now_or_never().is_none());
+    assert_eq!(pool.usage(event).events_waiting, 2);
+    drop(left);
+    drop(third);
+    // There was room for it then, so that another one may exceed it.
+    assert!(next.now_or_never().is_none());
+    drop(first);
+    assert!(second.try_extend(LARGE));
+    drop(second);
+    assert_eq!(pool.usage(event).held, 0);
+}
+
 type Wait<'a> = pin::Pin<Box<dyn Future<Output = Option<pool::Hold>> + 'a>>;
 
 fn is_waiting(wait: &mut Wait<'_>) -> bool {
