--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -16,7 +16,8 @@
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Capacity in bytes for an incomplete event that isn't counted: most events fit, so that their streams
-/// never wait for memory. The buffers of a connection hold as much.
+/// never wait for memory. The buffers of a connection hold as much, and so does the first piece of an event,
+/// which never waits.
 const UNCOUNTED_BYTES: usize = 8 * 1024;
 
 /// Separator behind each event.
@@ -139,8 +140,8 @@
         }
         let mut complete = self.join_partial(data);
         let end = rfind_event_end(&complete).map_or(0, |at| at + EVENT_END.len());
-        let rest = complete.split_off(end);
-        self.extend_partial(&rest).await;
+        // A wait for memory would hold back the complete events, and what they hold.
+        self.partial.extend_from_slice(&complete.split_off(end));
         let events = self.drop_duplicates(complete);
         if events.is_empty() {
             return None;
