Send records of streams again if other peers keep them

Cause: a record counted as sent once it had been sent to the holders among the peers in reach at that moment, none if there were none. Nothing looked at it again when peers came back or left.

Change: an entry keeps the holders of each of its records. They are due again, newest first, when a holder is out of reach or a peer that precedes one comes into reach, if the service has several versions. In a service of one version nothing is sent that wasn't before.

--- a/src/decide/binding/registry.rs
+++ b/src/decide/binding/registry.rs
@@ -1,11 +1,11 @@
 //! What an entry knows of the versions that streams are bound to, and which records it sends to
 //! others.
 
-use std::{collections, time};
+use std::{collections, net, time};
 
 use super::{
-    FirstStart, History, Journal, List, RETENTION, Record, Replies, Reply, Resolution, Service,
-    Statement, Stored, Stream, Table, View, rendezvous,
+    FirstStart, HOLDERS, History, Journal, List, RETENTION, Record, Replies, Reply, Resolution,
+    Service, Statement, Stored, Stream, Table, View, rendezvous,
 };
 
 /// Age of the newest reading of the store up to which the list counts as current: two readings that
@@ -30,12 +30,12 @@
 const DELIVERY_TIME: time::Duration = time::Duration::from_secs(2);
 
 /// A stream of this entry that its caller may take up.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Running {
     record: Record,
     service: Service,
-    // True if peers have the record.
-    is_sent: bool,
+    // Peers that the record was sent to and that still precede the others; `None` if it wasn't sent.
+    holders: Option<rendezvous::Addresses>,
     // When the record last left for the store.
     written_at: Option<time::Duration>,
     ended_at: Option<time::Duration>,
@@ -51,6 +51,33 @@
         now < self.record.at + self.service.lifetime && self.ended_at.is_none_or(may_go_on)
     }
 
+    fn has_to_be_sent(&self, needs: Needs, peers: &[net::Ipv4Addr]) -> bool {
+        match (needs.peers, &self.holders) {
+            (Delivery::Never, _) | (Delivery::Once, Some(_)) => false,
+            (Delivery::Once | Delivery::WithPeers, None) => true,
+            (Delivery::WithPeers, Some(holders)) => holders.len() < HOLDERS.min(peers.len()),
+        }
+    }
+
+    fn on_sent(&mut self, peers: &[net::Ipv4Addr]) {
+        let holders = self.record.stream.holders(peers.iter().copied(), HOLDERS);
+        self.holders = Some(holders);
+    }
+
+    // Leaves out holders that are out of reach, and those that a peer precedes that wasn't before.
+    fn on_peers(&mut self, peers: &[net::Ipv4Addr], joined: &[net::Ipv4Addr]) {
+        let Some(holders) = &mut self.holders else {
+            return;
+        };
+        holders.retain(|holder| peers.binary_search(holder).is_ok());
+        if holders.len() < HOLDERS {
+            return;
+        }
+        let candidates = holders.iter().chain(joined).copied();
+        let first = self.record.stream.holders(candidates, HOLDERS);
+        holders.retain(|holder| first.contains(holder));
+    }
+
     fn has_to_be_written(&self, now: time::Duration, needs: Needs) -> bool {
         needs.store
             && match self.written_at {
@@ -60,11 +87,21 @@
     }
 }
 
+/// How often peers need the record of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Delivery {
+    /// All know its version without it.
+    Never,
+    /// Not all can know that its service has a single version.
+    Once,
+    /// Its service has several versions, so that whichever peers are asked have to know it.
+    WithPeers,
+}
+
 /// Who needs the records of a service's streams.
 #[derive(Clone, Copy, Debug)]
 struct Needs {
-    // Peers: not all can know the version without it.
-    peers: bool,
+    peers: Delivery,
     // The store, which doesn't name an only version.
     store: bool,
     // True if that is certain.
@@ -86,6 +123,8 @@
     running: collections::VecDeque<Running>,
     /// Records that were restored from the store, until all peers that keep them are known.
     pub restored: Vec<Record>,
+    // Other entries that are known to run, in order.
+    peers: Vec<net::Ipv4Addr>,
     // Entries that write records.
     writers: rendezvous::Addresses,
     // Records of this entry's streams that have yet to reach a writer.
@@ -127,6 +166,7 @@
             stored: Stored::default(),
             journal: Journal::default(),
             restored: Vec::new(),
+            peers: Vec::new(),
             writers: rendezvous::Addresses::new(),
             unwritten: Vec::new(),
             running: collections::VecDeque::new(),
@@ -200,8 +240,15 @@
         let has_watched = self.history.has_watched(now, service.lifetime);
         // Shortly after all have started, not every entry knows of the only version.
         let is_known = is_current && has_watched && view.only().is_some();
+        let peers = if view.is_joined || view.versions.len() > 1 {
+            Delivery::WithPeers
+        } else if is_known {
+            Delivery::Never
+        } else {
+            Delivery::Once
+        };
         Needs {
-            peers: !is_known || view.is_joined,
+            peers,
             store: !self.history.is_stored(service.hash),
             is_urgent: self.history.joins.statement().is_some() || view.versions.len() > 1,
         }
@@ -227,19 +274,25 @@
         let needs = self.needs(record.at, service, is_current);
         let mut known = self.running.iter_mut().rev();
         if let Some(known) = known.find(|known| known.is_same(&record)) {
-            let is_due = needs.peers && !known.is_sent;
+            let is_due = known.has_to_be_sent(needs, &self.peers);
             known.record.at = record.at;
             known.ended_at = None;
-            known.is_sent |= needs.peers;
+            if is_due {
+                known.on_sent(&self.peers);
+            }
             return is_due;
         }
         let mut running = Running {
             record,
             service,
-            is_sent: needs.peers,
+            holders: None,
             written_at: None,
             ended_at: None,
         };
+        let is_due = running.has_to_be_sent(needs, &self.peers);
+        if is_due {
+            running.on_sent(&self.peers);
+        }
         if running.has_to_be_written(record.at, needs) {
             running.written_at = Some(record.at);
             self.unwritten.push(record);
@@ -248,7 +301,7 @@
             self.running.pop_front();
         }
         self.running.push_back(running);
-        needs.peers
+        is_due
     }
 
     /// Keeps a record of a peer, or of the store.
@@ -257,6 +310,22 @@
         self.table.add(record);
     }
 
+    /// Records which other entries are known to run. Records become due again whose holders aren't the same
+    /// any more, if their service has several versions.
+    pub fn set_peers(&mut self, peers: impl Iterator<Item = net::Ipv4Addr>) {
+        let mut peers: Vec<_> = peers.collect();
+        peers.sort_unstable();
+        if peers == self.peers {
+            return;
+        }
+        let is_new = |peer: &net::Ipv4Addr| self.peers.binary_search(peer).is_err();
+        let joined: Vec<_> = peers.iter().copied().filter(is_new).collect();
+        for running in &mut self.running {
+            running.on_peers(&peers, &joined);
+        }
+        self.peers = peers;
+    }
+
     /// Records which entries write records to the store.
     pub fn set_writers(&mut self, writers: rendezvous::Addresses) {
         if self.writers != writers {
@@ -292,8 +361,8 @@
     }
 
     /// Forgets old records, and returns those that other entries have come to need: a second version
-    /// was listed after the stream began, or the list is no longer current. To be called
-    /// periodically.
+    /// was listed after the stream began, the list is no longer current, or other peers keep them. To be
+    /// called periodically.
     pub fn take_due(&mut self, now: time::Duration, is_current: bool) -> Vec<Record> {
         self.table.sweep(now);
         self.history.update_joins(now);
@@ -307,8 +376,8 @@
             let service = running.service;
             let needs = known.entry(service);
             let needs = *needs.or_insert_with(|| self.needs(now, service, is_current));
-            if needs.peers && !running.is_sent && due.len() < MAX_DUE {
-                running.is_sent = true;
+            if running.has_to_be_sent(needs, &self.peers) && due.len() < MAX_DUE {
+                running.on_sent(&self.peers);
                 due.push(running.record);
             }
             if running.has_to_be_written(now, needs) && unwritten.len() < MAX_DUE {
--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -90,6 +90,7 @@
         let writers = self.binding_writers();
         let mut bindings = self.bindings.borrow_mut();
         bindings.set_writers(writers);
+        bindings.set_peers(self.peers.borrow().alive_addresses());
         let due = bindings.take_due(self.now(), is_current);
         let unwritten = bindings.take_unwritten();
         let unstored = bindings.unstored_streams();
--- a/tests/binding.rs
+++ b/tests/binding.rs
@@ -214,6 +214,99 @@
     assert_eq!(bindings.take_unwritten(), []);
 }
 
+fn peer(n: u8) -> net::Ipv4Addr {
+    net::Ipv4Addr::new(10, 0, 0, n)
+}
+
+struct PeerChange {
+    versions: &'static [&'static str],
+    before: &'static [u8],
+    after: &'static [u8],
+    // Number of records that are due, of one stream at each version.
+    due: usize,
+}
+
+impl PeerChange {
+    fn check(&self) {
+        let name = format!("{:?} {:?} {:?}", self.versions, self.before, self.after);
+        let service = binding::Service::new("s", ms(4_000));
+        let mut bindings = binding::Registry::new(FirstStart::Confirmed(ms(0)));
+        bindings.set_peers(self.before.iter().map(|n| peer(*n)));
+        for version_name in self.versions {
+            bindings.history.add("s", version(version_name));
+        }
+        for (id, version_name) in self.versions.iter().enumerate() {
+            bindings.begin(record(1, id as u64, version_name, 100), service, true);
+        }
+        assert_eq!(bindings.take_due(ms(200), true), [], "{name}");
+        bindings.set_peers(self.after.iter().map(|n| peer(*n)));
+        let due = bindings.take_due(ms(300), true);
+        assert_eq!(due.len(), self.due, "{name}");
+        assert!(due.is_sorted_by_key(|r| std::cmp::Reverse(r.stream.id)));
+        assert_eq!(bindings.take_due(ms(400), true), [], "{name}");
+    }
+}
+
+// Guards against a stream that its entry alone knows since no peer was in reach when it began, or none that
+// has its record is any more, and against datagrams in services of one version or where nothing changed.
+#[test]
+fn records_are_sent_again_if_other_peers_keep_them() {
+    let change = |versions, before, after, due| PeerChange {
+        versions,
+        before,
+        after,
+        due,
+    };
+    let both: &[&str] = &["v1", "v2"];
+    for case in [
+        change(both, &[], &[1], 2),
+        change(both, &[], &[1, 2, 3, 4], 2),
+        change(both, &[1], &[1, 2], 2),
+        change(both, &[1, 2], &[3, 4], 2),
+        change(both, &[1, 2, 3], &[3, 2, 1], 0),
+        change(both, &[1, 2], &[1], 0),
+        change(&["v1"], &[], &[1, 2, 3, 4], 0),
+        change(&["v1"], &[1, 2], &[3, 4], 0),
+    ] {
+        case.check();
+    }
+}
+
+// Guards against a burst of records when one entry of many leaves or joins.
+#[test]
+fn only_records_that_a_changed_peer_keeps_are_sent_again() {
+    let service = binding::Service::new("s", ms(4_000));
+    let peers = |count: u32| (0..count).map(|n| net::Ipv4Addr::from_bits(0x0a00_0000 + n));
+    for count in [4, 30, 360, 1_440] {
+        let mut bindings = binding::Registry::new(FirstStart::Confirmed(ms(0)));
+        bindings.set_peers(peers(count));
+        for name in ["v1", "v2"] {
+            bindings.history.add("s", version(name));
+        }
+        let records: Vec<_> = (0..4_000).map(|id| record(id % 9, id, "v1", 100)).collect();
+        for record in &records {
+            bindings.begin(*record, service, true);
+        }
+        let last = peers(count).last().expect("an address");
+        let is_kept_there = |r: &&Record| {
+            let holders = r.stream.holders(peers(count), binding::HOLDERS);
+            holders.contains(&last)
+        };
+        let expected = records.iter().filter(is_kept_there).count();
+        for alive in [count - 1, count] {
+            bindings.set_peers(peers(alive));
+            let mut due = 0;
+            for step in 0..9 {
+                let records = bindings.take_due(ms(500 + step * 250), true);
+                assert!(records.len() <= 256, "{count}: {}", records.len());
+                due += records.len();
+            }
+            println!("{count} entries, {alive} alive: {due} of {}", records.len());
+            assert_eq!(due, expected, "{count} entries, {alive} alive");
+        }
+    }
+}
+
 struct Case {
     name: &'static str,
     // Versions that this entry listed, and whether it has watched for long.
