Play lost peers in the model of records, and count what is sent again

The model's entries notice peers that were killed or cut off, and send records again as the fleet does.

The existing bound of datagrams and the least shares are as they were; what is sent again is counted beside them, with a bound of its own.

--- a/tests/binding_load.rs
+++ b/tests/binding_load.rs
@@ -57,6 +57,8 @@
     Decide(usize),
     Learn(usize),
     Refresh(usize),
+    // An entry no longer counts others as running.
+    LosePeers(usize),
     Arrive(usize, binding::Record),
     Kill,
 }
@@ -92,6 +94,8 @@
     // Streams that waited for a newer list.
     waited: usize,
     datagrams: usize,
+    // Datagrams that carry records again since their holders have changed.
+    resent: usize,
     most_records: usize,
 }
 
@@ -160,6 +164,10 @@
             if let Some(learns_at) = learns_at {
                 sim.queue.add(learns_at, Event::Learn(at));
             }
+            sim.set_peers(0, at);
+        }
+        if sim.cut_at < u64::MAX {
+            sim.lose_peers(sim.cut_at);
         }
         for n in 0..STREAMS {
             let at = 1 + n as u64 * 1_000 / STREAMS_PER_S;
@@ -223,6 +231,19 @@
         known.map(address)
     }
 
+    fn set_peers(&mut self, now: u64, of: usize) {
+        let peers: Vec<_> = self.peers(now, of).collect();
+        self.entries[of].bindings.set_peers(peers.into_iter());
+    }
+
+    // Lets all entries notice those that are lost at this time, each by its own clock.
+    fn lose_peers(&mut self, lost_at: u64) {
+        for at in 0..self.entries.len() {
+            let noticed_at = lost_at + PEER_TIMEOUT_MS + at as u64 % REFRESH_MS;
+            self.queue.add(noticed_at, Event::LosePeers(at));
+        }
+    }
+
     fn index(holder: net::Ipv4Addr) -> usize {
         (holder.to_bits() - 0x0a00_0000) as usize
     }
@@ -367,6 +388,14 @@
         }
     }
 
+    fn resend(&mut self, now: u64, entry: usize) {
+        self.set_peers(now, entry);
+        let before = self.outcome.datagrams;
+        self.refresh(now, entry);
+        self.outcome.resent += self.outcome.datagrams - before;
+        self.outcome.datagrams = before;
+    }
+
     fn run(mut self) -> Outcome {
         while let Some((now, event)) = self.queue.next_before(u64::MAX) {
             match event {
@@ -377,13 +406,17 @@
                 Event::Refresh(at) if self.entries[at].killed_at.is_none() => {
                     self.refresh(now, at);
                 }
-                Event::Learn(_) | Event::Refresh(_) => {}
+                Event::LosePeers(at) if self.entries[at].killed_at.is_none() => {
+                    self.resend(now, at);
+                }
+                Event::Learn(_) | Event::Refresh(_) | Event::LosePeers(_) => {}
                 Event::Arrive(at, record) => self.entries[at].bindings.table.add(record),
                 Event::Kill => {
                     // The first ones are those that are cut off.
                     for at in (0..self.entries.len()).rev().step_by(4) {
                         self.entries[at].killed_at = Some(now);
                     }
+                    self.lose_peers(now);
                 }
             }
         }
@@ -394,7 +427,7 @@
 }
 
 // Plays a case and checks what holds at any size of the fleet.
-fn check(case: &Case) {
+fn check(case: &Case) -> Outcome {
     let outcome = Simulation::new(case, 7).run();
     println!("{} entries, {}: {outcome:?}", case.entries, case.name);
     assert!(
@@ -417,6 +450,9 @@
         "{}: {outcome:?}",
         case.name
     );
+    // Each record once more.
+    assert!(outcome.resent <= 2 * STREAMS, "{}: {outcome:?}", case.name);
+    outcome
 }
 
 // Guards against streams that go on at another version, or end though their version is running, in
@@ -444,7 +480,9 @@
                 0.85,
             ),
         ];
-        cases.iter().for_each(check);
+        for case in &cases {
+            check(case);
+        }
     }
 }
 
@@ -468,7 +506,9 @@
             case("half is cut off", entries, 2, false),
             case("half is cut off, a quarter killed", entries, 2, true),
         ];
-        cases.iter().for_each(check);
+        for case in &cases {
+            check(case);
+        }
     }
 }
 
@@ -485,7 +525,7 @@
                 has_kills: cut_divisor.is_none(),
                 min_known: 0.99,
             };
-            check(&case);
+            assert_eq!(check(&case).resent, 0, "{entries} entries");
         }
     }
 }
