Let streams go on while a version joins and one entry is away

With it, a stream without a record was refused for as long as a version joins and any entry is out of reach. What it guards against needs an entry that is cut off from its peers and from all backend servers of the first version while the second joins; that entry is the one to hold back.

--- a/src/decide/binding/registry.rs
+++ b/src/decide/binding/registry.rs
@@ -213,13 +213,6 @@
         self.view(now, service).is_complete
     }
 
-    /// Returns whether entries that are out of reach may have begun streams of a service that no reply tells
-    /// of. While a version joins, a single one may: it uses that version if the first one fails it.
-    pub fn lacks_contact(&self, service: Service, reached: usize, unreachable: usize) -> bool {
-        let is_joined = self.history.base(service.hash).is_some();
-        super::lacks_contact(reached, unreachable) || is_joined && unreachable > 0
-    }
-
     /// Returns the version that began a stream, by what this entry and others know, and remembers what
     /// others know of the service.
     pub fn resolve(
--- a/src/direct/peer/binding.rs
+++ b/src/direct/peer/binding.rs
@@ -219,10 +219,8 @@
     }
     let peers = entry.peers.borrow();
     let (reached, unreachable) = (peers.alive_addresses().count(), peers.unreachable_entries());
-    let bindings = entry.bindings.borrow();
     binding::Replies {
-        is_partial: received.len() < holders.len()
-            || bindings.lacks_contact(service, reached, unreachable),
+        is_partial: received.len() < holders.len() || binding::lacks_contact(reached, unreachable),
         received,
     }
 }
