Go by the era that the store goes on stating

What callers saw: after answers of the store with an era too large, zones that were returned stayed evacuated and evacuated ones were used, at all entries, until all had started again.

Cause: the greatest era that any answer or datagram stated was kept for good, so that positions of the true one counted as earlier: records of evacuations, statements of versions, positions of lists.

Change: an era counts while the store goes on stating it. A lower one replaces it once it was stated for two seconds, and the greater one no more; a delayed answer from before a restore is followed by newer ones. Readings carry what the answer stated, so that entries that learn from peers judge by the store's answers, not by each other's state. What claims a later era than the one confirmed isn't accepted from peers, and what is kept of one is lowered: any record overrides it. A rise counts once the newest records confirm it.

A reading of a peer with a number too large is replaced by one that is over two seconds later.

--- a/src/decide/binding/join.rs
+++ b/src/decide/binding/join.rs
@@ -110,6 +110,20 @@
         statement.singles.get(&service).copied()
     }
 
+    /// Lowers the position of a statement of an era after `limit`, the store's true one, so that its
+    /// statements replace it. Returns whether it was.
+    pub fn limit(&mut self, limit: u64) -> bool {
+        let statement = self.statement.as_mut();
+        let Some(statement) = statement.filter(|s| s.read.era > limit) else {
+            return false;
+        };
+        statement.read = Position {
+            era: limit,
+            offset: 0,
+        };
+        true
+    }
+
     /// Records a statement, unless a newer one is known. Returns whether it says something else than
     /// the last one.
     pub fn on_statement(&mut self, statement: Statement) -> bool {
--- a/src/decide/evacuation.rs
+++ b/src/decide/evacuation.rs
@@ -30,6 +30,21 @@
     pub offset: u64,
 }
 
+impl Position {
+    /// Returns the position that replaces this one if the log's era is `limit`: one of a later era is
+    /// false, and precedes all records of the true one.
+    #[must_use]
+    pub fn limited(self, limit: u64) -> Self {
+        if self.era <= limit {
+            return self;
+        }
+        Self {
+            era: limit,
+            offset: 0,
+        }
+    }
+}
+
 /// Record of the evacuation or return of a zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
@@ -54,6 +69,8 @@
 struct Entry {
     position: Position,
     is_evacuated: bool,
+    // True if the position was false, so that any other record overrides it.
+    is_void: bool,
 }
 
 /// The newest record of each zone.
@@ -88,7 +105,7 @@
     /// state, if any.
     pub fn apply(&mut self, record: Record) -> Option<Change> {
         let known = self.zones.get(&record.zone);
-        if known.is_some_and(|known| known.position >= record.position) {
+        if known.is_some_and(|known| !known.is_void && known.position >= record.position) {
             return None;
         }
         let was_evacuated = known.is_some_and(|known| known.is_evacuated);
@@ -98,6 +115,7 @@
         let entry = Entry {
             position: record.position,
             is_evacuated: record.is_evacuated,
+            is_void: false,
         };
         self.zones.insert(record.zone.clone(), entry);
         self.update_digest();
@@ -133,6 +151,22 @@
         all.into_iter().filter_map(|r| self.apply(r)).collect()
     }
 
+    /// Lowers positions of eras after `limit`, the log's true one, so that any record overrides them.
+    /// Returns whether there were any.
+    pub fn limit(&mut self, limit: u64) -> bool {
+        let zones = self.zones.values_mut();
+        let mut later = zones.filter(|e| e.position.era > limit).peekable();
+        if later.peek().is_none() {
+            return false;
+        }
+        later.for_each(|e| {
+            e.position = e.position.limited(limit);
+            e.is_void = true;
+        });
+        self.update_digest();
+        true
+    }
+
     /// Returns the zones evacuated by a record of an earlier era that the log has lost since.
     pub fn unconfirmed(&self, era: u64) -> impl Iterator<Item = &str> {
         let is_lost = move |e: &Entry| e.is_evacuated && e.position.era < era;
@@ -161,6 +195,7 @@
             let Entry {
                 position,
                 is_evacuated,
+                ..
             } = entry;
             xxh3::xxh3_64(format!("{zone} {position} {is_evacuated}").as_bytes())
         };
--- a/src/decide/spread/mod.rs
+++ b/src/decide/spread/mod.rs
@@ -18,7 +18,7 @@
 
 use smallvec::SmallVec;
 
-use super::{evacuation, random};
+use super::{era, evacuation, random};
 
 /// Interval between exchanges with a random peer.
 const EXCHANGE_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -56,6 +56,10 @@
 /// readers. It is longer than a reader's interval, so that the first of them is not replaced.
 const READER_PRECEDENCE: time::Duration = time::Duration::from_secs(1);
 
+/// Maximum time by which readings of one reader overtake each other. One that is later than that replaces
+/// one with a greater number, which was false.
+const MAX_REORDERING: time::Duration = time::Duration::from_secs(2);
+
 /// Maximum number of readers and holders remembered.
 const MAX_REMEMBERED: usize = 8;
 
@@ -89,6 +93,9 @@
     pub list_at: Option<time::Duration>,
     /// Number of entries that forwarded it.
     pub hops: u32,
+    /// Era that the store's answer stated; 0 if it stated none, `None` if the reader is of an earlier
+    /// release.
+    pub era: Option<u64>,
 }
 
 /// Part of the data in the store.
@@ -154,6 +161,11 @@
     failed_fetches: u32,
     // Number of own readings.
     sequence: u64,
+    eras: era::Eras,
+    // Era of the last answer to this entry.
+    own_era: Option<u64>,
+    // Latest era that positions can have, if it is known.
+    era_limit: Option<u64>,
     // When the last datagram of a peer arrived.
     heard_at: Option<time::Duration>,
     start: start::Start,
@@ -166,8 +178,48 @@
         self.confirmed
     }
 
+    /// Returns the eras that the store has stated.
+    pub fn eras(&self) -> era::Eras {
+        self.eras
+    }
+
+    /// Records the era that an answer to this entry stated, to a call that began at time `at`.
+    pub fn on_own_era(&mut self, at: time::Duration, era: u64) {
+        self.own_era = Some(era);
+        self.on_era(at, era);
+    }
+
+    fn on_era(&mut self, at: time::Duration, era: u64) {
+        self.eras.on_answer(at, era);
+        self.era_limit = self.eras.limit(at);
+    }
+
+    /// Returns the latest era that positions can have, if it is known.
+    pub fn era_limit(&self) -> Option<u64> {
+        self.era_limit
+    }
+
+    /// Returns whether a position of this era can be true.
+    pub fn accepts_era(&self, era: u64) -> bool {
+        self.era_limit.is_none_or(|limit| era <= limit)
+    }
+
+    /// Lowers positions of eras later than the store's, and returns that one, if it is known.
+    pub fn limit_eras(&mut self, now: time::Duration) -> Option<u64> {
+        self.era_limit = self.eras.limit(now);
+        if let Some(limit) = self.era_limit {
+            self.position = self.position.limited(limit);
+            self.confirmed = self.confirmed.limited(limit);
+            self.changed_at = self.changed_at.limited(limit);
+        }
+        self.era_limit
+    }
+
     /// Records that the list agrees with the store up to this position.
     pub fn advance(&mut self, position: evacuation::Position) {
+        if !self.accepts_era(position.era) {
+            return;
+        }
         self.position = self.position.max(position);
         self.confirmed = self.confirmed.max(position);
     }
@@ -185,6 +237,9 @@
 
     // Records a list at this position with which this entry's agrees, or which it has merged.
     fn compare(&mut self, own: u64, theirs: u64, position: evacuation::Position) {
+        if !self.accepts_era(position.era) {
+            return;
+        }
         if own == theirs {
             self.advance(position);
         } else if self.are_settled(own, theirs) {
@@ -195,7 +250,9 @@
     /// Records that changes up to this position were applied one by one. A list that is fetched
     /// must be as new, or they would be undone.
     pub fn on_changes(&mut self, position: evacuation::Position) {
-        self.changed_at = self.changed_at.max(position);
+        if self.accepts_era(position.era) {
+            self.changed_at = self.changed_at.max(position);
+        }
     }
 
     /// Adds a reading of this entry; returns whether peers have to learn of it: if it is different
@@ -217,6 +274,7 @@
             at,
             list_at: self.own_list_at,
             hops: 0,
+            era: self.own_era,
         };
         let data = (holding.list, holding.configuration);
         let is_changed = self.own_data.replace(data) != Some(data);
@@ -226,6 +284,9 @@
     /// Records a reading, beside what this entry holds; returns whether it has to be forwarded.
     pub fn on_reading(&mut self, reading: Reading, own: Holding) -> bool {
         let theirs = reading.holding;
+        if let Some(era) = reading.era.filter(|_| reading.hops > 0) {
+            self.on_era(reading.at, era);
+        }
         self.compare(own.list, theirs.list, theirs.position);
         if own.list == theirs.list || self.are_settled(own.list, theirs.list) {
             self.complete_at = self.complete_at.max(reading.list_at);
@@ -239,7 +300,9 @@
         let mut readings = self.readings.iter_mut();
         if let Some(known) = readings.find(|r| r.reader == reading.reader) {
             let is_newer = if known.incarnation == reading.incarnation {
-                reading.sequence > known.sequence
+                let is_overtaken = reading.at + MAX_REORDERING < known.at;
+                let goes_on = reading.at > known.at + MAX_REORDERING;
+                goes_on || (reading.sequence > known.sequence && !is_overtaken)
             } else {
                 reading.at > known.at
             };
@@ -451,7 +514,9 @@
     }
 
     fn is_newer(&self, theirs: Holding, own: Holding) -> bool {
-        let is_later = theirs.position > own.position && theirs.position >= self.changed_at;
+        let is_later = theirs.position > own.position
+            && theirs.position >= self.changed_at
+            && self.accepts_era(theirs.position.era);
         let has_newer_list = theirs.list != 0 && (own.list == 0 || is_later);
         let differs = own.list != theirs.list && !self.are_settled(own.list, theirs.list);
         theirs.configuration > own.configuration || (has_newer_list && differs)
--- a/src/direct/backends.rs
+++ b/src/direct/backends.rs
@@ -106,6 +106,7 @@
             .borrow_mut()
             .retain(|_, until| now < *until);
         peer::expire(self);
+        self.limit_eras();
         lease::expire(self);
         self.refresh_bindings();
         self.share_cold();
--- a/src/direct/evacuation/mod.rs
+++ b/src/direct/evacuation/mod.rs
@@ -38,9 +38,14 @@
         source: Source,
         records: impl IntoIterator<Item = evacuation::Record>,
     ) {
+        let spread = self.spread.borrow();
+        let is_possible =
+            |r: &evacuation::Record| source == Source::Store || spread.accepts_era(r.position.era);
+        let records = records.into_iter().filter(is_possible);
         let mut table = self.zones.0.borrow_mut();
         let before = table.digest();
-        let changes: Vec<_> = records.into_iter().filter_map(|r| table.apply(r)).collect();
+        let changes: Vec<_> = records.filter_map(|r| table.apply(r)).collect();
+        drop(spread);
         drop(table);
         self.apply_evacuations(source, before, &changes);
     }
@@ -60,6 +65,21 @@
         self.apply_evacuations(Source::Store, before, &changes);
     }
 
+    /// Lowers records of eras after `limit`, the store's. Returns whether there were any.
+    pub(super) fn limit_evacuations(&self, limit: u64) -> bool {
+        let has_later = self.zones.0.borrow_mut().limit(limit);
+        if has_later {
+            self.evacuations_limited
+                .set(self.evacuations_limited.get() + 1);
+        }
+        has_later
+    }
+
+    /// Returns how often records of false eras were lowered. All records in the store count again then.
+    pub fn evacuations_limited(&self) -> u64 {
+        self.evacuations_limited.get()
+    }
+
     fn apply_evacuations(&self, source: Source, before: u64, changes: &[evacuation::Change]) {
         if before == self.zones.digest() {
             return;
--- a/src/direct/peer/mod.rs
+++ b/src/direct/peer/mod.rs
@@ -271,7 +271,7 @@
         rate: entry.rate(),
         departing_servers: entry.departing(),
         quarantined_digest: entry.quarantine.borrow().digest(),
-        era: entry.store_era(),
+        era: entry.store_era().unwrap_or_default(),
         evacuations_digest: entry.zones.digest(),
         answer_age_ms: Some(saturating_millis(entry.answer_age())),
         known_age_ms: Some(saturating_millis(entry.known_age())),
--- a/src/direct/peer/update.rs
+++ b/src/direct/peer/update.rs
@@ -133,6 +133,9 @@
     /// Milliseconds since the call began that delivered the reader's list.
     #[prost(uint32, optional, tag = "7")]
     pub list_age_ms: Option<u32>,
+    /// Era that the store's answer stated; 0 if it stated none.
+    #[prost(uint64, optional, tag = "8")]
+    pub era: Option<u64>,
 }
 
 /// Change of a list entry.
@@ -254,6 +257,7 @@
             hops: reading.hops,
             // A part of a millisecond would make the list newer than it is.
             list_age_ms: reading.list_at.map(|at| age_ms(at).saturating_add(1)),
+            era: reading.era,
         }
     }
 
@@ -268,6 +272,7 @@
             at: ago(self.age_ms),
             list_at: self.list_age_ms.map(ago),
             hops: self.hops.saturating_add(1),
+            era: self.era,
         }
     }
 }
--- a/src/direct/source.rs
+++ b/src/direct/source.rs
@@ -30,17 +30,36 @@
         self.store_seen.set(seen);
     }
 
-    /// Records an era of the platform's store, which counts how often the store was restored from
-    /// an older copy.
-    pub fn set_store_era(&self, era: Option<u64>) {
-        let newest = self.store_era.get().max(era.unwrap_or_default());
-        self.store_era.set(newest);
-        self.meter.set("store_era", newest);
+    /// Records the era that the platform's store, which counts how often it was restored from an older
+    /// copy, stated in the answer to a call that began at time `at`.
+    pub fn on_store_era(&self, at: time::Duration, era: Option<u64>) {
+        let era = era.unwrap_or_default();
+        self.spread.borrow_mut().on_own_era(at, era);
+        self.meter
+            .set("store_era", self.store_era().unwrap_or_default());
     }
 
-    /// Returns the newest era of the platform's store that was seen.
-    pub fn store_era(&self) -> u64 {
-        self.store_era.get()
+    /// Returns the era of the platform's store, as far as is known; `None` before its first answer.
+    pub fn store_era(&self) -> Option<u64> {
+        self.spread.borrow().eras().newest()
+    }
+
+    /// Returns the era that the store goes on stating, if it is known.
+    pub fn era_limit(&self) -> Option<u64> {
+        self.spread.borrow().era_limit()
+    }
+
+    /// Lowers what is of a later era than the store goes on stating. To be called periodically.
+    pub(super) fn limit_eras(&self) {
+        let limit = self.spread.borrow_mut().limit_eras(self.now());
+        let Some(limit) = limit else { return };
+        let has_zones = self.limit_evacuations(limit);
+        let has_versions = self.bindings.borrow_mut().history.joins.limit(limit);
+        if has_zones || has_versions {
+            let line = self.log.line("store_era_void");
+            let line = line.with("era", limit).with("zones", has_zones);
+            drop(line.with("versions", has_versions));
+        }
     }
 
     /// Returns the era of the store that the list of backend servers was found to agree with, at this
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -98,8 +98,7 @@
     pub(super) zones: zones::Zones,
     // Inspection results of backend servers that the next heartbeats carry.
     pub(super) inspections: outbox::Outbox<message::Inspection>,
-    // The newest era of the store that was seen.
-    pub(super) store_era: cell::Cell<u64>,
+    pub(super) evacuations_limited: cell::Cell<u64>,
     // When the store last delivered current data, by topic.
     pub(super) store_seen: cell::Cell<[Option<time::Duration>; 2]>,
     // When the store last responded, by topic, even if its data could not be used yet.
@@ -237,7 +236,7 @@
             backends_leaving: leaving::Table::default(),
             zones: zones::Zones::default(),
             inspections: outbox::Outbox::default(),
-            store_era: cell::Cell::default(),
+            evacuations_limited: cell::Cell::default(),
             store_seen: cell::Cell::default(),
             store_answered: cell::Cell::default(),
             outages: cell::Cell::default(),
--- a/tests/binding.rs
+++ b/tests/binding.rs
@@ -453,6 +453,7 @@
         at: ms(900),
         list_at: Some(ms(list_at)),
         hops: 1,
+        era: None,
     };
     spread.on_reading(reading(1, 7, 800), holding(7));
     assert_eq!(spread.complete_at(), Some(ms(800)));
--- a/tests/odd_peer.rs
+++ b/tests/odd_peer.rs
@@ -57,6 +57,7 @@
         age_ms: small,
         hops: small,
         list_age_ms: Some(small),
+        era: Some(n),
     };
     let change = |id: &str, address: &str| update::Change {
         id: id.into(),
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -299,6 +299,7 @@
         holding: spread::Holding::default(),
         at: support::ms(at),
         hops: 0,
+        era: None,
     };
     let own = spread::Holding::default();
     let mut is_new =
--- a/tests/step.rs
+++ b/tests/step.rs
@@ -30,6 +30,7 @@
         at: ms(at),
         list_at: None,
         hops: 1,
+        era: None,
     }
 }
 
