--- a/tests/odd_peer.rs
+++ b/tests/odd_peer.rs
@@ -302,3 +302,205 @@
     let servers = entry.servers().expect("a list");
     assert!(servers.iter().any(|server| server.id == "new"));
 }
+
+/// Interval in which the true reader's updates arrive, and time in which they go on after a false datagram.
+const READ_INTERVAL: time::Duration = time::Duration::from_millis(250);
+const READS_AFTER: usize = 24;
+
+/// Age of the last reading from which an entry doesn't know the store's era: a reading that is in force for
+/// good is as old as the reads that follow.
+const MAX_READING_AGE: time::Duration = time::Duration::from_secs(3);
+
+/// Service of which the store names the only version until the false datagram, in its statement.
+const SERVICE: u64 = 7;
+
+/// Offset up to which the true reader has read at first.
+const OFFSET: u64 = 20;
+
+fn position(era: u64, offset: u64) -> update::Position {
+    update::Position { era, offset }
+}
+
+// Returns the update of a true reader of a store in era 1.
+fn true_update(sequence: u64, statement_offset: u64, is_single: bool) -> update::Update {
+    let holding = update::Holding {
+        position: Some(position(1, OFFSET)),
+        list: 5,
+        configuration: 1,
+        has_versions: true,
+    };
+    let services = if is_single { vec![SERVICE] } else { Vec::new() };
+    update::Update {
+        reading: Some(update::Reading {
+            reader: PEER.to_bits(),
+            incarnation: 1,
+            sequence,
+            holding: Some(holding),
+            age_ms: 0,
+            hops: 0,
+            list_age_ms: Some(0),
+            era: Some(1),
+        }),
+        holding: Some(holding),
+        statement: Some(update::Statement {
+            read: Some(position(1, statement_offset)),
+            versions: vec![9; services.len()],
+            services,
+            ..update::Statement::default()
+        }),
+        ..update::Update::default()
+    }
+}
+
+fn evacuation(at: update::Position, is_evacuated: bool) -> message::Datagram {
+    message::Datagram {
+        evacuations: vec![message::Evacuation {
+            zone: "z".into(),
+            era: at.era,
+            offset: at.offset,
+            is_evacuated,
+        }],
+        ..message::Datagram::default()
+    }
+}
+
+fn with_update(update: update::Update) -> message::Datagram {
+    message::Datagram {
+        update: Some(update),
+        ..message::Datagram::default()
+    }
+}
+
+// Guards against one datagram with an era or a number too large that makes all later ones of its kind
+// count as late, for as long as the entry runs.
+#[tokio::test(flavor = "current_thread")]
+async fn a_false_datagram_affects_nothing_for_good() {
+    struct Case {
+        name: &'static str,
+        datagram: message::Datagram,
+    }
+    let base = || true_update(0, 0, true);
+    let reading = |edit: fn(&mut update::Reading)| {
+        let mut update = base();
+        update.statement = None;
+        update.reading.as_mut().map(edit).expect("a reading");
+        with_update(update)
+    };
+    let statement = |at| {
+        let mut update = base();
+        update.reading = None;
+        update.statement.as_mut().expect("one").read = Some(at);
+        with_update(update)
+    };
+    let cases = [
+        Case {
+            name: "era of an answer",
+            datagram: reading(|r| r.era = Some(u64::MAX)),
+        },
+        Case {
+            name: "the next era of an answer",
+            datagram: reading(|r| r.era = Some(2)),
+        },
+        Case {
+            name: "number of a reading",
+            datagram: reading(|r| r.sequence = u64::MAX),
+        },
+        Case {
+            name: "position of a list",
+            datagram: reading(|r| {
+                let holding = r.holding.as_mut().expect("one");
+                holding.position = Some(position(u64::MAX, u64::MAX));
+            }),
+        },
+        Case {
+            name: "era of a statement",
+            datagram: statement(position(u64::MAX, u64::MAX)),
+        },
+        Case {
+            name: "next era of a statement",
+            datagram: statement(position(2, 0)),
+        },
+        Case {
+            name: "era of an evacuation",
+            datagram: evacuation(position(u64::MAX, u64::MAX), true),
+        },
+        Case {
+            name: "next era of an evacuation",
+            datagram: evacuation(position(2, 0), true),
+        },
+        Case {
+            name: "heartbeat",
+            datagram: heartbeat(u64::MAX, 0.0),
+        },
+    ];
+    let tasks = task::LocalSet::new();
+    let checks = cases.into_iter().enumerate().map(|(n, case)| async move {
+        // At an entry that knows the store's era, and at one that has just started.
+        check_datagram(case.name, 2 * n as u8, case.datagram.clone(), 12).await;
+        check_datagram(case.name, 2 * n as u8 + 1, case.datagram, 0).await;
+    });
+    let checks: Vec<_> = checks.map(|check| tasks.spawn_local(check)).collect();
+    tasks
+        .run_until(async {
+            for check in checks {
+                check.await.expect("it holds");
+            }
+        })
+        .await;
+}
+
+async fn check_datagram(name: &str, net: u8, datagram: message::Datagram, reads_before: usize) {
+    let own = net::Ipv4Addr::new(127, 6, 91, 2 * net + 1);
+    let peer = net::Ipv4Addr::new(127, 6, 91, 2 * net + 2);
+    let socket = net::UdpSocket::bind((peer, 0)).expect("a socket");
+    let port = socket.local_addr().expect("an address").port();
+    let settings = state::Settings {
+        address: own,
+        ..support::settings()
+    };
+    let entry = support::linked_entry(settings, peer, port, vec![engine()]).await;
+    task::spawn_local(peer::run(rc::Rc::clone(&entry)));
+    let send = async |datagram: message::Datagram| {
+        let datagram = message::Datagram {
+            sender: 1,
+            address: peer.to_bits(),
+            ..datagram
+        };
+        let bytes = datagram.encode_to_vec();
+        socket.send_to(&bytes, (own, port)).expect("it is sent");
+        tokio::time::sleep(READ_INTERVAL).await;
+        entry.refresh();
+    };
+    let mut sequence = 0;
+    let mut read = async |offset, is_single| {
+        sequence += 1;
+        send(with_update(true_update(sequence, offset, is_single))).await;
+    };
+    send(evacuation(position(1, 1), false)).await;
+    for _ in 0..reads_before {
+        read(OFFSET, true).await;
+    }
+    send(datagram).await;
+    // The service has several versions since, and the zone is evacuated and returned.
+    for _ in 0..READS_AFTER {
+        read(OFFSET + 1, false).await;
+    }
+    send(evacuation(position(1, 8), true)).await;
+    assert!(entry.evacuations().contains("z evacuated"), "{name}");
+    send(evacuation(position(1, 9), false)).await;
+    assert!(entry.evacuations().contains("z returned"), "{name}");
+    let bindings = entry.bindings.borrow();
+    let statement = bindings.history.joins.statement().expect("one");
+    assert!(statement.singles.is_empty(), "{name}: {statement:?}");
+    let spread = entry.spread.borrow();
+    assert!(spread.confirmed_position().era <= 1, "{name}");
+    assert_eq!(entry.store_era(), Some(1), "{name}");
+    let newest = spread.newest_reading().expect("a reading");
+    assert!(
+        newest.sequence < u64::MAX,
+        "{name}: number {}",
+        newest.sequence
+    );
+    let age = entry.now().saturating_sub(newest.at);
+    assert!(age < MAX_READING_AGE, "{name}: {age:?}");
+}
