--- a/tests/odd_peer.rs
+++ b/tests/odd_peer.rs
@@ -3,6 +3,7 @@
 #[path = "support/direct.rs"]
 mod support;
 
+use std::sync::atomic;
 use std::{net, rc, time};
 
 use chivebend::direct::peer::{
@@ -317,6 +318,9 @@
 /// Offset up to which the true reader has read at first.
 const OFFSET: u64 = 20;
 
+/// Number of the next pair of addresses.
+static NETS: atomic::AtomicU8 = atomic::AtomicU8::new(0);
+
 fn position(era: u64, offset: u64) -> update::Position {
     update::Position { era, offset }
 }
@@ -371,14 +375,15 @@
     }
 }
 
+struct Case {
+    name: &'static str,
+    datagram: message::Datagram,
+}
+
 // Guards against one datagram with an era or a number too large that makes all later ones of its kind
 // count as late, for as long as the entry runs.
 #[tokio::test(flavor = "current_thread")]
 async fn a_false_datagram_affects_nothing_for_good() {
-    struct Case {
-        name: &'static str,
-        datagram: message::Datagram,
-    }
     let base = || true_update(0, 0, true);
     let reading = |edit: fn(&mut update::Reading)| {
         let mut update = base();
@@ -433,20 +438,67 @@
             datagram: heartbeat(u64::MAX, 0.0),
         },
     ];
+    check_all(&cases).await;
+}
+
+// Guards against one datagram with an offset too large in the store's true era that makes all later ones of
+// its kind count as late.
+#[tokio::test(flavor = "current_thread")]
+async fn a_false_offset_affects_nothing_for_good() {
+    let mut list = true_update(0, 0, true);
+    list.statement = None;
+    let holding = list.reading.as_mut().and_then(|r| r.holding.as_mut());
+    holding.expect("one").position = Some(position(1, u64::MAX));
+    let mut statement = true_update(0, u64::MAX, true);
+    statement.reading = None;
+    let cases = [
+        Case {
+            name: "offset of a list",
+            datagram: with_update(list),
+        },
+        Case {
+            name: "offset of a statement",
+            datagram: with_update(statement),
+        },
+        Case {
+            name: "offset of an evacuation",
+            datagram: evacuation(position(1, u64::MAX), true),
+        },
+    ];
+    check_all(&cases).await;
+}
+
+async fn check_all(cases: &[Case]) {
     let tasks = task::LocalSet::new();
-    let checks = cases.into_iter().enumerate().map(|(n, case)| async move {
-        // At an entry that knows the store's era, and at one that has just started.
-        check_datagram(case.name, 2 * n as u8, case.datagram.clone(), 12).await;
-        check_datagram(case.name, 2 * n as u8 + 1, case.datagram, 0).await;
-    });
-    let checks: Vec<_> = checks.map(|check| tasks.spawn_local(check)).collect();
-    tasks
-        .run_until(async {
-            for check in checks {
-                check.await.expect("it holds");
-            }
+    // At an entry that knows the store's era, and at one that has just started.
+    let check = |(n, case): (usize, &Case)| {
+        [12, 0].map(|reads| {
+            let net = NETS.fetch_add(1, atomic::Ordering::SeqCst);
+            let check = check_datagram(case.name, net, case.datagram.clone(), reads);
+            (n, reads, tasks.spawn_local(check))
         })
-        .await;
+    };
+    let checks: Vec<_> = cases.iter().enumerate().flat_map(check).collect();
+    let failed = tasks.run_until(async {
+        let mut failed = Vec::new();
+        for (n, reads, check) in checks {
+            if let Err(err) = check.await {
+                failed.push(format!("{} after {reads} reads: {err}", cases[n].name));
+            }
+        }
+        failed
+    });
+    let failed = failed.await;
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+// Returns the datagram with this digest of the list, with which the entry's agrees.
+fn with_list(mut datagram: message::Datagram, list: u64) -> message::Datagram {
+    let reading = datagram.update.as_mut().and_then(|u| u.reading.as_mut());
+    if let Some(holding) = reading.and_then(|r| r.holding.as_mut()) {
+        holding.list = list;
+    }
+    datagram
 }
 
 async fn check_datagram(name: &str, net: u8, datagram: message::Datagram, reads_before: usize) {
@@ -480,7 +532,7 @@
     for _ in 0..reads_before {
         read(OFFSET, true).await;
     }
-    send(datagram).await;
+    send(with_list(datagram, entry.holding().list)).await;
     // The service has several versions since, and the zone is evacuated and returned.
     for _ in 0..READS_AFTER {
         read(OFFSET + 1, false).await;
@@ -493,7 +545,11 @@
     let statement = bindings.history.joins.statement().expect("one");
     assert!(statement.singles.is_empty(), "{name}: {statement:?}");
     let spread = entry.spread.borrow();
-    assert!(spread.confirmed_position().era <= 1, "{name}");
+    let confirmed = spread.confirmed_position();
+    assert!(
+        confirmed.era <= 1 && confirmed.offset < u64::MAX,
+        "{name}: {confirmed}"
+    );
     assert_eq!(entry.store_era(), Some(1), "{name}");
     let newest = spread.newest_reading().expect("a reading");
     assert!(
