Write a service's only version once no entry counts it as used

A minute after a release the entry that reads the store wrote the only version that was left, but its own statement, and that of another reader that had learned later of the removed version, left the service out: both still counted the other version as in use. Statements of one position can only lose services, so that no entry named the version from then on until the store changed again: records of all streams were written for ever, and a version that joined later was used at once, while the store still named the first one.

Cause: what is written and what is said of it are decided by clocks that differ by up to a check, or by the entries' lists.

The version is written once this entry no longer counts another one as used, and five seconds after it could. The test of two readers, of which one learns of the removal 0 to 2 s later, fails before at once (0 s) and holds.

--- a/src/decide/binding/history.rs
+++ b/src/decide/binding/history.rs
@@ -7,6 +7,9 @@
 use super::join::{Joins, Opened, Statement};
 use super::{RETENTION, Version, service_hash};
 
+/// Maximum time by which entries differ on when a version was removed from the list.
+const SETTLE_TIME: time::Duration = time::Duration::from_secs(5);
+
 // Backend servers of one version.
 #[derive(Debug)]
 struct Listed {
@@ -186,6 +189,13 @@
         stored.is_some_and(|stored| listed.all(|l| l.version == stored))
     }
 
+    /// Returns whether all entries count a service as having a single version, if this one does: they may
+    /// have learned later that the others are gone.
+    pub fn is_settled(&self, now: time::Duration, service: u64) -> bool {
+        let versions = self.recent(now, service, RETENTION + SETTLE_TIME);
+        !self.joins.is_opened(service) && versions.count() <= 1
+    }
+
     /// Updates which versions are joining. To be called periodically.
     pub fn update_joins(&mut self, now: time::Duration) {
         let services: Vec<u64> = self.services().collect();
--- a/src/decide/binding/stored.rs
+++ b/src/decide/binding/stored.rs
@@ -61,6 +61,7 @@
             let is_contradicted = || stored.is_some_and(|stored| !view.versions.contains(&stored));
             let version = match view.only() {
                 _ if view.is_joined => None,
+                Some(_) if !history.is_settled(now, service) => continue,
                 Some(version) => Some(version),
                 None if view.versions.len() > 1 || is_contradicted() => None,
                 // Not known yet.
--- a/tests/stored.rs
+++ b/tests/stored.rs
@@ -191,3 +191,42 @@
     assert_eq!([written(one, 1_250), written(other, 1_500)], [1, 1]);
     assert_eq!([written(other, 1_750), written(one, 2_000)], [0, 1]);
 }
+
+// Guards against a version that the store names and the entries don't: of two that read it, one still counts
+// the service as having several versions when the other writes.
+#[test]
+fn all_entries_name_the_only_version_after_a_release() {
+    for late in [0, 100, 250, 900, 2_000] {
+        let mut entries = [0, 1].map(|_| Registry::new(FirstStart::No));
+        for entry in &mut entries {
+            entry.history.add(SERVICE, version("v1"));
+            entry.history.add(SERVICE, version("v2"));
+        }
+        let (mut single, mut offset) = (None, 1);
+        for at in (250..200_000).step_by(250) {
+            for n in [0, 1] {
+                let removed_at = 100_000 + n as u64 * late;
+                if (removed_at..removed_at + 250).contains(&at) {
+                    entries[n].history.remove(ms(at), SERVICE, version("v2"));
+                }
+                let entry = &mut entries[n];
+                let known = single.map(|version| (service().hash, version));
+                entry.stored.restore(ms(at), known, &mut entry.history);
+                for change in entry.stored.due(ms(at), &entry.history) {
+                    entry.stored.on_written(change);
+                    single = change.version;
+                    offset += 1;
+                }
+                let statement = entry.stored.statement(ms(at), read(offset), &entry.history);
+                entries
+                    .iter_mut()
+                    .for_each(|e| drop(e.on_statement(statement.clone())));
+                // The list is looked at after the store.
+                entries[n].take_due(ms(at), true);
+            }
+        }
+        assert_eq!(single, Some(version("v1")), "late {late}");
+        let are_named = |entry: &Registry| entry.history.is_stored(service().hash);
+        assert!(entries.iter().all(are_named), "late {late}");
+    }
+}
