Delete records of streams once a release is over

Batches of records stayed in the store for ever.

Entries that read the store delete all batches in one conditional append once all services have been named with their only version for 60 s, so that no stream needs a record; nothing is deleted if anybody has written since the batches were read.

--- a/src/decide/binding/history.rs
+++ b/src/decide/binding/history.rs
@@ -196,6 +196,17 @@
         !self.joins.is_opened(service) && versions.count() <= 1
     }
 
+    /// Returns whether the store names the only version of each service that has backend servers, so that no
+    /// stream needs a record.
+    pub fn are_all_stored(&self) -> bool {
+        let mut services = self.services();
+        self.joins.statement().is_some()
+            && services.all(|service| {
+                let is_listed = self.listed(service).next().is_some();
+                !is_listed || self.is_stored(service) && !self.joins.is_opened(service)
+            })
+    }
+
     /// Updates which versions are joining. To be called periodically.
     pub fn update_joins(&mut self, now: time::Duration) {
         let services: Vec<u64> = self.services().collect();
--- a/src/decide/binding/journal.rs
+++ b/src/decide/binding/journal.rs
@@ -74,6 +74,13 @@
     }
 }
 
+/// Returns whether this is the key of a batch.
+pub fn is_key(key: &str) -> bool {
+    let is_number = |text: &str| text.parse::<u32>().is_ok();
+    let parts = key.split_once(KEY_SEPARATOR);
+    parts.is_some_and(|(writer, place)| is_number(writer) && is_number(place))
+}
+
 /// Returns what the keys of a writer's batches begin with.
 pub fn key_prefix(writer: usize) -> String {
     format!("{writer}{KEY_SEPARATOR}")
--- a/src/decide/binding/mod.rs
+++ b/src/decide/binding/mod.rs
@@ -32,7 +32,7 @@
 
 pub use history::{FirstStart, History, View};
 pub use join::{Event, Joins, MAX_SINGLES, Opened, Position, Statement};
-pub use journal::{Batch, Journal, key_prefix, writers};
+pub use journal::{Batch, Journal, is_key, key_prefix, writers};
 pub use registry::{Registry, is_current};
 pub use stored::{Change, Stored, may_be_first_start};
 pub use table::Table;
--- a/src/decide/binding/registry.rs
+++ b/src/decide/binding/registry.rs
@@ -94,6 +94,8 @@
     writers: rendezvous::Addresses,
     // Records of this entry's streams that have yet to reach a writer.
     unwritten: Vec<Record>,
+    // Since when no stream has needed a record in the store.
+    stored_since: Option<time::Duration>,
 }
 
 /// Returns whether a list of backend servers is current, by the time of the newest answer of the
@@ -133,6 +135,7 @@
             restored: Vec::new(),
             writers: rendezvous::Addresses::new(),
             unwritten: Vec::new(),
+            stored_since: None,
             running: collections::VecDeque::new(),
         }
     }
@@ -295,6 +298,13 @@
         is_other
     }
 
+    /// Returns whether the store's records of streams are void: their streams are over, and a version that
+    /// they name may have been withdrawn since.
+    pub fn are_batches_void(&self, now: time::Duration) -> bool {
+        let since = self.stored_since;
+        since.is_some_and(|since| now >= since + RETENTION)
+    }
+
     /// Forgets old records, and returns those that other entries have come to need: a second version
     /// was listed after the stream began, or the list is no longer current. To be called
     /// periodically.
@@ -302,6 +312,8 @@
         self.table.sweep(now);
         self.history.update_joins(now);
         self.journal.update(now);
+        let since = self.stored_since.unwrap_or(now);
+        self.stored_since = self.history.are_all_stored().then_some(since);
         self.running.retain(|running| running.may_be_taken_up(now));
         let mut running = std::mem::take(&mut self.running);
         let (mut due, mut unwritten) = (Vec::new(), Vec::new());
--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -281,6 +281,11 @@
         bindings.journal.on_keys(writers, writer, keys);
     }
 
+    /// Returns whether this entry has to delete the store's batches, whose records are void.
+    pub fn has_void_batches(&self) -> bool {
+        self.reads_store_now() && self.bindings.borrow().are_batches_void(self.now())
+    }
+
     /// Returns the next batch of records to write, if there is one.
     pub fn take_batch(&self) -> Option<Batch> {
         let now = self.now();
--- a/tests/stored.rs
+++ b/tests/stored.rs
@@ -230,3 +230,30 @@
         assert!(entries.iter().all(are_named), "late {late}");
     }
 }
+
+// Guards against records that are deleted while streams need them, and against ones that stay when a release is
+// over.
+#[test]
+fn batches_are_void_once_all_versions_have_been_stored_for_long() {
+    let mut entry = Registry::new(FirstStart::Claimed);
+    entry.history.add(SERVICE, version("v1"));
+    entry
+        .history
+        .add("other", Version::new("other", Some("v1")));
+    let run = |entry: &mut Registry, from: u64, until: u64| {
+        for at in (from..until).step_by(250) {
+            check(entry, at, true);
+        }
+        entry.are_batches_void(ms(until))
+    };
+    assert!(!run(&mut entry, 250, 1_000));
+    entry.history.confirm_first_start(Some(ms(1_000)));
+    assert!(!run(&mut entry, 1_000, 60_000));
+    assert!(run(&mut entry, 60_000, 63_000));
+    entry.history.add(SERVICE, version("v2"));
+    assert!(!run(&mut entry, 63_000, 64_000), "a second version joins");
+    assert!(!run(&mut entry, 64_000, 200_000), "it serves");
+    entry.history.remove(ms(200_000), SERVICE, version("v2"));
+    assert!(!run(&mut entry, 200_000, 310_000), "its streams may run");
+    assert!(run(&mut entry, 310_000, 330_000));
+}
