--- a/tests/stored.rs
+++ b/tests/stored.rs
@@ -218,9 +218,9 @@
                     offset += 1;
                 }
                 let statement = entry.stored.statement(ms(at), read(offset), &entry.history);
-                entries
-                    .iter_mut()
-                    .for_each(|e| drop(e.on_statement(statement.clone())));
+                for entry in &mut entries {
+                    entry.on_statement(statement.clone());
+                }
                 // The list is looked at after the store.
                 entries[n].take_due(ms(at), true);
             }
