Show streams that are refused as they are taken up after a crash

Cause: where a service has one version, a stream that its caller has a part of has to begin again within its latency objective, as a new one. The streams of a crashed backend server move to the same few homes at once and are refused there.

Nothing of the product changes.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -7,7 +7,7 @@
 ENTRY_FEATURES=$(sed -n 's/.*CHIVEBEND_FEATURES = "\([^"]*\)".*/\1/p' deploy/system.toml)
 SCRATCH=$(mktemp -d) || exit 2
 export ENTRY_PROGRAM ENTRY_FEATURES SCRATCH
-target/review-2/standin-2 shutdown review/7
+target/review-2/standin-2 crash review/7
 result=$?
 rm -rf "$SCRATCH"
 exit $result
--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -384,6 +384,9 @@
     is_up: bool,
     active: usize,
     channels: Vec<TcpStream>,
+    // Parts of prompts that it keeps, and when it will have read what it was sent.
+    kept: BTreeSet<String>,
+    read_until: Instant,
 }
 
 /// A model runner: streams as many events as the body of the request says.
@@ -396,6 +399,8 @@
     store: Store,
     journal: Journal,
     state: Arc<(Mutex<RunnerState>, Condvar)>,
+    /// Prompt tokens that it reads in 10 ms; 0 if it takes no time.
+    speed: Arc<AtomicUsize>,
 }
 
 fn unix_ms() -> u64 {
@@ -417,6 +422,8 @@
             is_up: true,
             active: 0,
             channels: Vec::new(),
+            kept: BTreeSet::new(),
+            read_until: Instant::now(),
         };
         let listener = TcpListener::bind((ip, 0)).unwrap_or_else(|e| give_up(&e.to_string()));
         let runner = Self {
@@ -427,6 +434,7 @@
             store: store.clone(),
             journal: journal.clone(),
             state: Arc::new((Mutex::new(state), Condvar::new())),
+            speed: Arc::default(),
         };
         runner.listen(listener);
         runner.report();
@@ -490,6 +498,8 @@
             state.born = unix_ms();
             state.sequence = 0;
             state.active = 0;
+            state.kept.clear();
+            state.read_until = Instant::now();
             state.is_up = true;
             drop(state);
             runner.listen(listener);
@@ -607,6 +617,34 @@
         (state.is_up && state.born == born).then(|| state.active += 1)
     }
 
+    // Waits until the prompt is read, behind those that came before. Parts that it keeps are not read
+    // again, nor are the events that the client has.
+    fn read_prompt(&self, request: &Message) {
+        let speed = self.speed.load(Ordering::SeqCst);
+        if speed == 0 {
+            return;
+        }
+        let mut state = self.state.0.lock().unwrap();
+        let (mut tokens, mut is_kept) = (0, true);
+        for part in request.header("prefix-hash").split(',') {
+            let count: usize = part
+                .rsplit(':')
+                .next()
+                .and_then(|n| n.parse().ok())
+                .unwrap_or(0);
+            is_kept = is_kept && state.kept.contains(part);
+            if !is_kept {
+                tokens += count;
+                state.kept.insert(part.to_owned());
+            }
+        }
+        let takes = Duration::from_secs_f64(tokens as f64 / speed as f64 / 100.0);
+        let until = state.read_until.max(Instant::now()) + takes;
+        state.read_until = until;
+        drop(state);
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+
     fn stream(&self, request: &Message, id: &str, out: &mut TcpStream, born: u64) -> Option<()> {
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let mut numbers = body.split(' ').filter_map(|n| n.parse::<u64>().ok());
@@ -617,6 +655,7 @@
              Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
             self.id
         );
+        self.read_prompt(request);
         out.write_all(head.as_bytes()).ok()?;
         for n in after + 1..=last {
             // The prompt is short, and read at once.
@@ -867,6 +906,9 @@
 #[derive(Clone, Default)]
 struct Attempt {
     id: String,
+    /// Path, if it isn't the usual one; tokens of the shared part and of the request's own.
+    path: Option<&'static str>,
+    tokens: Option<(u64, u64)>,
     part: String,
     events: u64,
     pause_ms: u64,
@@ -884,10 +926,13 @@
             .map_or(String::new(), |(first, last)| {
                 format!("Resumes: {first}\r\nLast-Event-Id: {last}\r\n")
             });
+        let (shared, own) = self.tokens.unwrap_or((350, 100));
         format!(
-            "POST /digest/a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {}\r\nApi-Key: key-farm\r\nModel: m\r\n\
-             Token-Usage: 450,{}\r\nPrefix-Hash: {}:350,{:x}:100\r\nDeadline-Ms: {}\r\n{resumes}Content-Length: {}\r\n\r\n{body}",
+            "POST {}a HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: {}\r\nApi-Key: key-farm\r\nModel: m\r\n\
+             Token-Usage: {},{}\r\nPrefix-Hash: {}:{shared},{:x}:{own}\r\nDeadline-Ms: {}\r\n{resumes}Content-Length: {}\r\n\r\n{body}",
+            self.path.unwrap_or("/digest/"),
             self.id,
+            shared + own,
             self.events,
             self.part,
             hash(&self.id),
@@ -1391,6 +1436,169 @@
     )
 }
 
+/// A kind of request of the site's sheet: path, objective and time limit, tokens of the shared part and
+/// of the request's own, events, and how many of a hundred requests are of it.
+struct Kind {
+    path: &'static str,
+    objective_ms: u64,
+    limit_ms: u64,
+    tokens: (u64, u64),
+    events: u64,
+    share: u64,
+}
+
+const KINDS: [Kind; 3] = [
+    Kind {
+        path: "/digest/",
+        objective_ms: 1_000,
+        limit_ms: 12_000,
+        tokens: (13_300, 3_720),
+        events: 40,
+        share: 36,
+    },
+    Kind {
+        path: "/advice/",
+        objective_ms: 1_500,
+        limit_ms: 6_000,
+        tokens: (6_300, 2_890),
+        events: 17,
+        share: 25,
+    },
+    Kind {
+        path: "/note/",
+        objective_ms: 1_500,
+        limit_ms: 12_000,
+        tokens: (350, 1_110),
+        events: 57,
+        share: 39,
+    },
+];
+
+fn sheet_configuration() -> String {
+    let plain = configuration(64, 1_000);
+    let (start, rest) = plain.split_once("\"routes\":[").unwrap_or_default();
+    let (_, end) = rest.split_once("],\"services\"").unwrap_or_default();
+    let routes: Vec<String> = KINDS
+        .iter()
+        .map(|kind| {
+            format!(
+                "{{\"name\":\"{0}\",\"hostname\":\"h.example\",\"path_prefix\":\"{0}\",\"route_type\":\"streaming\",\
+                 \"timeout_ms\":{1},\"target_latency_ms\":{2},\"priority\":1,\"service\":\"chive-llm\",\"max_attempts\":2,\
+                 \"anonymous\":false,\"session_affinity\":true,\"stream_resume\":true,\"target_gap_ms\":250}}",
+                kind.path, kind.limit_ms, kind.objective_ms
+            )
+        })
+        .collect();
+    format!("{start}\"routes\":[{}],\"services\"{end}", routes.join(","))
+}
+
+/// A quarter of the runners crash under the usual traffic and are back after 2 s. The callers take up
+/// the streams that broke, at other entries, while the other runners serve.
+fn crash(case: &Case) -> i32 {
+    const RUNNERS: usize = 18;
+    const CRASHING: usize = 4;
+    // Requests a second, as on the sheet; traffic before the crash, and in all.
+    const PER_S: f64 = 144.0;
+    const CRASH_AT: Duration = Duration::from_secs(14);
+    const TRAFFIC: Duration = Duration::from_secs(22);
+    const MIN_TAKEN_UP: usize = 12;
+    let journal = &case.journal;
+    let store = Store::open(Ipv4Addr::new(127, 88, 4, 100));
+    store.put("keyed.op", "config", &sheet_configuration());
+    let ip = Ipv4Addr::new(127, 88, 4, 200);
+    let runners: Vec<_> = (0..RUNNERS)
+        .map(|n| {
+            let id: &'static str = Box::leak(format!("i-{n}").into_boxed_str());
+            let runner = Runner::open((id, "5.1", 64), ip, &store, journal);
+            runner.speed.store(379, Ordering::SeqCst);
+            runner
+        })
+        .collect();
+    let mut entries = Entry::prepare(&ips(4, 4), &store, &case.scratch);
+    start_all(&mut entries, journal);
+    let addresses: Vec<_> = entries.iter().map(|e| e.callers).collect();
+    let begun = Instant::now();
+    let mut callers = Vec::new();
+    let mut random = 0x9e37_79b9_7f4a_7c15_u64;
+    let mut next = move |below: u64| {
+        random = random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        (random >> 33) % below
+    };
+    let mut crashed_at = None;
+    let mut n = 0_usize;
+    while begun.elapsed() < TRAFFIC {
+        if crashed_at.is_none() && begun.elapsed() >= CRASH_AT {
+            crashed_at = Some(Instant::now());
+            for runner in runners.iter().take(CRASHING).filter(|_| case.is_troubled) {
+                runner.crash(ms(2_000));
+            }
+        }
+        let at = begun + Duration::from_secs_f64(n as f64 / PER_S);
+        thread::sleep(at.saturating_duration_since(Instant::now()));
+        n += 1;
+        let draw = next(100);
+        let which = usize::from(draw >= KINDS[0].share)
+            + usize::from(draw >= KINDS[0].share + KINDS[1].share);
+        let kind = &KINDS[which];
+        let (entry, other, thing) = (next(4) as usize, next(4) as usize, next(80));
+        let attempt = Attempt {
+            id: format!("stream-{n}"),
+            path: Some(kind.path),
+            tokens: Some(kind.tokens),
+            part: format!("{:x}", 0x1000 * (which as u64 + 1) + thing),
+            events: kind.events,
+            pause_ms: 40,
+            deadline_ms: kind.limit_ms,
+            ..Attempt::default()
+        };
+        let (one, two) = (addresses[entry], addresses[other]);
+        let journal = journal.clone();
+        callers.push(thread::spawn(move || {
+            let sent = Instant::now();
+            let limit = attempt.deadline_ms;
+            let first = send_once(one, &attempt, &journal);
+            if first.is_complete || first.events.is_empty() {
+                return (sent, !first.events.is_empty(), None);
+            }
+            let left = limit.saturating_sub(sent.elapsed().as_millis() as u64);
+            let again = Attempt {
+                id: format!("{}-again", attempt.id),
+                deadline_ms: left,
+                resumes: Some((attempt.id.clone(), first.last_id)),
+                ..attempt
+            };
+            let second = send_once(two, &again, &journal);
+            (sent, true, Some(!second.events.is_empty()))
+        }));
+    }
+    let outcomes: Vec<_> = callers.into_iter().filter_map(|c| c.join().ok()).collect();
+    let taken_up: Vec<bool> = outcomes.iter().filter_map(|(.., again)| *again).collect();
+    // New streams since the crash, which lowers their share.
+    let since = |sent: &Instant| crashed_at.is_some_and(|at| *sent >= at);
+    let new: Vec<bool> = outcomes
+        .iter()
+        .filter(|(sent, ..)| since(sent))
+        .map(|(_, began, _)| *began)
+        .collect();
+    let share = |all: &[bool]| all.iter().filter(|b| **b).count() as f64 / all.len().max(1) as f64;
+    let (gone_on, begin) = (share(&taken_up), share(&new));
+    journal.line(&format!(
+        "{} streams taken up, share that goes on {gone_on:.2}; of {} new streams since the crash {begin:.2} begin; of all {} streams {:.2}",
+        taken_up.len(),
+        new.len(),
+        outcomes.len(),
+        outcomes.iter().filter(|(_, began, _)| *began).count() as f64 / outcomes.len().max(1) as f64,
+    ));
+    let is_broken = taken_up.len() >= MIN_TAKEN_UP && gone_on < begin / 2.0;
+    case.finish(
+        usize::from(is_broken),
+        0,
+        "shares of streams taken up below half of new ones",
+    )
+}
+
 fn main() {
     let args: Vec<String> = env::args().collect();
     let [_, name, dir] = &args[..] else {
@@ -1412,6 +1620,7 @@
         "versions" => versions,
         "shutdown" => shutdown,
         "taken_up" => taken_up,
+        "crash" => crash,
         _ => give_up("no such case"),
     };
     let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| run(&case)));
