Ask in the second review's check of a shutdown what the rule excuses

Cause: the check of case 8 didn't ask whether the request was read, whether a backend server ran it, and whether its caller still waited; the report put entries together.

--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -386,6 +386,8 @@
     channels: Vec<TcpStream>,
     // Parts of prompts that it keeps, and when it will have read what it was sent.
     kept: BTreeSet<String>,
+    // Client attempts that it has run.
+    ran: BTreeSet<String>,
     read_until: Instant,
 }
 
@@ -423,6 +425,7 @@
             active: 0,
             channels: Vec::new(),
             kept: BTreeSet::new(),
+            ran: BTreeSet::new(),
             read_until: Instant::now(),
         };
         let listener = TcpListener::bind((ip, 0)).unwrap_or_else(|e| give_up(&e.to_string()));
@@ -588,6 +591,7 @@
             return send(out, head);
         }
         self.take_slot(born)?;
+        self.state.0.lock().unwrap().ran.insert(id.clone());
         self.journal.line(&format!(
             "runner {} ({}) runs {id} after event {}",
             self.id,
@@ -885,6 +889,8 @@
     events: Vec<(String, String)>,
     last_id: u64,
     is_complete: bool,
+    /// True if its channel was reset, as one is whose request wasn't read.
+    was_reset: bool,
     /// When it ended.
     at: Option<Instant>,
 }
@@ -985,6 +991,12 @@
     fn exchange(&mut self, attempt: &Attempt) -> Option<Outcome> {
         let request = attempt.request();
         self.reader.get_mut().write_all(request.as_bytes()).ok()?;
+        if let Err(err) = self.reader.fill_buf() {
+            return Some(Outcome {
+                was_reset: err.kind() == std::io::ErrorKind::ConnectionReset,
+                ..Outcome::default()
+            });
+        }
         let head = read_head(&mut self.reader)?;
         let mut outcome = Outcome {
             status: head.status(),
@@ -1179,6 +1191,9 @@
         ("i-z2", "5.2"),
     ];
     const SLOTS: usize = 4;
+    const LOSS_SLACK: Duration = Duration::from_millis(200);
+    // Callers give up after four times the objective.
+    const PATIENCE: Duration = Duration::from_secs(6);
     const FILLERS: usize = 9;
     const STREAMS: usize = 3;
     let journal = &case.journal;
@@ -1273,7 +1288,7 @@
                 let sent = Instant::now();
                 let second = send_once(four, &again, &journal);
                 let took = second.at.map_or(Duration::ZERO, |at| at - sent);
-                (outcome, Some((second, took)))
+                (outcome, Some((second, took, ms(left), again.id)))
             })
         })
         .collect();
@@ -1298,14 +1313,21 @@
     runners[0].drain();
     let mut cut = 0;
     for stream in streams {
-        let Ok((_, Some((second, took)))) = stream.join() else {
+        let Ok((_, Some((second, took, left, id)))) = stream.join() else {
             continue;
         };
-        // The channel ended without a complete answer, later than `loss_slack_ms` after the
-        // request, and no runner was at work on it.
-        if second.status == 0 && second.events.is_empty() && took > ms(200) {
-            cut += 1;
-        }
+        // Read in full: a channel with unread bytes is reset as its process ends.
+        let was_read = !second.was_reset && took > LOSS_SLACK;
+        let is_unanswered = second.status == 0 && second.events.is_empty();
+        let has_run = runners
+            .iter()
+            .any(|runner| runner.state.0.lock().unwrap().ran.contains(&id));
+        // Before the caller gives up, and before its time limit.
+        let is_awaited = took < PATIENCE.min(left);
+        journal.line(&format!(
+            "{id}: read {was_read}, unanswered {is_unanswered} after {took:.1?} of {left:.1?}, run {has_run}"
+        ));
+        cut += usize::from(was_read && is_unanswered && !has_run && is_awaited);
     }
     for filler in fillers {
         let _ = filler.join();
