Give a process of unknown version a version of its own

Cause: "unknown" was version 0 of every service. It compared as equal to itself, so two restarted servers of different versions counted as one; it was written into records of streams, here, at holders and in the store; and it stayed there when the list told the version. Nothing in the log showed that moment: `version_known` does.

Change: such a process has a version that only it has, which every entry derives from the list entry. Once the list names the version, records of the one mean the other, also after the process has ended, and those of running streams are sent and written again. Streams that may be taken up begin at such a server only if no other can be used, or, while the list isn't current, if all others refuse.

Job and ServerInfo have a field more, so their literals in tests do.

--- a/examples/measure/placement.rs
+++ b/examples/measure/placement.rs
@@ -32,6 +32,7 @@
             is_engine: true,
             is_near: false,
             version: binding::Version::default(),
+            is_version_known: true,
         };
         fleet.add(time::Duration::ZERO, info);
     }
@@ -61,5 +62,6 @@
         excluded: SmallVec::new(),
         suspect: None,
         version: None,
+        is_resumable: false,
     }
 }
--- a/src/decide/binding/history.rs
+++ b/src/decide/binding/history.rs
@@ -5,7 +5,7 @@
 use smallvec::SmallVec;
 
 use super::join::{Joins, Opened, Statement};
-use super::{RETENTION, Version, service_hash};
+use super::{Processes, RETENTION, Version, service_hash};
 
 /// Maximum time by which entries differ on when a version was removed from the list.
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(5);
@@ -55,6 +55,8 @@
     singles: collections::HashMap<u64, Single>,
     /// Versions that aren't in use yet.
     pub joins: Joins,
+    /// Versions of processes.
+    pub processes: Processes,
     // Versions at which streams began before anything was known of the store.
     begun: collections::HashMap<u64, SmallVec<[Version; 2]>>,
 }
@@ -108,6 +110,28 @@
         listed.retain(|l| l.servers > 0 || now < l.until + RETENTION);
     }
 
+    /// Records that a listed process, which counted as a version of its own, runs this version.
+    /// Streams that began there began at it.
+    pub fn rename(&mut self, service: u64, process: Version, version: Version) {
+        let listed = self.services.entry(service).or_default();
+        if let Some(at) = listed.iter().position(|l| l.version == process) {
+            let servers = listed[at].servers;
+            let known = listed.iter_mut().find(|l| l.version == version);
+            match known {
+                Some(known) => {
+                    known.servers += servers;
+                    listed.remove(at);
+                }
+                None => listed[at].version = version,
+            }
+        }
+        let single = self.singles.get_mut(&service);
+        let single = single.map(|single| &mut single.version);
+        let begun = self.begun.get_mut(&service).into_iter().flatten();
+        let named = begun.chain(single).filter(|named| **named == process);
+        named.for_each(|named| *named = version);
+    }
+
     /// Records what others know: that a service had only this version within `covered` before `now`.
     pub fn on_single(
         &mut self,
--- a/src/decide/binding/mod.rs
+++ b/src/decide/binding/mod.rs
@@ -26,6 +26,7 @@
 mod history;
 mod join;
 mod journal;
+mod processes;
 mod registry;
 mod stored;
 mod table;
@@ -33,6 +34,7 @@
 pub use history::{FirstStart, History, View};
 pub use join::{Event, Joins, MAX_SINGLES, Opened, Position, Statement};
 pub use journal::{Batch, Journal, is_key, key_prefix, writers};
+pub use processes::Processes;
 pub use registry::{Registry, is_current};
 pub use stored::{Change, Stored, may_be_first_start};
 pub use table::Table;
@@ -51,6 +53,9 @@
 /// limits one attempt, and callers make several within a limit of their own.
 const TIMEOUTS_PER_STREAM: u32 = 2;
 
+/// Seed of the hashes that stand for versions of processes: other than those of versions.
+const PROCESS_SEED: u64 = 1;
+
 /// Share of the other entries, one in this many, from which on those out of reach may be a part of the
 /// fleet that works on by itself, as an availability zone does, rather than processes that ended.
 const MIN_CUT_DIVISOR: usize = 4;
@@ -68,6 +73,15 @@
         let hash = |name: &str| xxh3::xxh3_64_with_seed(name.as_bytes(), service_hash(service));
         Self(name.map_or(0, hash))
     }
+
+    /// Returns the version that stands for that of a process as long as it isn't known: no other
+    /// process has it, so that nothing else goes on with what the process began.
+    pub fn of_process(process: u64) -> Self {
+        Self(xxh3::xxh3_64_with_seed(
+            &process.to_le_bytes(),
+            PROCESS_SEED,
+        ))
+    }
 }
 
 /// Returns the hash by which entries refer to a service.
--- a/src/decide/binding/registry.rs
+++ b/src/decide/binding/registry.rs
@@ -5,7 +5,7 @@
 
 use super::{
     FirstStart, HOLDERS, History, Journal, List, RETENTION, Record, Replies, Reply, Resolution,
-    Service, Statement, Stored, Stream, Table, View, rendezvous,
+    Service, Statement, Stored, Stream, Table, Version, View, rendezvous, service_hash,
 };
 
 /// Age of the newest reading of the store up to which the list counts as current: two readings that
@@ -42,10 +42,27 @@
     holders: Option<rendezvous::Addresses>,
     // When the record last left for the store.
     written_at: Option<time::Duration>,
+    // Copies of the record that name the process at which the stream began, since its version wasn't
+    // known.
+    outdated: Copies,
     ended_at: Option<time::Duration>,
 }
 
+/// Where copies of a record are.
+#[derive(Clone, Copy, Debug, Default)]
+struct Copies {
+    at_peers: bool,
+    in_store: bool,
+}
+
 impl Running {
+    // The version of the process at which the stream began has become known.
+    fn on_version(&mut self, version: Version) {
+        self.record.version = version;
+        self.outdated.at_peers |= self.holders.is_some();
+        self.outdated.in_store |= self.written_at.is_some();
+    }
+
     fn is_same(&self, record: &Record) -> bool {
         self.record.stream == record.stream && self.record.version == record.version
     }
@@ -56,6 +73,9 @@
     }
 
     fn has_to_be_sent(&self, needs: Needs, peers: &[net::Ipv4Addr]) -> bool {
+        if self.outdated.at_peers {
+            return true;
+        }
         match (needs.peers, &self.holders) {
             (Delivery::Never, _) | (Delivery::Once, Some(_)) => false,
             (Delivery::Once | Delivery::WithPeers, None) => true,
@@ -66,6 +86,7 @@
     fn on_sent(&mut self, peers: &[net::Ipv4Addr]) {
         let holders = self.record.stream.holders(peers.iter().copied(), HOLDERS);
         self.holders = Some(holders);
+        self.outdated.at_peers = false;
     }
 
     // Leaves out holders that are out of reach, and those that a peer precedes that wasn't before.
@@ -83,6 +104,9 @@
     }
 
     fn has_to_be_written(&self, now: time::Duration, needs: Needs) -> bool {
+        if self.outdated.in_store {
+            return true;
+        }
         needs.store
             && match self.written_at {
                 Some(at) => now >= at + REWRITE_INTERVAL,
@@ -194,6 +218,41 @@
         self.history.view(now, service.hash, service.lifetime)
     }
 
+    /// Records a listed process of a service, and its version if it is known. Records of streams that
+    /// began there name the version from then on.
+    pub fn add_process(&mut self, service: &str, process: Version, version: Option<Version>) {
+        let has_become_known = self.history.processes.add(process, version);
+        let Some(version) = version.filter(|_| has_become_known) else {
+            return;
+        };
+        self.history.rename(service_hash(service), process, version);
+        let running = self.running.iter_mut();
+        for running in running.filter(|r| r.record.version == process) {
+            running.on_version(version);
+        }
+    }
+
+    /// Records that a process is no longer listed.
+    pub fn remove_process(&mut self, now: time::Duration, process: Version) {
+        self.history.processes.remove(now, process);
+    }
+
+    /// Returns the version that this one stands for, see [`Processes::resolve`].
+    pub fn resolve_version(&self, version: Version) -> Version {
+        self.history.processes.resolve(version)
+    }
+
+    /// Returns whether a version stands for a process whose own isn't known.
+    pub fn is_unknown(&self, version: Version) -> bool {
+        self.history.processes.is_unknown(version)
+    }
+
+    /// Returns the version that began a stream, if this entry has a record of it.
+    pub fn version_of(&self, stream: Stream) -> Option<Version> {
+        let version = self.table.get(stream)?;
+        Some(self.history.processes.resolve(version))
+    }
+
     /// Returns the reply to a peer that asks for the version of a stream. `is_current` tells whether
     /// this entry's list is.
     pub fn reply(
@@ -205,7 +264,7 @@
     ) -> Reply {
         let view = self.view(now, service);
         Reply {
-            version: self.table.get(stream),
+            version: self.version_of(stream),
             only: view.only().filter(|_| is_current),
             is_mixed: view.versions.len() > 1,
         }
@@ -277,6 +336,7 @@
     /// Records that a stream begins, or is taken up. Returns whether other entries need the record at once;
     /// otherwise it is kept until they do.
     pub fn begin(&mut self, record: Record, service: Service, is_current: bool) -> bool {
+        let record = self.resolved(record);
         self.table.add(record);
         let needs = self.needs(record.at, service, is_current);
         let mut known = self.running.iter_mut().rev();
@@ -294,6 +354,7 @@
             service,
             holders: None,
             written_at: None,
+            outdated: Copies::default(),
             ended_at: None,
         };
         let is_due = running.has_to_be_sent(needs, &self.peers);
@@ -301,6 +362,7 @@
             running.on_sent(&self.peers);
         }
         if running.has_to_be_written(record.at, needs) {
+            running.outdated.in_store = false;
             running.written_at = Some(record.at);
             self.unwritten.push(record);
         }
@@ -313,10 +375,18 @@
 
     /// Keeps a record of a peer, or of the store.
     pub fn keep(&mut self, record: Record) {
+        let record = self.resolved(record);
         self.history.on_record(record.version);
         self.table.add(record);
     }
 
+    fn resolved(&self, record: Record) -> Record {
+        Record {
+            version: self.history.processes.resolve(record.version),
+            ..record
+        }
+    }
+
     /// Records which other entries are known to run. Records become due again whose holders aren't the same
     /// any more, if their service has several versions.
     pub fn set_peers(&mut self, peers: impl Iterator<Item = net::Ipv4Addr>) {
@@ -379,6 +449,7 @@
     /// called periodically.
     pub fn take_due(&mut self, now: time::Duration, is_current: bool) -> Vec<Record> {
         self.table.sweep(now);
+        self.history.processes.sweep(now);
         self.history.update_joins(now);
         self.journal.update(now);
         let since = self.stored_since.unwrap_or(now);
@@ -397,6 +468,7 @@
                 due.push(running.record);
             }
             if running.has_to_be_written(now, needs) && unwritten.len() < MAX_UNWRITTEN {
+                running.outdated.in_store = false;
                 running.written_at = Some(now);
                 unwritten.push(running.record);
             }
--- a/src/decide/binding/stored.rs
+++ b/src/decide/binding/stored.rs
@@ -62,6 +62,7 @@
             let version = match view.only() {
                 _ if view.is_joined => None,
                 Some(_) if !history.is_settled(now, service) => continue,
+                Some(version) if history.processes.is_unknown(version) => continue,
                 Some(version) => Some(version),
                 None if view.versions.len() > 1 || is_contradicted() => None,
                 // Not known yet.
--- a/src/decide/place/homes.rs
+++ b/src/decide/place/homes.rs
@@ -21,6 +21,7 @@
     hash: u64,
     server: key::Sidecar,
     version: binding::Version,
+    is_version_known: bool,
     weight: f64,
 }
 
@@ -52,21 +53,29 @@
         .any(|c| (c.weight - first).abs() > f64::EPSILON)
 }
 
-fn is_usable(job: &Job, candidate: &Candidate) -> bool {
-    job.accepts(candidate.version) && !job.excluded.contains(&candidate.server)
+fn needs_known_version(job: &Job, candidates: &[Candidate]) -> bool {
+    let begins = job.is_resumable && job.version.is_none();
+    begins && candidates.iter().any(|c| c.is_version_known)
+}
+
+fn is_usable(job: &Job, candidate: &Candidate, needs_known: bool) -> bool {
+    job.accepts(candidate.version)
+        && (candidate.is_version_known || !needs_known)
+        && !job.excluded.contains(&candidate.server)
 }
 
 // Among candidates of one weight the order is that of their hashes, so only the first of each weight
 // are compared by weight, which takes a logarithm.
 fn weighted_home(candidates: &[Candidate], job: &Job, target: u64) -> Option<key::Sidecar> {
     let mut best: SmallVec<[(u64, &Candidate); 4]> = SmallVec::new();
+    let needs_known = needs_known_version(job, candidates);
     for candidate in candidates {
         let rank = rank(target, candidate.hash);
         let weight = candidate.weight.to_bits();
         let known = best.iter_mut().find(|(_, c)| c.weight.to_bits() == weight);
         match known {
             Some((highest, _)) if rank <= *highest => {}
-            _ if !is_usable(job, candidate) => {}
+            _ if !is_usable(job, candidate, needs_known) => {}
             Some(known) => *known = (rank, candidate),
             None => best.push((rank, candidate)),
         }
@@ -82,6 +91,7 @@
             hash: server.hash,
             server: at,
             version: server.version,
+            is_version_known: server.is_version_known,
             weight: server.speed.weight(),
         };
         self.0.entry(server.service).or_default().push(candidate);
@@ -93,6 +103,13 @@
         }
     }
 
+    // Returns whether a request may only go to a backend server whose version is known, since there are
+    // some.
+    pub(super) fn needs_known_version(&self, job: &Job) -> bool {
+        let servers = self.0.get(&job.service);
+        servers.is_some_and(|servers| needs_known_version(job, servers))
+    }
+
     // Returns whether backend servers of several versions get requests of the service.
     pub(super) fn are_mixed(&self, service: u32) -> bool {
         let servers = self.0.get(&service).map_or(&[][..], Vec::as_slice);
@@ -116,10 +133,12 @@
             return weighted_home(candidates, job, target);
         }
         let mut best = None;
+        let needs_known = needs_known_version(job, candidates);
         for candidate in candidates {
             let rank = rank(target, candidate.hash);
             // Few are better than all before them, so that few are looked up among the excluded.
-            if best.is_none_or(|(best, _)| rank > best) && is_usable(job, candidate) {
+            let is_first = best.is_none_or(|(best, _)| rank > best);
+            if is_first && is_usable(job, candidate, needs_known) {
                 best = Some((rank, candidate.server));
             }
         }
@@ -150,7 +169,9 @@
     ) -> impl Iterator<Item = (u64, key::Sidecar)> + 'a {
         let candidates = self.0.get(&job.service).map_or(&[][..], Vec::as_slice);
         let rank = rank_by(candidates);
-        let usable = candidates.iter().filter(|c| is_usable(job, c));
+        let needs_known = needs_known_version(job, candidates);
+        let usable = candidates.iter();
+        let usable = usable.filter(move |c| is_usable(job, c, needs_known));
         usable.map(move |c| (rank(target, c), c.server))
     }
 }
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -219,12 +219,13 @@
         known.queue.drain(..).map(|w| w.request).collect()
     }
 
-    /// Sets the version of a backend server's software.
+    /// Sets the version of a backend server's software, once it is known.
     pub fn set_version(&mut self, at: key::Sidecar, version: binding::Version) {
         let Some(server) = self.servers.get_mut(at) else {
             return;
         };
         server.version = version;
+        server.is_version_known = true;
         if server.is_ready() {
             self.homes.remove(server.service, at);
             self.homes.insert(at, server);
@@ -430,10 +431,13 @@
     // Returns the usable backend servers in order of preference.
     fn rank_servers(&self, job: &Job, random: &mut random::Random) -> SmallVec<[key::Sidecar; 32]> {
         let target = job.home_target();
+        let needs_known = self.homes.needs_known_version(job);
         let mut ranked: SmallVec<[(u64, key::Sidecar); 32]> = SmallVec::new();
         for (at, server) in &self.servers {
             let is_usable = server.service == job.service && server.is_ready();
-            if !is_usable || !job.accepts(server.version) || job.excluded.contains(&at) {
+            let is_accepted =
+                job.accepts(server.version) && (server.is_version_known || !needs_known);
+            if !is_usable || !is_accepted || job.excluded.contains(&at) {
                 continue;
             }
             let rank = if let Some(target) = target {
--- a/src/decide/place/server.rs
+++ b/src/decide/place/server.rs
@@ -52,6 +52,8 @@
     pub(super) is_engine: bool,
     pub(super) is_near: bool,
     pub(super) version: binding::Version,
+    // False if the version stands for that of the process, which isn't known.
+    pub(super) is_version_known: bool,
     pub(super) state: State,
     // When it last became ready; unchanged while it drains.
     pub(super) ready_since: time::Duration,
@@ -92,6 +94,7 @@
             is_engine: info.is_engine,
             is_near: info.is_near,
             version: info.version,
+            is_version_known: info.is_version_known,
             state: State::Ready,
             ready_since: now,
             own: Load::default(),
--- a/src/decide/place/state.rs
+++ b/src/decide/place/state.rs
@@ -18,6 +18,8 @@
     pub is_near: bool,
     /// Version of its software.
     pub version: binding::Version,
+    /// False if that stands for the version of the process, which isn't known yet.
+    pub is_version_known: bool,
 }
 
 /// What a backend server may be used for.
--- a/src/direct/backends.rs
+++ b/src/direct/backends.rs
@@ -8,7 +8,7 @@
 use super::peer::lease;
 use super::pool::backend;
 use super::{configuration, listing, logger, parts, peer, roster, state};
-use crate::decide::{health, place};
+use crate::decide::{binding, health, place};
 use crate::key;
 
 /// Maximum number of changes of a list that are logged one by one. A larger change, as at each start
@@ -215,15 +215,13 @@
                 is_engine: service.is_engine,
                 is_near: server.zone == self.settings.borrow().zone,
                 version,
+                is_version_known: server.version.is_some(),
             },
         );
         if earlier.is_some() {
             self.fleet.borrow_mut().set_restarted(self.now(), key);
         }
-        self.bindings
-            .borrow_mut()
-            .history
-            .add(&server.service, version);
+        self.add_version(&server, version);
         self.health.borrow_mut().add(self.now(), key);
         if is_logged {
             self.log_new(&server);
@@ -251,8 +249,16 @@
         self.backends.borrow_mut().insert(key, backend);
     }
 
-    // Applies the version of a known backend server, which an entry of an earlier release may have
-    // left out before.
+    // Records the version of a new backend server, or that it isn't known.
+    fn add_version(&self, server: &listing::Server, version: binding::Version) {
+        let mut bindings = self.bindings.borrow_mut();
+        bindings.history.add(&server.service, version);
+        let (process, known) = (server.process_version(), server.known_version());
+        bindings.add_process(&server.service, process, known);
+    }
+
+    // Applies the version of a known backend server. It wasn't known before if the process has just
+    // restarted, or an entry of an earlier release has left it out.
     fn set_version(&self, key: key::Sidecar, server: &listing::Server) {
         let version = server.software_version();
         let mut backends = self.backends.borrow_mut();
@@ -262,7 +268,16 @@
         let before = std::mem::replace(&mut backend.version, version);
         drop(backends);
         self.fleet.borrow_mut().set_version(key, version);
+        let process = server.process_version();
         let mut bindings = self.bindings.borrow_mut();
+        if before == process {
+            bindings.add_process(&server.service, process, Some(version));
+            drop(bindings);
+            let line = self.log.line("version_known");
+            let line = line.with("backend", &server.id);
+            drop(line.with("version", server.version.as_deref().unwrap_or("?")));
+            return;
+        }
         bindings.history.add(&server.service, version);
         bindings.history.remove(self.now(), &server.service, before);
     }
@@ -338,6 +353,7 @@
             let (now, service) = (self.now(), &backend.server.service);
             let mut bindings = self.bindings.borrow_mut();
             bindings.history.remove(now, service, backend.version);
+            bindings.remove_process(now, backend.server.process_version());
         }
         self.health.borrow_mut().remove(key);
         let waiting = self.fleet.borrow_mut().remove(key);
--- a/src/direct/binding.rs
+++ b/src/direct/binding.rs
@@ -46,6 +46,18 @@
             .map_or_else(binding::Version::default, |b| b.version)
     }
 
+    /// Returns the version that this one stands for, if the process that it names is known by now.
+    pub(super) fn resolve_version(&self, version: binding::Version) -> binding::Version {
+        self.bindings.borrow().resolve_version(version)
+    }
+
+    // Returns the version that a peer's record names.
+    fn version_in(&self, replies: &binding::Replies) -> Option<binding::Version> {
+        let mut replies = replies.received.iter();
+        let version = replies.find_map(|reply| reply.version)?;
+        Some(self.resolve_version(version))
+    }
+
     // Returns the name of a version, for logs; its hash if no backend server runs it any more.
     fn version_name(&self, version: binding::Version) -> String {
         let backends = self.backends.borrow();
@@ -54,7 +66,7 @@
         name.unwrap_or_else(|| version.to_string())
     }
 
-    fn has_current_list(&self) -> bool {
+    pub(super) fn has_current_list(&self) -> bool {
         binding::is_current(self.now(), self.spread.borrow().last_answer())
     }
 
@@ -353,7 +365,8 @@
         let mut bindings = self.bindings.borrow_mut();
         let restored = std::mem::take(&mut bindings.restored);
         for record in &restored {
-            bindings.history.on_record(record.version);
+            let version = bindings.resolve_version(record.version);
+            bindings.history.on_record(version);
         }
         drop(bindings);
         exchange::send_records(self, &restored);
@@ -441,7 +454,7 @@
         }
         let entry = rc::Rc::clone(&self.entry);
         let stream = self.stream();
-        let known = entry.bindings.borrow().table.get(stream);
+        let known = entry.bindings.borrow().version_of(stream);
         let (version, source) = match known {
             Some(version) => (Some(version), "record"),
             None => self.ask_peers(stream).await,
@@ -470,11 +483,11 @@
         let (entry, service) = (&self.entry, self.bound_service());
         let taken_up_at = entry.now();
         let mut replies = exchange::request(entry, stream, service).await;
-        if let Some(version) = replies.received.iter().find_map(|reply| reply.version) {
+        if let Some(version) = entry.version_in(&replies) {
             return (Some(version), "peer");
         }
         loop {
-            if let Some(version) = entry.bindings.borrow().table.get(stream) {
+            if let Some(version) = entry.bindings.borrow().version_of(stream) {
                 return (Some(version), "record");
             }
             let resolution = entry.resolve_binding(service, taken_up_at, &replies);
@@ -486,7 +499,7 @@
             if is_open && entry.now() < RESTORE_TIME {
                 tokio::time::sleep(RESTORE_POLL).await;
                 replies = exchange::request(entry, stream, service).await;
-                if let Some(version) = replies.received.iter().find_map(|reply| reply.version) {
+                if let Some(version) = entry.version_in(&replies) {
                     return (Some(version), "peer");
                 }
                 continue;
@@ -536,10 +549,12 @@
             return;
         }
         let service = self.bound_service().hash;
+        // It may have become known since the slot was acquired.
+        let version = self.entry.resolve_version(slot.version);
         let mut bindings = self.entry.bindings.borrow_mut();
-        bindings.history.on_begun(service, slot.version);
+        bindings.history.on_begun(service, version);
         drop(bindings);
-        self.keep_binding(slot.version);
+        self.keep_binding(version);
     }
 
     // Binds the stream, and records its version here and wherever it is needed.
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -187,7 +187,7 @@
                 continue;
             }
             let server = slot.server;
-            if self.version.is_some_and(|version| version != slot.version) {
+            if !self.may_go_on_at(slot.version) {
                 self.unreachable.push(server);
                 continue;
             }
--- a/src/direct/listing.rs
+++ b/src/direct/listing.rs
@@ -47,8 +47,8 @@
     /// Milliseconds for which it stays cold after the report.
     #[serde(default)]
     pub cold_ms: u32,
-    /// Version of its software; `None` if an entry of an earlier release sent the list entry, or
-    /// the process restarted since.
+    /// Version of its software; `None` as long as it isn't known: an entry of an earlier release sent
+    /// the list entry, or the process has restarted since.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<String>,
     /// Report that the entry comes from.
@@ -195,9 +195,22 @@
         parts.into_iter().fold(start, hash)
     }
 
-    /// Returns the version of its software, for comparison.
+    /// Returns the version of its software, for comparison; one that only this process has if it
+    /// isn't known.
     pub fn software_version(&self) -> binding::Version {
-        binding::Version::new(&self.service, self.version.as_deref())
+        self.known_version()
+            .unwrap_or_else(|| self.process_version())
+    }
+
+    /// Returns the version of its software, if it is known.
+    pub fn known_version(&self) -> Option<binding::Version> {
+        let name = self.version.as_deref()?;
+        Some(binding::Version::new(&self.service, Some(name)))
+    }
+
+    /// Returns the version that stands for that of this process as long as it isn't known.
+    pub fn process_version(&self) -> binding::Version {
+        binding::Version::of_process(self.process_hash())
     }
 
     /// Returns whether it was cold at the time of its report.
--- a/src/direct/peer/lease.rs
+++ b/src/direct/peer/lease.rs
@@ -75,6 +75,7 @@
         excluded: smallvec::SmallVec::new(),
         suspect: request.suspect_fingerprint(),
         version: None,
+        is_resumable: false,
     };
     let local_number = entry.next_request_number();
     let mut fleet = entry.fleet.borrow_mut();
--- a/src/direct/route/mod.rs
+++ b/src/direct/route/mod.rs
@@ -178,6 +178,7 @@
         excluded: SmallVec::new(),
         suspect: check_quarantine(entry, &name, shape, answer)?,
         version: None,
+        is_resumable: route.kind == configuration::RouteKind::ResumableStream,
     };
     let leaves = |at| entry.remote_decider(at).is_none() && entry.leaves_to_decider(at);
     let explanation = entry.fleet.borrow().explain(now, &job, leaves);
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -187,10 +187,12 @@
 impl forward::Call {
     pub(super) async fn acquire_slot(&mut self) -> Result<Slot, refusal::Refusal> {
         let entry = rc::Rc::clone(&self.entry);
+        self.version = self.version.map(|v| entry.resolve_version(v));
         let mut job = self.job()?;
         let started = entry.now();
         let mut offer = match self.first_offer(&job) {
             Err(_) if self.leave_base(&mut job).await => self.first_offer(&job)?,
+            Err(_) if self.accept_unknown(&mut job) => self.first_offer(&job)?,
             offer => offer?,
         };
         let mut refusals = 0;
@@ -208,13 +210,20 @@
                     job.version = self.version.or_else(|| self.base_version());
                     offer = match self.home(&job) {
                         Err(_) if self.leave_base(&mut job).await => self.home(&job)?,
+                        Err(_) if self.accept_unknown(&mut job) => self.home(&job)?,
                         offer => offer?,
                     };
                 }
                 Err(refusal) => {
                     refusals += 1;
                     let next = self.next_offer(&mut job, offer.server, refusal.code, refusals);
-                    offer = next.ok_or(refusal)?;
+                    offer = match next {
+                        // The versions of backend servers that have restarted stay unknown for longer.
+                        None if !entry.has_current_list() && self.accept_unknown(&mut job) => {
+                            self.home(&job).map_err(|_none_left| refusal)?
+                        }
+                        next => next.ok_or(refusal)?,
+                    };
                 }
             }
         };
@@ -251,6 +260,22 @@
         true
     }
 
+    // If no backend server takes a stream whose version is known, lets it begin at any; returns whether
+    // that makes a difference. Such a stream is bound to the process until its version is known.
+    fn accept_unknown(&self, job: &mut place::Job) -> bool {
+        if job.version.is_some() || !std::mem::replace(&mut job.is_resumable, false) {
+            return false;
+        }
+        self.entry.fleet.borrow_mut().choose(job).is_some()
+    }
+
+    /// Returns whether the request may be sent to a backend server of this version.
+    pub(super) fn may_go_on_at(&self, version: binding::Version) -> bool {
+        let resolve = |version| self.entry.resolve_version(version);
+        self.version
+            .is_none_or(|bound| resolve(bound) == resolve(version))
+    }
+
     // A version may have joined while the request waited.
     fn may_begin_at(&self, version: binding::Version) -> bool {
         self.base_version().is_none_or(|base| base == version)
@@ -404,6 +429,7 @@
                 .collect(),
             suspect: self.check_quarantine()?,
             version: self.version.or_else(|| self.base_version()),
+            is_resumable: req.route.kind == configuration::RouteKind::ResumableStream,
         })
     }
 
--- a/tests/aggregate_load.rs
+++ b/tests/aggregate_load.rs
@@ -143,6 +143,7 @@
         is_engine: true,
         is_near: false,
         version: chivebend::decide::binding::Version::default(),
+        is_version_known: true,
     }
 }
 
@@ -238,6 +239,7 @@
             excluded: SmallVec::new(),
             suspect: None,
             version: None,
+            is_resumable: false,
         }
     }
 
--- a/tests/asks.rs
+++ b/tests/asks.rs
@@ -143,6 +143,7 @@
         excluded: SmallVec::new(),
         suspect: None,
         version: None,
+        is_resumable: false,
     }
 }
 
--- a/tests/backends.rs
+++ b/tests/backends.rs
@@ -33,6 +33,7 @@
             excluded: smallvec![],
             suspect: None,
             version: None,
+            is_resumable: false,
         };
         let key = entry.fleet.borrow_mut().choose(&job)?;
         let backends = entry.backends.borrow();
--- a/tests/binding.rs
+++ b/tests/binding.rs
@@ -603,6 +603,7 @@
         excluded,
         suspect: None,
         version,
+        is_resumable: false,
     }
 }
 
@@ -614,6 +615,7 @@
         is_engine,
         is_near: true,
         version: version(name),
+        is_version_known: true,
     }
 }
 
--- a/tests/cold_load.rs
+++ b/tests/cold_load.rs
@@ -43,6 +43,7 @@
             is_engine: true,
             is_near: true,
             version: chivebend::decide::binding::Version::default(),
+            is_version_known: true,
         },
     );
     fleet.set_cold(ms(0), engine, ms(COLD_MS), COLD_REQUESTS_PER_S);
@@ -77,6 +78,7 @@
             excluded: SmallVec::new(),
             suspect: None,
             version: None,
+            is_resumable: false,
         };
         let verdict = self.fleet.place_at(ms(now), self.next, &job, self.engine);
         let mut started = 0;
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -29,6 +29,7 @@
             is_engine,
             is_near: n % 2 == 0,
             version: binding::Version::default(),
+            is_version_known: true,
         };
         fleet.add(ms(0), info)
     };
--- a/tests/fetch_load.rs
+++ b/tests/fetch_load.rs
@@ -37,6 +37,7 @@
         is_engine: true,
         is_near: true,
         version: chivebend::decide::binding::Version::default(),
+        is_version_known: true,
     }
 }
 
@@ -92,6 +93,7 @@
             excluded: smallvec![],
             suspect: None,
             version: None,
+            is_resumable: false,
         }
     }
 
--- a/tests/loads.rs
+++ b/tests/loads.rs
@@ -57,6 +57,7 @@
         is_engine: false,
         is_near: true,
         version: binding::Version::default(),
+        is_version_known: true,
     };
     let at = fleet.add(time::Duration::ZERO, info);
     fleet.set_peer_load(at, sum);
--- a/tests/place.rs
+++ b/tests/place.rs
@@ -34,6 +34,7 @@
                 is_engine: engine,
                 is_near: n == 0,
                 version: chivebend::decide::binding::Version::default(),
+                is_version_known: true,
             },
         )
     };
@@ -59,6 +60,7 @@
         excluded: SmallVec::new(),
         suspect: None,
         version: None,
+        is_resumable: false,
     }
 }
 
--- a/tests/place_load.rs
+++ b/tests/place_load.rs
@@ -70,6 +70,7 @@
                     is_engine: false,
                     is_near: n == 0,
                     version: chivebend::decide::binding::Version::default(),
+                    is_version_known: true,
                 },
             );
         }
@@ -132,6 +133,7 @@
             excluded: SmallVec::new(),
             suspect: None,
             version: None,
+            is_resumable: false,
         };
         let server = self.fleet.choose(&job).expect("a backend server");
         match self.fleet.place_at(at(now), request, &job, server) {
--- a/tests/reading.rs
+++ b/tests/reading.rs
@@ -36,6 +36,7 @@
         is_engine: true,
         is_near: true,
         version: binding::Version::default(),
+        is_version_known: true,
     };
     let engine = fleet.add(time::Duration::ZERO, info);
     let mut customers = SlotMap::with_key();
@@ -68,6 +69,7 @@
             excluded: SmallVec::new(),
             suspect: None,
             version: None,
+            is_resumable: false,
         };
         self.fleet.place_at(ms(now), self.next, &job, self.engine)
     }
--- a/tests/reading_load.rs
+++ b/tests/reading_load.rs
@@ -125,6 +125,7 @@
             excluded: SmallVec::new(),
             suspect: None,
             version: None,
+            is_resumable: false,
         };
         let verdict = self
             .fleet
@@ -169,6 +170,7 @@
         is_engine: true,
         is_near: true,
         version: binding::Version::default(),
+        is_version_known: true,
     };
     let server = fleet.add(time::Duration::ZERO, info);
     Engine {
--- a/tests/second_silent.rs
+++ b/tests/second_silent.rs
@@ -105,6 +105,7 @@
         excluded: SmallVec::new(),
         suspect: None,
         version: None,
+        is_resumable: false,
     }
 }
 
--- a/tests/share_load.rs
+++ b/tests/share_load.rs
@@ -111,6 +111,7 @@
                     is_engine: true,
                     is_near: false,
                     version: chivebend::decide::binding::Version::default(),
+                    is_version_known: true,
                 },
             )
         };
@@ -181,6 +182,7 @@
             excluded: SmallVec::new(),
             suspect: None,
             version: None,
+            is_resumable: false,
         }
     }
 
--- a/tests/support/engines.rs
+++ b/tests/support/engines.rs
@@ -48,6 +48,7 @@
             is_engine: true,
             is_near: is_near(n),
             version: binding::Version::default(),
+            is_version_known: true,
         };
         fleet.add(time::Duration::ZERO, info)
     };
@@ -82,5 +83,6 @@
         excluded: SmallVec::new(),
         suspect: None,
         version: None,
+        is_resumable: false,
     }
 }
--- a/tests/urgent_load.rs
+++ b/tests/urgent_load.rs
@@ -81,6 +81,7 @@
                 is_engine: true,
                 is_near: true,
                 version: chivebend::decide::binding::Version::default(),
+                is_version_known: true,
             };
             fleet.add(time::Duration::ZERO, listed);
         }
@@ -155,6 +156,7 @@
             excluded: smallvec![],
             suspect: None,
             version: None,
+            is_resumable: false,
         };
         let server = self.fleet.choose(&job).expect("an engine");
         match self.fleet.place_at(at(now), request, &job, server) {
