Let streams begin where a version stays unknown for long

That holds capacity back for a whole outage.

Change: they avoid such a server for three seconds after its restart. The list tells the version within one, unless the store is away; then the capacity is worth more than the streams that are lost if the process ends once more before its version is known. They still can't go on at another version.

--- a/src/decide/place/homes.rs
+++ b/src/decide/place/homes.rs
@@ -21,7 +21,7 @@
     hash: u64,
     server: key::Sidecar,
     version: binding::Version,
-    is_version_known: bool,
+    begins_streams: bool,
     weight: f64,
 }
 
@@ -53,14 +53,14 @@
         .any(|c| (c.weight - first).abs() > f64::EPSILON)
 }
 
-fn needs_known_version(job: &Job, candidates: &[Candidate]) -> bool {
+fn avoids_unknown(job: &Job, candidates: &[Candidate]) -> bool {
     let begins = job.is_resumable && job.version.is_none();
-    begins && candidates.iter().any(|c| c.is_version_known)
+    begins && candidates.iter().any(|c| c.begins_streams)
 }
 
-fn is_usable(job: &Job, candidate: &Candidate, needs_known: bool) -> bool {
+fn is_usable(job: &Job, candidate: &Candidate, avoids_unknown: bool) -> bool {
     job.accepts(candidate.version)
-        && (candidate.is_version_known || !needs_known)
+        && (candidate.begins_streams || !avoids_unknown)
         && !job.excluded.contains(&candidate.server)
 }
 
@@ -68,14 +68,14 @@
 // are compared by weight, which takes a logarithm.
 fn weighted_home(candidates: &[Candidate], job: &Job, target: u64) -> Option<key::Sidecar> {
     let mut best: SmallVec<[(u64, &Candidate); 4]> = SmallVec::new();
-    let needs_known = needs_known_version(job, candidates);
+    let avoids_unknown = avoids_unknown(job, candidates);
     for candidate in candidates {
         let rank = rank(target, candidate.hash);
         let weight = candidate.weight.to_bits();
         let known = best.iter_mut().find(|(_, c)| c.weight.to_bits() == weight);
         match known {
             Some((highest, _)) if rank <= *highest => {}
-            _ if !is_usable(job, candidate, needs_known) => {}
+            _ if !is_usable(job, candidate, avoids_unknown) => {}
             Some(known) => *known = (rank, candidate),
             None => best.push((rank, candidate)),
         }
@@ -91,7 +91,7 @@
             hash: server.hash,
             server: at,
             version: server.version,
-            is_version_known: server.is_version_known,
+            begins_streams: server.begins_streams,
             weight: server.speed.weight(),
         };
         self.0.entry(server.service).or_default().push(candidate);
@@ -103,11 +103,10 @@
         }
     }
 
-    // Returns whether a request may only go to a backend server whose version is known, since there are
-    // some.
-    pub(super) fn needs_known_version(&self, job: &Job) -> bool {
+    // Returns whether a request avoids backend servers whose versions aren't known, since there are others.
+    pub(super) fn avoids_unknown(&self, job: &Job) -> bool {
         let servers = self.0.get(&job.service);
-        servers.is_some_and(|servers| needs_known_version(job, servers))
+        servers.is_some_and(|servers| avoids_unknown(job, servers))
     }
 
     // Returns whether backend servers of several versions get requests of the service.
@@ -125,6 +124,14 @@
         }
     }
 
+    // Lets new streams begin at a backend server though its version isn't known.
+    pub(super) fn set_begins_streams(&mut self, service: u32, server: key::Sidecar) {
+        let candidates = self.0.get_mut(&service).into_iter().flatten();
+        for candidate in candidates.filter(|c| c.server == server) {
+            candidate.begins_streams = true;
+        }
+    }
+
     // Returns the backend server with the greatest hash of a target and its id, by weight, without
     // those that the job excludes.
     pub(super) fn home(&self, job: &Job, target: u64) -> Option<key::Sidecar> {
@@ -133,12 +140,12 @@
             return weighted_home(candidates, job, target);
         }
         let mut best = None;
-        let needs_known = needs_known_version(job, candidates);
+        let avoids_unknown = avoids_unknown(job, candidates);
         for candidate in candidates {
             let rank = rank(target, candidate.hash);
             // Few are better than all before them, so that few are looked up among the excluded.
             let is_first = best.is_none_or(|(best, _)| rank > best);
-            if is_first && is_usable(job, candidate, needs_known) {
+            if is_first && is_usable(job, candidate, avoids_unknown) {
                 best = Some((rank, candidate.server));
             }
         }
@@ -169,9 +176,9 @@
     ) -> impl Iterator<Item = (u64, key::Sidecar)> + 'a {
         let candidates = self.0.get(&job.service).map_or(&[][..], Vec::as_slice);
         let rank = rank_by(candidates);
-        let needs_known = needs_known_version(job, candidates);
+        let avoids_unknown = avoids_unknown(job, candidates);
         let usable = candidates.iter();
-        let usable = usable.filter(move |c| is_usable(job, c, needs_known));
+        let usable = usable.filter(move |c| is_usable(job, c, avoids_unknown));
         usable.map(move |c| (rank(target, c), c.server))
     }
 }
--- a/src/decide/place/job.rs
+++ b/src/decide/place/job.rs
@@ -51,8 +51,8 @@
     pub suspect: Option<quarantine::Fingerprint>,
     /// Version of the backend servers that it may be sent to; `None` if it may be sent to all.
     pub version: Option<binding::Version>,
-    /// True if it is a stream that its caller may take up. It begins at a backend server whose version
-    /// is known, if one can be used: it couldn't go on elsewhere before its version is known.
+    /// True if it is a stream that its caller may take up. If others can be used, it doesn't begin at a
+    /// backend server whose version will be known soon: it couldn't go on elsewhere before that.
     pub is_resumable: bool,
 }
 
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -225,7 +225,7 @@
             return;
         };
         server.version = version;
-        server.is_version_known = true;
+        server.begins_streams = true;
         if server.is_ready() {
             self.homes.remove(server.service, at);
             self.homes.insert(at, server);
@@ -431,12 +431,12 @@
     // Returns the usable backend servers in order of preference.
     fn rank_servers(&self, job: &Job, random: &mut random::Random) -> SmallVec<[key::Sidecar; 32]> {
         let target = job.home_target();
-        let needs_known = self.homes.needs_known_version(job);
+        let avoids_unknown = self.homes.avoids_unknown(job);
         let mut ranked: SmallVec<[(u64, key::Sidecar); 32]> = SmallVec::new();
         for (at, server) in &self.servers {
             let is_usable = server.service == job.service && server.is_ready();
             let is_accepted =
-                job.accepts(server.version) && (server.is_version_known || !needs_known);
+                job.accepts(server.version) && (server.begins_streams || !avoids_unknown);
             if !is_usable || !is_accepted || job.excluded.contains(&at) {
                 continue;
             }
@@ -595,7 +595,11 @@
     /// Forgets prompt parts that were not used for long and expired waits. Call it every few
     /// seconds.
     pub fn sweep(&mut self, now: time::Duration) {
-        for server in self.servers.values_mut() {
+        for (at, server) in &mut self.servers {
+            if server.is_unknown_for_long(now) {
+                server.begins_streams = true;
+                self.homes.set_begins_streams(server.service, at);
+            }
             server.sweep_parts(now);
             server.queue.retain(|w| now < w.until + EXPIRED_RETENTION);
         }
--- a/src/decide/place/server.rs
+++ b/src/decide/place/server.rs
@@ -39,6 +39,11 @@
 /// this allowance a request that waits to its limit is late by that time.
 const TYPICAL_AHEAD_MS: f64 = 80.0;
 
+/// Time after which a backend server of unknown version gets new streams all the same: the list tells the
+/// version within a second, unless the store is away. Then the capacity is worth more than what is lost if
+/// the process ends before its version is known.
+const MAX_UNKNOWN_TIME: time::Duration = time::Duration::from_secs(3);
+
 /// Time for which an unused prompt part is assumed to stay in an engine's cache; engines evict the
 /// least recently used parts.
 const CACHED_PART_LIFETIME: time::Duration = time::Duration::from_secs(60);
@@ -52,8 +57,10 @@
     pub(super) is_engine: bool,
     pub(super) is_near: bool,
     pub(super) version: binding::Version,
-    // False if the version stands for that of the process, which isn't known.
-    pub(super) is_version_known: bool,
+    // False as long as the version stands for that of the process, which may soon be known.
+    pub(super) begins_streams: bool,
+    // When it was added.
+    pub(super) added_at: time::Duration,
     pub(super) state: State,
     // When it last became ready; unchanged while it drains.
     pub(super) ready_since: time::Duration,
@@ -94,7 +101,8 @@
             is_engine: info.is_engine,
             is_near: info.is_near,
             version: info.version,
-            is_version_known: info.is_version_known,
+            begins_streams: info.is_version_known,
+            added_at: now,
             state: State::Ready,
             ready_since: now,
             own: Load::default(),
@@ -269,6 +277,11 @@
         now + time::Duration::from_secs_f64(max_wait.max(0.0) / 1e3)
     }
 
+    // Returns whether it is to get new streams from now on, since its version hasn't become known for long.
+    pub(super) fn is_unknown_for_long(&self, now: time::Duration) -> bool {
+        !self.begins_streams && now >= self.added_at + MAX_UNKNOWN_TIME
+    }
+
     // Forgets cached prompt parts that were not used for long.
     pub(super) fn sweep_parts(&mut self, now: time::Duration) {
         self.cached_parts
--- a/tests/unknown_version.rs
+++ b/tests/unknown_version.rs
@@ -230,6 +230,11 @@
         fleet.set_state(ms(1), known, place::State::Draining);
         assert_eq!(chosen(&mut fleet, true, None), [unknown]);
         fleet.set_state(ms(2), known, place::State::Ready);
+        // Without the store a version may stay unknown, and the server has room.
+        fleet.sweep(ms(2_900));
+        assert_eq!(chosen(&mut fleet, true, None), [known]);
+        fleet.sweep(ms(3_000));
+        assert_eq!(chosen(&mut fleet, true, None).len(), 2);
         fleet.set_version(unknown, version("v2"));
         assert_eq!(chosen(&mut fleet, true, None).len(), 2);
         assert!(chosen(&mut fleet, true, Some(process)).is_empty());
