Let streams that have begun wait until their deadline

Cause: in a service of one version a stream that its caller has a part of was placed like a new request, to begin within the objective, and tried fewer servers after a refusal.

Change: a stream that has begun waits until its deadline and tries up to three other homes in any service; of a suspect it waits for the end of the other try, for as long as callers do. Requests that wait beyond their objective take half of a queue at most.

--- a/src/decide/place/job.rs
+++ b/src/decide/place/job.rs
@@ -93,6 +93,11 @@
 }
 
 impl Job {
+    // Returns whether it may wait for longer than its objective, since its caller has a part of it.
+    pub(super) fn outwaits_objective(&self, now: time::Duration) -> bool {
+        self.due > now + self.objective
+    }
+
     // Returns whether it may be sent to a backend server of this version.
     pub(super) fn accepts(&self, version: binding::Version) -> bool {
         self.version.is_none_or(|bound| bound == version)
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -55,6 +55,9 @@
 /// longest objective.
 const MAX_QUEUED: usize = 256;
 
+/// The same for those that may wait for longer than their objective, so that they leave room for others.
+const MAX_QUEUED_BEGUN: usize = MAX_QUEUED / 2;
+
 /// Time for which an expired request stays in the queue if its wait was not cancelled.
 const EXPIRED_RETENTION: time::Duration = time::Duration::from_secs(1);
 
@@ -421,7 +424,11 @@
         if starts {
             return Judgement::Start;
         }
-        if server.queue.len() >= MAX_QUEUED {
+        let outwaits = |w: &&Queued| w.job.outwaits_objective(now);
+        let has_begun = job.outwaits_objective(now);
+        if server.queue.len() >= MAX_QUEUED
+            || has_begun && server.queue.iter().filter(outwaits).count() >= MAX_QUEUED_BEGUN
+        {
             return Judgement::Refuse(code::Code::QueueFull, MIN_RETRY_AFTER);
         }
         let below_share = self.is_below_share(now, job.customer);
--- a/src/decide/place/share.rs
+++ b/src/decide/place/share.rs
@@ -127,10 +127,9 @@
         asked: f64,
         random: &mut random::Random,
     ) -> Option<key::Sidecar> {
-        // A stream that is bound to one of several versions has few homes, and what its caller has
-        // received of it is lost unless it goes on.
-        let is_bound = job.version.is_some() && self.homes.are_mixed(job.service);
-        if (job.suspect.is_some() || is_bound) && job.excluded.len() <= MAX_OTHER_HOMES {
+        // What its caller has received of a stream that has begun is lost unless it goes on.
+        if (job.suspect.is_some() || job.version.is_some()) && job.excluded.len() <= MAX_OTHER_HOMES
+        {
             return self.choose_by(job, random);
         }
         if job.excluded.len() > MAX_OTHER_HOMES || !self.is_starved_with(now, job.customer, asked) {
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -5,7 +5,7 @@
 use super::peer::{message, placement};
 use super::{configuration, forward, refusal, state};
 use crate::code;
-use crate::decide::{binding, place, random};
+use crate::decide::{binding, overload, place, random};
 use crate::key;
 
 /// Retry-After if no backend server of the version is left that a stream is bound to: the last one
@@ -17,6 +17,9 @@
 const JOIN_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 const JOIN_POLL: time::Duration = time::Duration::from_millis(20);
 
+/// Interval at which a stream that has begun and is a suspect asks again while another try runs.
+const TRY_POLL: time::Duration = time::Duration::from_millis(200);
+
 /// A slot at a backend server; it is released when dropped.
 #[derive(Debug)]
 pub struct Slot {
@@ -185,7 +188,39 @@
 }
 
 impl forward::Call {
+    /// Acquires a slot. Where another try of a suspect runs alone, a stream that has begun waits for its end:
+    /// what its caller has is lost if it is refused.
     pub(super) async fn acquire_slot(&mut self) -> Result<Slot, refusal::Refusal> {
+        let started = self.entry.now();
+        loop {
+            let refusal = match self.try_acquire_slot().await {
+                Ok(slot) => return Ok(slot),
+                Err(refusal) => refusal,
+            };
+            let waited = self.entry.now().saturating_sub(started);
+            let objective = self.req.route.objective;
+            let has_left = overload::has_caller_left(waited, time::Duration::ZERO, objective);
+            if has_left || !self.awaits_other_try(refusal) {
+                return Err(refusal);
+            }
+            tokio::time::sleep(TRY_POLL).await;
+            self.waited += TRY_POLL;
+        }
+    }
+
+    fn awaits_other_try(&self, refusal: refusal::Refusal) -> bool {
+        let is_suspect = || matches!(self.check_quarantine(), Ok(Some(_)));
+        let has_begun = self.version.is_some();
+        has_begun
+            && match refusal.code {
+                code::Code::RequestTried => true,
+                // Another suspect may run there.
+                code::Code::DeadlineUnreachable => is_suspect(),
+                _ => false,
+            }
+    }
+
+    async fn try_acquire_slot(&mut self) -> Result<Slot, refusal::Refusal> {
         let entry = rc::Rc::clone(&self.entry);
         self.version = self.version.map(|v| entry.resolve_version(v));
         let mut job = self.job()?;
@@ -411,15 +446,15 @@
         let objective = self.entry.objective(&req.route, &req.service);
         let again = self.may_have_run.then(|| self.entry.now());
         let due = place::due_time(req.received, again, objective);
-        // Where several versions serve, a stream that its caller has a part of has few places to go
-        // on, and is lost if it doesn't wait for one.
-        let is_mixed = self.version.is_some() && self.entry.fleet.borrow().is_mixed(self.service);
+        // What its caller has of a stream is lost if it is refused, and only late if it waits for a place to
+        // go on.
+        let has_begun = self.version.is_some();
         Ok(place::Job {
             service: self.service,
             customer: self.entry.customer(customer),
             parts: req.head.parts.clone(),
             cost: req.head.cost,
-            due: if is_mixed { req.deadline } else { due },
+            due: if has_begun { req.deadline } else { due },
             objective,
             excluded: self
                 .tried
