Answer requests that wait as a process ends

Cause: requests were refused if they arrived too late in the grace, but nothing ended the wait of one that was accepted before. Evidence: no arrival at a backend server, no `refused` line, `stopped cut=3`.

One that isn't sent yet gives up sooner, by its objective, since its answer would most likely be cut. Waiting requests of peers are sent back.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -36,6 +36,7 @@
 pub mod rotation;
 pub mod route;
 pub mod share;
+pub mod shutdown;
 pub mod spread;
 pub mod standby;
 pub mod subset;
--- a/src/direct/forward.rs
+++ b/src/direct/forward.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 use tokio::task;
 
-use super::{answer, attempt, body, passing, refusal, request, slot, state};
+use super::{answer, attempt, body, passing, refusal, request, serve, slot, state};
 use crate::code;
 use crate::decide::{binding, memory, overload, place, quarantine};
 use crate::key;
@@ -95,7 +95,12 @@
         is_logged: cell::Cell::new(false),
         decision: cell::Cell::default(),
     };
-    let result = tokio::time::timeout_at(deadline, call.answer()).await;
+    let entry = rc::Rc::clone(&call.entry);
+    let result = tokio::select! {
+        biased;
+        result = tokio::time::timeout_at(deadline, call.answer()) => result,
+        () = entry.last_answer() => Ok(Err(serve::LEAVING)),
+    };
     let refusal = match result {
         Ok(Ok(response)) => return response,
         Ok(Err(refusal)) => call.without_false_claim(refusal),
@@ -108,9 +113,24 @@
     refusal.response(Some(&call.req.head.id), &call.entry.dialect)
 }
 
+// Waits for what a request with this objective needs before it is sent, unless the process ends too soon
+// to get its answer.
+async fn unless_leaving<T>(
+    entry: &state::Entry,
+    objective: time::Duration,
+    needed: impl Future<Output = Result<T, refusal::Refusal>>,
+) -> Result<T, refusal::Refusal> {
+    tokio::select! {
+        biased;
+        result = needed => result,
+        () = entry.last_attempt(objective) => Err(serve::LEAVING),
+    }
+}
+
 impl Call {
     async fn answer(&mut self) -> Result<http::Response<body::Body>, refusal::Refusal> {
-        self.bind().await?;
+        let (entry, route) = (rc::Rc::clone(&self.entry), rc::Rc::clone(&self.req.route));
+        unless_leaving(&entry, route.objective, self.bind()).await?;
         let is_retryable = self.req.route.kind.is_retryable();
         // Error response of a backend server; passed on if no other attempt gets a response.
         let mut failure_response = None;
@@ -180,7 +200,8 @@
         after: Option<&str>,
     ) -> Result<attempt::Response, refusal::Refusal> {
         loop {
-            let slot = self.acquire_slot().await?;
+            let (entry, route) = (rc::Rc::clone(&self.entry), rc::Rc::clone(&self.req.route));
+            let slot = unless_leaving(&entry, route.objective, self.acquire_slot()).await?;
             self.check_configuration()?;
             self.check_caller().await?;
             if !self.is_still_allowed(&slot)? {
--- a/src/direct/serve.rs
+++ b/src/direct/serve.rs
@@ -14,7 +14,7 @@
 
 use super::{body, callers, configuration, conn, forward, logger, refusal, request, state};
 use crate::code;
-use crate::decide::{memory, rotation};
+use crate::decide::{memory, rotation, shutdown};
 
 /// Minimum buffer size of a connection in bytes, which bounds the size of a request head.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -22,9 +22,11 @@
 /// Length of the accept queue: a burst of callers within one iteration of the event loop.
 const BACKLOG: u32 = 1_024;
 
-/// Retry-After for a request that could not finish before this process ends; a peer can take
-/// it.
-const LEAVING_RETRY_AFTER: time::Duration = time::Duration::from_millis(50);
+/// Refusal of a request that could not finish before this process ends; a peer can take it.
+pub(super) const LEAVING: refusal::Refusal = refusal::Refusal {
+    code: code::Code::Leaving,
+    retry_after: Some(time::Duration::from_millis(50)),
+};
 
 /// Retry-After while the process has no configuration: about the time of a start.
 const UNCONFIGURED_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
@@ -201,7 +203,11 @@
     let is_chunked = head.as_ref().map_or(true, |h| h.is_chunked);
     let id = parts.headers.get(&entry.dialect.request_id);
     let outcome = match head {
-        Ok(head) => prepare(&entry, head, incoming, received).await,
+        Ok(head) => tokio::select! {
+            biased;
+            prepared = prepare(&entry, head, incoming, received) => prepared,
+            () = entry.last_answer() => Err(LEAVING),
+        },
         Err(code) => Err(refusal::Refusal::new(code)),
     };
     let mut response = match outcome {
@@ -360,12 +366,9 @@
     received: time::Duration,
     deadline: time::Duration,
 ) -> Result<(), refusal::Refusal> {
-    let is_late = |(closing, end)| received >= closing && deadline > end;
-    if entry.shutdown_window().is_some_and(is_late) {
-        let leaving = refusal::Refusal::with_retry_after(code::Code::Leaving, LEAVING_RETRY_AFTER);
-        return Err(leaving);
-    }
-    Ok(())
+    let window = entry.shutdown_window();
+    let is_late = window.is_some_and(|window| window.refuses(received, deadline));
+    if is_late { Err(LEAVING) } else { Ok(()) }
 }
 
 // Serves a request, unless the process is too overloaded. This is decided only after the body was
@@ -412,13 +415,21 @@
     entry.begin_shutdown();
     let grace = entry.settings.borrow().grace;
     let last = started + grace.saturating_sub(KILL_MARGIN);
-    entry.set_shutdown_window(started + LINGER_TIME, last);
-    tokio::time::sleep(LINGER_TIME).await;
+    let window = shutdown::Window {
+        closing: started + LINGER_TIME,
+        end: last,
+    };
+    entry.set_shutdown_window(window);
+    tokio::time::sleep(LINGER_TIME.min(window.last_answer().saturating_sub(started))).await;
     entry.closing.send_replace(true);
     entry.log.line("closing").with("active", entry.active.get());
     // Idle connections close before the first check. A response is no longer active once the HTTP library
     // has taken it, which may be long before a caller that reads slowly has it.
     tokio::time::sleep(POLL_INTERVAL).await;
+    while entry.now() < window.last_answer() && entry.callers.unfinished() > 0 {
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+    entry.decline_waiting();
     while entry.now() < last && entry.callers.unfinished() > 0 {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
--- a/src/direct/state.rs
+++ b/src/direct/state.rs
@@ -17,7 +17,7 @@
 };
 use crate::decide::{
     binding, feature, health, outage, overload, place, probe, quarantine, random, retry, rotation,
-    spread, standby,
+    shutdown, spread, standby,
 };
 use crate::key;
 
@@ -195,7 +195,8 @@
     /// Number of requests in progress.
     pub active: cell::Cell<usize>,
     pub(super) leaving: cell::Cell<bool>,
-    pub(super) shutdown_window: cell::Cell<Option<(time::Duration, time::Duration)>>,
+    // Times of the shutdown, once it has begun.
+    shutdown: watch::Sender<Option<shutdown::Window>>,
     /// True if connections of callers are closed as soon as they are idle.
     pub closing: watch::Sender<bool>,
 }
@@ -290,7 +291,7 @@
             callers: callers::Table::new(limit),
             active: cell::Cell::default(),
             leaving: cell::Cell::default(),
-            shutdown_window: cell::Cell::default(),
+            shutdown: watch::Sender::default(),
             closing: watch::Sender::default(),
         }
     }
@@ -424,15 +425,39 @@
         (self.timer_lag.get() * LAGS_PER_RESPONSE).min(MAX_EXTRA_TIMEOUT)
     }
 
-    /// Returns, during shutdown, the time from which only requests that can finish are accepted,
-    /// and the time at which the process ends.
-    pub fn shutdown_window(&self) -> Option<(time::Duration, time::Duration)> {
-        self.shutdown_window.get()
+    /// Returns the times of the shutdown, once it has begun.
+    pub fn shutdown_window(&self) -> Option<shutdown::Window> {
+        *self.shutdown.borrow()
     }
 
-    /// Sets the window of [`Entry::shutdown_window`].
-    pub fn set_shutdown_window(&self, closing: time::Duration, end: time::Duration) {
-        self.shutdown_window.set(Some((closing, end)));
+    /// Sets the times of the shutdown.
+    pub fn set_shutdown_window(&self, window: shutdown::Window) {
+        self.shutdown.send_replace(Some(window));
+    }
+
+    /// Waits until requests without a response get their final one, since the process ends.
+    pub async fn last_answer(&self) {
+        self.reach(shutdown::Window::last_answer).await;
+    }
+
+    /// Waits until no request with this objective may wait to be sent any more, since the process ends.
+    pub async fn last_attempt(&self, objective: time::Duration) {
+        self.reach(|window| window.last_attempt(objective)).await;
+    }
+
+    // Waits for a time of the shutdown.
+    async fn reach(&self, time: impl Fn(&shutdown::Window) -> time::Duration) {
+        let mut windows = self.shutdown.subscribe();
+        // Fails only once the entry is dropped.
+        let Ok(window) = windows
+            .wait_for(Option::is_some)
+            .await
+            .map(|window| *window)
+        else {
+            return;
+        };
+        let at = window.as_ref().map_or(time::Duration::ZERO, time);
+        tokio::time::sleep_until((self.started + at).into()).await;
     }
 
     /// Marks the entry as leaving.
--- a/src/direct/waiting.rs
+++ b/src/direct/waiting.rs
@@ -53,6 +53,16 @@
         }
     }
 
+    /// Sends waiting requests of peers back, since this entry ends.
+    pub(super) fn decline_waiting(&self) {
+        let waiters = self.waiters.borrow();
+        let is_remote = |(_, waiter): &(&u64, &Waiter)| matches!(waiter, Waiter::Remote(_));
+        let remote = waiters.iter().filter(is_remote);
+        let remote: Vec<u64> = remote.map(|(request, _)| *request).collect();
+        drop(waiters);
+        self.place_again(remote);
+    }
+
     /// Returns a new number for a request that may wait.
     pub fn next_request_number(&self) -> u64 {
         let number = self.next_request_number.get();
