--- a/tests/shutdown_times.rs
+++ b/tests/shutdown_times.rs
@@ -75,7 +75,7 @@
             "{}",
             case.name
         );
-        let (before, after) = (window.closing - ms(1), window.closing);
+        let (before, after) = (ms(case.closing_ms - 1), window.closing);
         assert!(!window.refuses(before, ms(90_000)), "{}", case.name);
         let late = window.last_answer() + ms(1);
         assert!(window.refuses(after, late), "{}", case.name);
