Set aside answers whose status is none

Callers got a backend server's status 600, 999 or 101 as an answer, on the streaming and the unsafe route; other operators reported 000, which ends as 502 here.

Cause: an answer was checked for id, signature and encoding, not for its status, and the HTTP library accepts any three digits from 100 on.

Change: an answer with a status outside 200 to 599 is set aside and its connection closed; the request may have run.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -202,7 +202,10 @@
         let is_signed = head.headers.contains_key(&names.signature);
         let is_encoded = head.headers.contains_key(header::CONTENT_ENCODING);
         let status = head.status;
-        let is_unusable = !is_ours || is_encoded || (status.is_success() && !is_signed);
+        // The caller asked for no other protocol, and a head that announces the final one was skipped.
+        let is_final = (200..600).contains(&status.as_u16());
+        let is_unusable =
+            !is_ours || !is_final || is_encoded || (status.is_success() && !is_signed);
         if !is_unusable && !not_run && status != http::StatusCode::MISDIRECTED_REQUEST {
             return Outcome::Responded(Box::new(Response {
                 head,
