Give up connections that bring bytes without end

A faulty backend server that sent a chunk size of zeros without end kept each entry that called it busy with a whole core until the callers' deadlines, and on the unsafe route its caller had no answer by its own. Informational heads without end took 1 to 2 s.

Cause: the HTTP library reads and drops such bytes without a limit; memory was bounded, time wasn't.

Change: a connection fails after 128 KiB that completed neither a head nor a piece of a body. The limit lies below the library.

Measured: tests/odd_answers.rs, nine floods on four kinds of routes: the server gets rid of 0 to 8.4 MB, what sockets hold; before, 28 MB within 3 s at the first. All end with 502 or cut.

--- a/src/direct/answer.rs
+++ b/src/direct/answer.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 
 use super::{attempt, body, conn, forward, memory, refusal, slot};
 use crate::code;
@@ -28,7 +28,7 @@
     call: forward::Call,
     slot: slot::Slot,
     conn: Option<conn::Conn>,
-    body: Incoming,
+    body: conn::Body,
     // Bytes of an event that is not complete yet.
     partial: Vec<u8>,
     // Memory of these bytes.
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use http::{HeaderValue, header};
 use http_body_util::Full;
-use hyper::body::Incoming;
 
 use super::{conn, forward, inspect, losses, slot};
 use crate::decide::pause;
@@ -18,7 +17,7 @@
     /// Status and headers.
     pub head: http::response::Parts,
     /// Body, not read yet.
-    pub body: Incoming,
+    pub body: conn::Body,
     /// Connection that it comes on.
     pub conn: conn::Conn,
     /// Slot of the request at the backend server.
@@ -125,7 +124,7 @@
 
     // Applies the headers about the state of the backend server, also those of a response that
     // can't be passed on. Headers of another instance at the same address are ignored.
-    fn record_headers(&self, server: key::Sidecar, response: &http::Response<Incoming>) {
+    fn record_headers(&self, server: key::Sidecar, response: &http::Response<conn::Body>) {
         let (names, headers) = (&self.entry.dialect, response.headers());
         let is_leaving = headers.get(&names.leaving).is_some_and(|says| says != "0");
         let pause = requested_pause(response.status(), headers);
@@ -190,7 +189,7 @@
 
     fn classify(
         &self,
-        response: http::Response<Incoming>,
+        response: http::Response<conn::Body>,
         mut conn: conn::Conn,
         slot: slot::Slot,
     ) -> Outcome {
--- a/src/direct/body.rs
+++ b/src/direct/body.rs
@@ -46,8 +46,8 @@
 }
 
 /// Returns the length of a body, if it is known before it is read; fails if it exceeds `limit`.
-pub fn length(incoming: &body::Incoming, limit: u64) -> Result<Option<u64>, Error> {
-    let length = body::Body::size_hint(incoming).exact();
+pub fn length(incoming: &impl body::Body, limit: u64) -> Result<Option<u64>, Error> {
+    let length = incoming.size_hint().exact();
     match length {
         Some(length) if length > limit => Err(Error::TooLarge),
         length => Ok(length),
@@ -57,7 +57,7 @@
 /// Reads a body of at most `limit` bytes as far as there is memory. It takes memory for all of it first
 /// if its length is known, and otherwise more as it grows.
 pub async fn receive(
-    incoming: &mut body::Incoming,
+    incoming: &mut (impl body::Body<Data = Bytes, Error = hyper::Error> + Unpin),
     limit: u64,
     mut hold: memory::Hold,
 ) -> Result<Received, Error> {
--- a/src/direct/conn.rs
+++ b/src/direct/conn.rs
@@ -1,9 +1,10 @@
 //! HTTP/1.1 client connection to a backend server, a peer or the platform.
 
-use std::{io, net, rc, time};
+use std::{io, net, pin, rc, time};
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::{self, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::{net as tokio_net, task};
@@ -45,6 +46,37 @@
     pub keep_alive: Option<time::Duration>,
 }
 
+/// Body of a response.
+#[derive(Debug)]
+pub struct Body {
+    incoming: Incoming,
+    arrival: rc::Rc<watched::Arrival>,
+}
+
+impl body::Body for Body {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = pin::Pin::new(&mut self.incoming).poll_frame(cx);
+        if frame.is_ready() {
+            self.arrival.on_delivered();
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.incoming.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.incoming.size_hint()
+    }
+}
+
 /// Why a request got no response.
 #[derive(Debug, derive_more::Display)]
 pub enum SendError {
@@ -81,14 +113,14 @@
     pub async fn send(
         &mut self,
         req: http::Request<Full<Bytes>>,
-    ) -> Result<http::Response<hyper::body::Incoming>, SendError> {
+    ) -> Result<http::Response<Body>, SendError> {
         self.arrival.reset();
         let arrival = &self.arrival;
         let overdue = async {
             arrival.wait().await;
             tokio::time::sleep(HEAD_TIMEOUT).await;
         };
-        tokio::select! {
+        let response = tokio::select! {
             biased;
             response = self.sender.try_send_request(req) => response.map_err(|mut err| {
                 if err.take_message().is_some() {
@@ -98,7 +130,10 @@
                 }
             }),
             () = overdue => Err(SendError::EndlessHead),
-        }
+        }?;
+        arrival.on_delivered();
+        let arrival = rc::Rc::clone(arrival);
+        Ok(response.map(|incoming| Body { incoming, arrival }))
     }
 }
 
--- a/src/direct/passing.rs
+++ b/src/direct/passing.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 
 use super::{attempt, body, conn, forward, refusal, slot};
 use crate::code;
@@ -25,7 +25,7 @@
     slot: slot::Slot,
     conn: Option<conn::Conn>,
     pieces: collections::VecDeque<Bytes>,
-    body: Incoming,
+    body: conn::Body,
     is_over: bool,
 }
 
--- a/tests/odd_answers.rs
+++ b/tests/odd_answers.rs
@@ -31,6 +31,9 @@
 /// Size of an upload: more than sockets buffer.
 const UPLOAD_BYTES: usize = 8_000_000;
 
+/// Bytes without end that a server may get rid of: what sockets buffer, and more than an entry reads.
+const MAX_FLOOD_BYTES: u64 = 16_000_000;
+
 const BODY: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
 const FIELDS: &str = "id: 1\r\nsignature: s\r\n";
@@ -271,3 +274,89 @@
         }
     });
 }
+
+struct Flood {
+    name: &'static str,
+    answer: &'static str,
+    // Sent again and again.
+    bytes: &'static [u8],
+}
+
+// Guards against bytes without end that take all of the processor and are read until the caller's deadline,
+// during which nobody else is served.
+#[test]
+fn bytes_without_end_are_given_up_soon() {
+    let floods = [
+        Flood {
+            name: "a chunk size of zeros",
+            answer: "HTTP/1.1 200 OK\r\nid: 1\r\nsignature: s\r\ntransfer-encoding: chunked\r\n\r\n",
+            bytes: b"0000000000000000",
+        },
+        Flood {
+            name: "a chunk size of zeros behind an event",
+            answer: "HTTP/1.1 200 OK\r\nid: 1\r\nsignature: s\r\ntransfer-encoding: chunked\r\n\r\n\
+                     f\r\nid: 1\ndata: a\n\n\r\n",
+            bytes: b"0000000000000000",
+        },
+        Flood {
+            name: "a chunk extension",
+            answer: "HTTP/1.1 200 OK\r\nid: 1\r\nsignature: s\r\ntransfer-encoding: chunked\r\n\r\n5;",
+            bytes: b"xxxxxxxxxxxxxxxx",
+        },
+        Flood {
+            name: "trailers",
+            answer: "HTTP/1.1 200 OK\r\nid: 1\r\nsignature: s\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+            bytes: b"x-more: trailer\r\n",
+        },
+        Flood {
+            name: "heads of status 100",
+            answer: "",
+            bytes: b"HTTP/1.1 100 Continue\r\n\r\n",
+        },
+        Flood {
+            name: "heads of status 103",
+            answer: "",
+            bytes: b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n",
+        },
+        Flood {
+            name: "header lines",
+            answer: "HTTP/1.1 200 OK\r\n",
+            bytes: b"x-more: line\r\n",
+        },
+        Flood {
+            name: "no lines",
+            answer: "",
+            bytes: b"zzzzzzzzzzzzzzzz",
+        },
+        Flood {
+            name: "an event",
+            answer: "HTTP/1.1 200 OK\r\nid: 1\r\nsignature: s\r\n\r\ndata: ",
+            bytes: b"aaaaaaaaaaaaaaaa",
+        },
+    ];
+    for flood in floods {
+        for kind in KINDS {
+            run(|| async {
+                let entry = entry(kind);
+                let script = Script {
+                    reads_head: true,
+                    answer: flood.answer.into(),
+                    flood: flood.bytes,
+                    reset_after: None,
+                };
+                let name = format!("{kind:?} {}", flood.name);
+                let (address, sent) = open(script);
+                let server = listing::Server {
+                    id: name.clone(),
+                    address,
+                    ..direct::server("", 1, false)
+                };
+                let received = send_to(&entry, &name, server, Bytes::new()).await;
+                assert_failed(&received, &name);
+                let bytes = sent.load(Ordering::SeqCst);
+                println!("{name}: {bytes} bytes");
+                assert!(bytes <= MAX_FLOOD_BYTES, "{name}: {bytes} bytes");
+            });
+        }
+    }
+}
