Say of a process's version that it isn't known, not that it is gone

A stream that began at a restarted process which ended before the list told its version was refused with `311 version_gone`, "no backend server of that version is left". Nobody knows that: others may run it.

Change: `312 version_unknown`, as for other streams whose version isn't known. Found by reading the change, not by a caller.

--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -172,10 +172,19 @@
         version: Option<binding::Version>,
         random: &mut random::Random,
     ) -> refusal::Refusal {
-        let is_gone = |version| !self.fleet.borrow().has_version(service, version);
-        if version.is_some_and(is_gone) {
-            let after = VERSION_RETRY_AFTER;
-            return refusal::Refusal::with_retry_after(code::Code::VersionGone, after);
+        let is_gone = |version: &binding::Version| {
+            let fleet = self.fleet.borrow();
+            !fleet.has_version(service, *version)
+        };
+        if let Some(version) = version.filter(is_gone) {
+            // Of a process that ended before its version was known, servers of that version may be left.
+            let is_unknown = self.bindings.borrow().is_unknown(version);
+            let code = if is_unknown {
+                code::Code::VersionUnknown
+            } else {
+                code::Code::VersionGone
+            };
+            return refusal::Refusal::with_retry_after(code, VERSION_RETRY_AFTER);
         }
         if let Some(after) = self.evacuated_retry_after(service, random) {
             return refusal::Refusal::with_retry_after(code::Code::ZoneEvacuated, after);
