Offer a refused stream to servers of unknown version only

Found by reading the change: while the list isn't current, a new stream that its home refused was offered to any further home, also where no server's version is unknown.

Change: such a stream is offered to a server that it avoided, if there is one, and to no other.

--- a/src/decide/place/homes.rs
+++ b/src/decide/place/homes.rs
@@ -152,6 +152,20 @@
         best.map(|(_, server)| server)
     }
 
+    // Returns the home among the backend servers that a new stream avoids.
+    pub(super) fn avoided(&self, job: &Job) -> Option<key::Sidecar> {
+        let candidates = self.0.get(&job.service)?;
+        if !avoids_unknown(job, candidates) {
+            return None;
+        }
+        let is_avoided = |c: &&Candidate| !c.begins_streams && is_usable(job, c, false);
+        let target = job.home_target().unwrap_or_default();
+        let avoided = candidates.iter().filter(is_avoided);
+        avoided
+            .max_by_key(|c| rank(target, c.hash))
+            .map(|c| c.server)
+    }
+
     // Returns the first homes in order of preference.
     pub(super) fn first(
         &self,
--- a/src/decide/place/mod.rs
+++ b/src/decide/place/mod.rs
@@ -321,6 +321,12 @@
         Some(order[one.min(other)])
     }
 
+    /// Returns the home of a stream among the backend servers at which it doesn't begin if others take it,
+    /// since their versions aren't known yet.
+    pub fn avoided_home(&self, job: &Job) -> Option<key::Sidecar> {
+        self.homes.avoided(job)
+    }
+
     /// Decides whether a request is sent to this backend server, waits for it or is refused.
     pub fn place_at(
         &mut self,
--- a/src/direct/slot.rs
+++ b/src/direct/slot.rs
@@ -236,8 +236,8 @@
         let started = entry.now();
         let mut offer = match self.first_offer(&job) {
             Err(_) if self.leave_base(&mut job).await => self.first_offer(&job)?,
-            Err(_) if self.accept_unknown(&mut job) => self.first_offer(&job)?,
-            offer => offer?,
+            Err(refusal) => self.avoided_offer(&mut job).ok_or(refusal)?,
+            Ok(offer) => offer,
         };
         let mut refusals = 0;
         let slot = loop {
@@ -254,20 +254,18 @@
                     job.version = self.version.or_else(|| self.base_version());
                     offer = match self.home(&job) {
                         Err(_) if self.leave_base(&mut job).await => self.home(&job)?,
-                        Err(_) if self.accept_unknown(&mut job) => self.home(&job)?,
-                        offer => offer?,
+                        Err(refusal) => self.avoided_offer(&mut job).ok_or(refusal)?,
+                        Ok(offer) => offer,
                     };
                 }
                 Err(refusal) => {
                     refusals += 1;
                     let next = self.next_offer(&mut job, offer.server, refusal.code, refusals);
-                    offer = match next {
-                        // The versions of backend servers that have restarted stay unknown for longer.
-                        None if !entry.has_current_list() && self.accept_unknown(&mut job) => {
-                            self.home(&job).map_err(|_none_left| refusal)?
-                        }
-                        next => next.ok_or(refusal)?,
-                    };
+                    // Without a current list versions stay unknown for longer.
+                    let is_unknown_for_long = !entry.has_current_list();
+                    let mut avoided = || self.avoided_offer(&mut job);
+                    let next = next.or_else(|| is_unknown_for_long.then(&mut avoided).flatten());
+                    offer = next.ok_or(refusal)?;
                 }
             }
         };
@@ -304,13 +302,13 @@
         true
     }
 
-    // If no backend server takes a stream whose version is known, lets it begin at any; returns whether
-    // that makes a difference. Such a stream is bound to the process until its version is known.
-    fn accept_unknown(&self, job: &mut place::Job) -> bool {
-        if job.version.is_some() || !std::mem::replace(&mut job.is_resumable, false) {
-            return false;
-        }
-        self.entry.fleet.borrow_mut().choose(job).is_some()
+    // Lets a stream that no other backend server takes begin where the version isn't known yet. It is bound
+    // to the process until that is known.
+    fn avoided_offer(&self, job: &mut place::Job) -> Option<place::Offer> {
+        let server = self.entry.fleet.borrow().avoided_home(job)?;
+        job.is_resumable = false;
+        let reason = place::Reason::Home;
+        Some(place::Offer { server, reason })
     }
 
     /// Returns whether the request may be sent to a backend server of this version.
--- a/tests/unknown_version.rs
+++ b/tests/unknown_version.rs
@@ -224,6 +224,14 @@
         };
         assert_eq!(chosen(&mut fleet, true, None), [known]);
         assert_eq!(chosen(&mut fleet, false, None).len(), 2);
+        // Where no other takes it, it may go there, but to no further server of a known version.
+        let refused = |at| place::Job {
+            excluded: SmallVec::from_slice(&[at]),
+            ..job(2, true, None)
+        };
+        assert_eq!(fleet.avoided_home(&refused(known)), Some(unknown));
+        assert_eq!(fleet.avoided_home(&refused(unknown)), None);
+        assert_eq!(fleet.avoided_home(&job(2, false, None)), None);
         // A stream that the process began goes on there, and nowhere else.
         assert_eq!(chosen(&mut fleet, true, Some(process)), [unknown]);
         assert_eq!(chosen(&mut fleet, true, Some(version("v1"))), [known]);
@@ -236,6 +244,7 @@
         fleet.sweep(ms(3_000));
         assert_eq!(chosen(&mut fleet, true, None).len(), 2);
         fleet.set_version(unknown, version("v2"));
+        assert_eq!(fleet.avoided_home(&refused(known)), None);
         assert_eq!(chosen(&mut fleet, true, None).len(), 2);
         assert!(chosen(&mut fleet, true, Some(process)).is_empty());
     }
